Add the core types, the ports and the first decisions

Cause: adapters and roles need types and interfaces that do not depend on a wire format. Change: names as shared strings, ids, error table, declarations, ports as traits; decisions for configuration, authorization, the request life cycle (typestate), admission and the agent's state.

--- /dev/null
+++ b/crates/core/src/decision/agent.rs
@@ -0,0 +1,150 @@
+//! Control state of an agent: repeated requests, drain, fencing, usage counters.
+
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use crate::domain::call::Counter;
+use crate::domain::error::ErrorKind;
+use crate::domain::ids::Fence;
+use crate::domain::ids::Incarnation;
+use crate::domain::ids::RequestId;
+use crate::domain::name::WorkspaceId;
+use crate::domain::target::ServingState;
+
+/// Ids of non-idempotent requests that an agent remembers. At 100 such requests a second this
+/// covers more than ten minutes, the longest deadline of a route.
+const REMEMBERED: usize = 65_536;
+
+/// What an agent knows of a request id.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Known {
+    /// Never seen by this incarnation. An earlier incarnation may have run it.
+    Unknown,
+    /// Runs now.
+    Running,
+    /// Has ended.
+    Ended,
+}
+
+/// Control state of one agent.
+#[derive(Debug)]
+pub struct AgentState {
+    incarnation: Incarnation,
+    serving: ServingState,
+    running: u32,
+    fence: Fence,
+    seen: HashMap<RequestId, Known>,
+    order: VecDeque<RequestId>,
+    counters: HashMap<WorkspaceId, u64>,
+}
+
+impl AgentState {
+    /// Creates the state of a new run of an agent.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Self {
+            incarnation,
+            serving: ServingState::Serving,
+            running: 0,
+            fence: Fence::default(),
+            seen: HashMap::new(),
+            order: VecDeque::new(),
+            counters: HashMap::new(),
+        }
+    }
+
+    /// Returns the run of the agent.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Returns the serving state.
+    pub fn serving(&self) -> ServingState {
+        self.serving
+    }
+
+    /// Returns the number of running requests.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Decides whether an attempt may start at the target.
+    pub fn begin(&mut self, request: RequestId, idempotent: bool) -> Result<(), ErrorKind> {
+        if self.serving != ServingState::Serving {
+            return Err(ErrorKind::TargetLeaving);
+        }
+        if !idempotent {
+            self.remember(request)?;
+        }
+        self.running += 1;
+        Ok(())
+    }
+
+    /// Notes the end of an attempt that had begun. Whole answers are counted.
+    pub fn end(
+        &mut self,
+        request: RequestId,
+        workspace: &WorkspaceId,
+        tokens: Option<u64>,
+    ) -> Option<Counter> {
+        self.running = self.running.saturating_sub(1);
+        if let Some(known) = self.seen.get_mut(&request) {
+            *known = Known::Ended;
+        }
+        let total = self.counters.entry(workspace.clone()).or_default();
+        *total += tokens?;
+        Some(Counter {
+            incarnation: self.incarnation,
+            workspace: workspace.clone(),
+            tokens: *total,
+        })
+    }
+
+    /// Tells what is known of a request id.
+    pub fn lookup(&self, request: RequestId) -> Known {
+        self.seen.get(&request).copied().unwrap_or(Known::Unknown)
+    }
+
+    /// Returns all usage counters.
+    pub fn counters(&self) -> Vec<Counter> {
+        let mut counters: Vec<_> = self
+            .counters
+            .iter()
+            .map(|(workspace, tokens)| Counter {
+                incarnation: self.incarnation,
+                workspace: workspace.clone(),
+                tokens: *tokens,
+            })
+            .collect();
+        counters.sort_by(|a, b| a.workspace.cmp(&b.workspace));
+        counters
+    }
+
+    /// Stops new requests. Running ones finish.
+    pub fn drain(&mut self) {
+        self.serving = ServingState::Leaving;
+    }
+
+    /// Accepts an order if its fencing token is not older than any seen before.
+    pub fn fence(&mut self, fence: Fence) -> Result<(), Fence> {
+        if fence < self.fence {
+            return Err(self.fence);
+        }
+        self.fence = fence;
+        Ok(())
+    }
+
+    /// Records a non-idempotent request id, or refuses one that was seen before.
+    fn remember(&mut self, request: RequestId) -> Result<(), ErrorKind> {
+        if self.seen.contains_key(&request) {
+            return Err(ErrorKind::Repeated);
+        }
+        if self.order.len() == REMEMBERED
+            && let Some(oldest) = self.order.pop_front()
+        {
+            self.seen.remove(&oldest);
+        }
+        self.order.push_back(request);
+        self.seen.insert(request, Known::Running);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/core/src/decision/mod.rs
@@ -0,0 +1,7 @@
+//! State machines: `(now, event)` in, the next step out.
+
+pub mod agent;
+pub mod authorize;
+pub mod config;
+pub mod request;
+pub mod traffic;
--- /dev/null
+++ b/crates/core/src/decision/request.rs
@@ -0,0 +1,160 @@
+//! Life cycle of a request at an entry. Each state is a type, so a step out of order does not
+//! compile.
+
+use crate::domain::error::ErrorKind;
+use crate::domain::error::Failure;
+use crate::domain::error::RunState;
+use crate::domain::ids::Attempt;
+use crate::domain::ids::RequestId;
+
+/// Waits for a target.
+#[derive(Debug)]
+pub struct Admitted {
+    /// True if an earlier attempt may have run.
+    touched: bool,
+}
+
+/// Runs on a target.
+#[derive(Debug)]
+pub struct Dispatched {
+    touched: bool,
+    /// True once a part of the answer went to the caller.
+    sent: bool,
+}
+
+/// Has got its whole answer or its failure.
+#[derive(Debug)]
+pub struct Answered {
+    /// The failure, or none after a whole answer.
+    pub failure: Option<Failure>,
+}
+
+/// A request in one state of its life cycle.
+#[derive(Debug)]
+pub struct Request<S> {
+    id: RequestId,
+    idempotent: bool,
+    attempt: Attempt,
+    state: S,
+}
+
+/// What follows a failed attempt.
+#[derive(Debug)]
+pub enum AfterFailure {
+    /// Another attempt is allowed, if budget and deadline permit.
+    Retry(Request<Admitted>),
+    /// The failure is final.
+    Final(Request<Answered>),
+}
+
+impl Request<Admitted> {
+    /// Starts the life of a request.
+    pub fn new(id: RequestId, idempotent: bool) -> Self {
+        Self {
+            id,
+            idempotent,
+            attempt: Attempt(0),
+            state: Admitted { touched: false },
+        }
+    }
+
+    /// Goes to a target as the next attempt.
+    pub fn dispatch(self) -> Request<Dispatched> {
+        Request {
+            id: self.id,
+            idempotent: self.idempotent,
+            attempt: Attempt(self.attempt.0 + 1),
+            state: Dispatched {
+                touched: self.state.touched,
+                sent: false,
+            },
+        }
+    }
+
+    /// Ends before another attempt. The failure never claims more than earlier attempts allow.
+    pub fn refuse(self, failure: Failure) -> Request<Answered> {
+        let touched = self.state.touched;
+        self.answered(Some(weaken(failure, touched)))
+    }
+}
+
+impl Request<Dispatched> {
+    /// Returns the number of this attempt.
+    pub fn attempt(&self) -> Attempt {
+        self.attempt
+    }
+
+    /// Notes that a part of the answer goes to the caller, which rules out another attempt.
+    pub fn mark_sent(&mut self) {
+        self.state.sent = true;
+    }
+
+    /// Ends with a whole answer.
+    pub fn finish(self) -> Request<Answered> {
+        self.answered(None)
+    }
+
+    /// Ends with a failure that is final whatever its kind.
+    pub fn abort(self, failure: Failure) -> Request<Answered> {
+        let touched = self.state.touched;
+        self.answered(Some(weaken(failure, touched)))
+    }
+
+    /// Decides what follows a failed attempt.
+    ///
+    /// A request that may have run is repeated only if it is idempotent, and no request is
+    /// repeated after a part of an answer went to the caller.
+    pub fn fail(self, failure: Failure) -> AfterFailure {
+        let clean = failure.run == RunState::NotRun;
+        let safe = clean || self.idempotent;
+        if !failure.kind.answer().elsewhere || self.state.sent || !safe {
+            return AfterFailure::Final(self.abort(failure));
+        }
+        AfterFailure::Retry(Request {
+            id: self.id,
+            idempotent: self.idempotent,
+            attempt: self.attempt,
+            state: Admitted {
+                touched: self.state.touched || !clean,
+            },
+        })
+    }
+}
+
+impl Request<Answered> {
+    /// Returns the failure, or none after a whole answer.
+    pub fn failure(&self) -> Option<Failure> {
+        self.state.failure
+    }
+}
+
+impl<S> Request<S> {
+    /// Returns the id of the request.
+    pub fn id(&self) -> RequestId {
+        self.id
+    }
+
+    fn answered(self, failure: Option<Failure>) -> Request<Answered> {
+        Request {
+            id: self.id,
+            idempotent: self.idempotent,
+            attempt: self.attempt,
+            state: Answered { failure },
+        }
+    }
+}
+
+/// Weakens "not run" if an earlier attempt may have run.
+fn weaken(failure: Failure, touched: bool) -> Failure {
+    let run = match (touched, failure.run) {
+        (true, RunState::NotRun) => RunState::MayHaveRun,
+        (_, run) => run,
+    };
+    Failure { run, ..failure }
+}
+
+impl From<&Request<Answered>> for Option<ErrorKind> {
+    fn from(request: &Request<Answered>) -> Self {
+        request.state.failure.map(|failure| failure.kind)
+    }
+}
--- /dev/null
+++ b/crates/core/src/domain/ids.rs
@@ -0,0 +1,66 @@
+//! Numbers that identify requests, versions, revisions and processes.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Identifies a request across all of its attempts. Drawn at random by the entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestId(pub u128);
+
+/// Counts the attempts of one request, from 1.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Attempt(pub u32);
+
+/// Version of a model's weights. Higher is newer.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct WeightVersion(pub u64);
+
+/// Revision of the object API. Every accepted change gets the next one.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Revision(pub u64);
+
+/// Fencing token of a lease. Grows by one at each change of holder.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Fence(pub u64);
+
+/// Identifies one run of a process. Drawn at random at start, so a restart changes it.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Incarnation(pub u64);
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Display for WeightVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl fmt::Display for Incarnation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/core/src/domain/mod.rs
@@ -0,0 +1,10 @@
+//! Plain data shared by decisions, ports and adapters.
+
+pub mod call;
+pub mod declare;
+pub mod error;
+pub mod ids;
+pub mod key;
+pub mod name;
+pub mod target;
+pub mod time;
--- /dev/null
+++ b/crates/core/src/port/front.rs
@@ -0,0 +1,32 @@
+//! Ports through which the outside asks the system. The roles implement them, and adapters of
+//! any wire format call them.
+
+use std::time::Duration;
+
+use flume::Sender;
+
+use crate::decision::authorize::Inbound;
+use crate::domain::call::Call;
+use crate::domain::call::CallEvent;
+use crate::domain::call::Counter;
+use crate::domain::target::Report;
+use crate::port::target::CallGuard;
+
+/// What an entry offers to callers.
+pub trait CallerFront: Send + Sync {
+    /// Starts a request. Events arrive on `events`; the sender is dropped after the last one.
+    /// Dropping the guard cancels the request.
+    fn submit(&self, inbound: Inbound, events: Sender<CallEvent>) -> Box<dyn CallGuard>;
+}
+
+/// What an agent offers to entries.
+pub trait AgentFront: Send + Sync {
+    /// Starts one attempt. Dropping the guard cancels it.
+    fn execute(&self, call: Call, events: Sender<CallEvent>) -> Box<dyn CallGuard>;
+
+    /// Sends a report at once and then at each interval, until the guard is dropped.
+    fn reports(&self, interval: Duration, reports: Sender<Report>) -> Box<dyn CallGuard>;
+
+    /// Answers with all usage counters.
+    fn counters(&self, reply: Sender<Vec<Counter>>);
+}
--- /dev/null
+++ b/crates/core/src/port/mod.rs
@@ -0,0 +1,12 @@
+//! Ports: what the core asks of the outside. Adapters implement them.
+
+pub mod agent;
+pub mod clock;
+pub mod front;
+pub mod host;
+pub mod object;
+pub mod order;
+pub mod score;
+pub mod target;
+pub mod usage;
+pub mod weight;
--- /dev/null
+++ b/crates/core/src/port/score.rs
@@ -0,0 +1,9 @@
+//! Port to the scoring service.
+
+use std::time::Duration;
+
+/// Scores samples.
+pub trait ScorePort: Send + Sync {
+    /// Returns the score of an answer to a prompt. Calls are idempotent.
+    fn score(&self, prompt: &str, answer: &str, limit: Duration) -> Result<f64, String>;
+}
