--- /dev/null
+++ b/crates/adapters/src/admin/mod.rs
@@ -0,0 +1,1 @@
+//! Administration address: metrics and health.
--- /dev/null
+++ b/crates/adapters/src/caller/inbound.rs
@@ -0,0 +1,86 @@
+//! Reads a request from HTTP.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::request::Parts;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::Request;
+use hyper::body::Incoming;
+use sardinepath_core::decision::authorize::Completion;
+use sardinepath_core::decision::authorize::Inbound;
+use sardinepath_core::domain::call::Field;
+use sardinepath_core::domain::error::ErrorKind;
+use serde_json::Value;
+
+use crate::caller::limits::CallerLimits;
+use crate::runtime::within;
+
+/// Reads a whole request within the limits.
+pub(super) async fn read(
+    request: Request<Incoming>,
+    limits: &CallerLimits,
+) -> Result<Inbound, ErrorKind> {
+    let (head, body) = request.into_parts();
+    let body = read_body(body, limits.body, limits.body_time).await?;
+    Ok(inbound(&head, body))
+}
+
+async fn read_body(body: Incoming, most: usize, limit: Duration) -> Result<Vec<u8>, ErrorKind> {
+    let whole = within(limit, Limited::new(body, most).collect())
+        .await
+        .ok_or(ErrorKind::SlowCaller)?;
+    match whole {
+        Ok(body) => Ok(body.to_bytes().into()),
+        Err(e) if e.is::<LengthLimitError>() => Err(ErrorKind::BodyTooLarge),
+        Err(_) => Err(ErrorKind::BadRequest),
+    }
+}
+
+fn inbound(head: &Parts, body: Vec<u8>) -> Inbound {
+    let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
+    let fields = head.headers.iter().map(|(name, value)| Field {
+        name: Arc::from(name.as_str()),
+        value: Arc::from(value.as_bytes()),
+    });
+    let json: Option<Value> = serde_json::from_slice(&body).ok();
+    Inbound {
+        method: Arc::from(head.method.as_str()),
+        path: Arc::from(path),
+        fields: fields.collect(),
+        completion: json.as_ref().and_then(completion),
+        texts: json.as_ref().map(texts).unwrap_or_default(),
+        body: Arc::from(body),
+    }
+}
+
+/// Reads the part of a completions request that decisions need.
+fn completion(json: &Value) -> Option<Completion> {
+    let prompt = json.get("prompt")?.as_str()?;
+    let tokens = json.get("max_tokens").and_then(Value::as_u64);
+    Some(Completion {
+        streamed: json.get("stream").and_then(Value::as_bool) == Some(true),
+        prompt: Arc::from(prompt),
+        tokens: tokens.map_or(0, |n| u32::try_from(n).unwrap_or(u32::MAX)),
+    })
+}
+
+/// Collects all decoded texts of a JSON value, field names included.
+fn texts(json: &Value) -> Vec<String> {
+    let mut found = Vec::new();
+    let mut open = vec![json];
+    while let Some(value) = open.pop() {
+        match value {
+            Value::String(text) => found.push(text.clone()),
+            Value::Array(items) => open.extend(items),
+            Value::Object(map) => {
+                found.extend(map.keys().cloned());
+                open.extend(map.values());
+            }
+            _ => {}
+        }
+    }
+    found
+}
--- /dev/null
+++ b/crates/adapters/src/lib.rs
@@ -0,0 +1,9 @@
+//! Adapters between the ports of sardinepath and the network.
+
+pub mod admin;
+pub mod caller;
+pub mod clock;
+pub mod platform;
+pub mod rpc;
+pub mod runtime;
+pub mod target;
--- /dev/null
+++ b/crates/adapters/src/platform/mod.rs
@@ -0,0 +1,1 @@
+//! The platform's interfaces.
--- /dev/null
+++ b/crates/adapters/src/rpc/mod.rs
@@ -0,0 +1,12 @@
+//! Messages between the system's own processes, over `tonic`.
+
+pub mod client;
+mod convert;
+pub mod server;
+
+/// Code generated from `proto/sardinepath.proto` by `sardinepath-codegen`.
+#[allow(missing_docs, clippy::all, clippy::too_many_lines)]
+#[rustfmt::skip]
+pub(crate) mod generated {
+    include!("generated/sardinepath.v1.rs");
+}
--- /dev/null
+++ b/crates/adapters/src/rpc/server.rs
@@ -0,0 +1,157 @@
+//! Server side of the messages between own processes.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use flume::Receiver;
+use futures_util::Stream;
+use futures_util::stream::unfold;
+use sardinepath_core::domain::call::CallEvent;
+use sardinepath_core::port::front::AgentFront;
+use sardinepath_core::port::target::CallGuard;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::Request;
+use tonic::Response;
+use tonic::Status;
+use tonic::transport::Server;
+
+use crate::rpc::convert::call_from_wire;
+use crate::rpc::convert::counter_to_wire;
+use crate::rpc::convert::event_to_wire;
+use crate::rpc::convert::report_to_wire;
+use crate::rpc::generated as wire;
+use crate::rpc::generated::agent_server::Agent;
+use crate::rpc::generated::agent_server::AgentServer;
+use crate::runtime::Spawner;
+use crate::runtime::Task;
+use crate::runtime::within;
+
+/// Events of one attempt that may wait for a slow reader.
+const EVENT_ROOM: usize = 16;
+
+/// A silent stream carries a heartbeat this often.
+const HEARTBEAT: Duration = Duration::from_secs(1);
+
+/// Interval of pings to clients, and time for the answer.
+const PING: Duration = Duration::from_secs(2);
+
+type Events<T> = Pin<Box<dyn Stream<Item = Result<T, Status>> + Send>>;
+
+/// A running server. It stops when dropped.
+#[derive(Debug)]
+pub struct RpcServer {
+    /// Address on which it listens.
+    pub address: SocketAddr,
+    _task: Task,
+}
+
+/// Translates between messages and the agent's port.
+struct AgentAdapter {
+    front: Arc<dyn AgentFront>,
+}
+
+impl RpcServer {
+    /// Serves an agent's port on a listener.
+    pub fn agent(
+        spawner: &Spawner,
+        listener: TcpListener,
+        front: Arc<dyn AgentFront>,
+    ) -> anyhow::Result<Self> {
+        let address = listener.local_addr().context("listener has no address")?;
+        listener.set_nonblocking(true)?;
+        let _context = spawner.enter();
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        let service = AgentServer::new(AgentAdapter { front }).max_decoding_message_size(8 << 20);
+        let serve = Server::builder()
+            .http2_keepalive_interval(Some(PING))
+            .http2_keepalive_timeout(Some(PING))
+            .tcp_nodelay(true)
+            .add_service(service)
+            .serve_with_incoming(TcpListenerStream::new(listener));
+        let task = spawner.spawn(async move {
+            if let Err(e) = serve.await {
+                log::error!("the server on {address} ended: {e}");
+            }
+        });
+        Ok(Self {
+            address,
+            _task: task,
+        })
+    }
+}
+
+#[tonic::async_trait]
+impl Agent for AgentAdapter {
+    type ExecuteStream = Events<wire::ExecuteEvent>;
+    type ReportStream = Events<wire::TargetReport>;
+
+    async fn execute(
+        &self,
+        request: Request<wire::ExecuteRequest>,
+    ) -> Result<Response<Self::ExecuteStream>, Status> {
+        let call = call_from_wire(request.into_inner())
+            .ok_or_else(|| Status::invalid_argument("the request id is malformed"))?;
+        let (sender, events) = flume::bounded(EVENT_ROOM);
+        let guard = self.front.execute(call, sender);
+        let stream = unfold((events, guard), |(events, guard)| async move {
+            let event = next_event(&events).await?;
+            Some((Ok(event_to_wire(event)), (events, guard)))
+        });
+        Ok(Response::new(Box::pin(stream)))
+    }
+
+    async fn report(
+        &self,
+        request: Request<wire::ReportRequest>,
+    ) -> Result<Response<Self::ReportStream>, Status> {
+        let interval = Duration::from_millis(request.into_inner().interval.max(100));
+        let (sender, reports) = flume::bounded(1);
+        let guard: Box<dyn CallGuard> = self.front.reports(interval, sender);
+        let stream = unfold((reports, guard), |(reports, guard)| async move {
+            let report = reports.recv_async().await.ok()?;
+            Some((Ok(report_to_wire(report)), (reports, guard)))
+        });
+        Ok(Response::new(Box::pin(stream)))
+    }
+
+    async fn order(
+        &self,
+        _request: Request<wire::OrderRequest>,
+    ) -> Result<Response<wire::OrderReply>, Status> {
+        Err(Status::unimplemented("orders are not served"))
+    }
+
+    async fn lookup(
+        &self,
+        _request: Request<wire::LookupRequest>,
+    ) -> Result<Response<wire::LookupReply>, Status> {
+        Err(Status::unimplemented("look-ups are not served"))
+    }
+
+    async fn counters(
+        &self,
+        _request: Request<wire::CountersRequest>,
+    ) -> Result<Response<wire::CountersReply>, Status> {
+        let (sender, reply) = flume::bounded(1);
+        self.front.counters(sender);
+        let counters = reply
+            .recv_async()
+            .await
+            .map_err(|_| Status::unavailable("the agent is stopping"))?;
+        Ok(Response::new(wire::CountersReply {
+            counters: counters.iter().map(counter_to_wire).collect(),
+        }))
+    }
+}
+
+/// Waits for the next event, or a heartbeat if there is none for a while.
+async fn next_event(events: &Receiver<CallEvent>) -> Option<CallEvent> {
+    match within(HEARTBEAT, events.recv_async()).await {
+        Some(event) => event.ok(),
+        None => Some(CallEvent::Heartbeat),
+    }
+}
--- /dev/null
+++ b/crates/adapters/src/target/mod.rs
@@ -0,0 +1,6 @@
+//! HTTP to the target beside an agent.
+
+mod body;
+pub mod http;
+
+pub use http::HttpTarget;
--- /dev/null
+++ b/crates/bench/src/main.rs
@@ -0,0 +1,2 @@
+//! bench
+fn main() {}
--- /dev/null
+++ b/crates/node/src/agent/control.rs
@@ -0,0 +1,157 @@
+//! The control thread of an agent. It owns all mutable control state.
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use flume::Receiver;
+use flume::Sender;
+use sardinepath_core::decision::agent::AgentState;
+use sardinepath_core::domain::call::Counter;
+use sardinepath_core::domain::error::ErrorKind;
+use sardinepath_core::domain::ids::RequestId;
+use sardinepath_core::domain::name::TargetName;
+use sardinepath_core::domain::name::WorkspaceId;
+use sardinepath_core::domain::target::Report;
+use sardinepath_core::domain::target::ServingState;
+use sardinepath_core::port::target::TargetPort;
+use sardinepath_core::port::target::TargetStatus;
+
+/// Interval at which the target's state is read.
+const STATUS_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What the control thread is told.
+#[derive(Debug)]
+pub enum Message {
+    /// An attempt asks to start.
+    Begin {
+        /// The request.
+        request: RequestId,
+        /// True if it may run more than once.
+        idempotent: bool,
+        /// Where the decision goes.
+        reply: Sender<Result<(), ErrorKind>>,
+    },
+    /// An attempt that had begun has ended.
+    End {
+        /// The request.
+        request: RequestId,
+        /// Workspace for which it ran.
+        workspace: WorkspaceId,
+        /// Tokens of a whole answer, or none.
+        tokens: Option<u64>,
+        /// Where the counter goes.
+        reply: Sender<Option<Counter>>,
+    },
+    /// The state of the target, or none if it does not answer.
+    Status(Option<TargetStatus>),
+    /// An entry asks for a report.
+    Report(Sender<Report>),
+    /// The reporter asks for all counters.
+    Counters(Sender<Vec<Counter>>),
+    /// The process stops.
+    Stop,
+}
+
+/// State of the control thread.
+#[derive(Debug)]
+pub struct Control {
+    state: AgentState,
+    target: TargetName,
+    status: Option<TargetStatus>,
+}
+
+/// What the loop does next.
+enum Step {
+    Continue,
+    Stop,
+}
+
+impl Control {
+    /// Creates the state of a new agent.
+    pub fn new(state: AgentState, target: TargetName) -> Self {
+        Self {
+            state,
+            target,
+            status: None,
+        }
+    }
+
+    /// Handles messages until the process stops.
+    pub fn run(mut self, queue: &Receiver<Message>) {
+        while let Ok(message) = queue.recv() {
+            if let Step::Stop = self.handle(message) {
+                return;
+            }
+        }
+    }
+
+    fn handle(&mut self, message: Message) -> Step {
+        // A closed reply channel means that the question was given up.
+        match message {
+            Message::Begin {
+                request,
+                idempotent,
+                reply,
+            } => {
+                let _ = reply.send(self.state.begin(request, idempotent));
+            }
+            Message::End {
+                request,
+                workspace,
+                tokens,
+                reply,
+            } => {
+                let _ = reply.send(self.state.end(request, &workspace, tokens));
+            }
+            Message::Status(status) => self.status = status,
+            Message::Report(reply) => {
+                let _ = reply.send(self.report());
+            }
+            Message::Counters(reply) => {
+                let _ = reply.send(self.state.counters());
+            }
+            Message::Stop => return Step::Stop,
+        }
+        Step::Continue
+    }
+
+    fn report(&self) -> Report {
+        let status = self.status.clone().unwrap_or_default();
+        let state = match &self.status {
+            Some(_) => self.state.serving(),
+            None => ServingState::Starting,
+        };
+        Report {
+            incarnation: self.state.incarnation(),
+            target: self.target.clone(),
+            version: status.version,
+            running: status.running,
+            queued: status.queued,
+            capacity: status.capacity,
+            state,
+            cached: status.cached,
+            evicted: status.evicted,
+            cache_gap: status.gap,
+        }
+    }
+}
+
+/// Starts the thread that reads the target's state.
+pub fn poll_status(target: Arc<dyn TargetPort>, control: Sender<Message>) -> anyhow::Result<()> {
+    let poll = move || {
+        let mut sequence = 0;
+        loop {
+            let status = target.status(sequence).ok();
+            sequence = status.as_ref().map_or(0, |s| s.sequence);
+            if control.send(Message::Status(status)).is_err() {
+                return;
+            }
+            thread::sleep(STATUS_INTERVAL);
+        }
+    };
+    thread::Builder::new()
+        .name("status".to_owned())
+        .spawn(poll)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/agent/mod.rs
@@ -0,0 +1,75 @@
+//! The agent role.
+
+pub mod control;
+pub mod service;
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use anyhow::Context;
+use flume::Sender;
+use sardinepath_adapters::rpc::server::RpcServer;
+use sardinepath_adapters::runtime::Runtime;
+use sardinepath_adapters::target::HttpTarget;
+use sardinepath_core::decision::agent::AgentState;
+use sardinepath_core::domain::ids::Incarnation;
+
+use crate::agent::control::Control;
+use crate::agent::control::Message;
+use crate::agent::service::AgentService;
+use crate::config::AgentSettings;
+
+/// Messages that may wait for the control thread.
+const CONTROL_ROOM: usize = 1024;
+
+/// Time for tasks to stop after the last request.
+const STOP_LIMIT: Duration = Duration::from_secs(1);
+
+/// A running agent.
+#[derive(Debug)]
+pub struct Agent {
+    /// Address for entries.
+    pub address: SocketAddr,
+    control: Sender<Message>,
+    runtime: Option<Runtime>,
+    _server: RpcServer,
+}
+
+impl Agent {
+    /// Starts an agent.
+    pub fn start(settings: &AgentSettings) -> anyhow::Result<Self> {
+        let runtime = Runtime::start(settings.threads).context("could not start threads")?;
+        let spawner = runtime.spawner();
+        let (control, queue) = flume::bounded(CONTROL_ROOM);
+        let state = AgentState::new(Incarnation(rand::random()));
+        let state = Control::new(state, settings.target.clone());
+        thread::Builder::new()
+            .name("control".to_owned())
+            .spawn(move || state.run(&queue))?;
+        let target = Arc::new(HttpTarget::new(spawner.clone(), settings.address));
+        control::poll_status(target.clone(), control.clone())?;
+        let service = AgentService::new(spawner.clone(), control.clone(), target);
+        let listener = TcpListener::bind(settings.listen)
+            .with_context(|| format!("could not listen on {}", settings.listen))?;
+        let server = RpcServer::agent(&spawner, listener, Arc::new(service))?;
+        Ok(Self {
+            address: server.address,
+            control,
+            runtime: Some(runtime),
+            _server: server,
+        })
+    }
+}
+
+impl Drop for Agent {
+    fn drop(&mut self) {
+        // The control thread may have ended already.
+        let _ = self.control.send(Message::Stop);
+        if let Some(runtime) = self.runtime.take() {
+            runtime.stop(STOP_LIMIT);
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/config/mod.rs
@@ -0,0 +1,7 @@
+//! Settings of the roles, one file a subject.
+
+pub mod agent;
+pub mod entry;
+
+pub use agent::AgentSettings;
+pub use entry::EntrySettings;
--- /dev/null
+++ b/crates/node/src/entry/reports.rs
@@ -0,0 +1,83 @@
+//! Keeps a report stream to the agent of every target in the configuration.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use flume::Sender;
+use sardinepath_adapters::rpc::client::Peers;
+use sardinepath_adapters::runtime::Spawner;
+use sardinepath_adapters::runtime::Task;
+use sardinepath_adapters::runtime::sleep;
+use sardinepath_core::decision::config::Config;
+
+use crate::entry::control::Message;
+
+/// Interval of reports.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Pause before a stream that ended is opened again.
+const REOPEN: Duration = Duration::from_millis(500);
+
+/// Reports that may wait for the control thread, per stream.
+const ROOM: usize = 4;
+
+/// The open report streams.
+pub struct Follow {
+    spawner: Spawner,
+    peers: Arc<Peers>,
+    control: Sender<Message>,
+    streams: HashMap<SocketAddr, Task>,
+}
+
+impl Follow {
+    /// Creates an empty set of streams.
+    pub fn new(spawner: Spawner, peers: Arc<Peers>, control: Sender<Message>) -> Self {
+        Self {
+            spawner,
+            peers,
+            control,
+            streams: HashMap::new(),
+        }
+    }
+
+    /// Opens streams to new agents and closes those to agents that left the configuration.
+    pub fn configure(&mut self, config: &Config) {
+        let mut old = std::mem::take(&mut self.streams);
+        let trees = config.teams().values().filter_map(|t| t.tree.as_deref());
+        let pools = trees.flat_map(|tree| tree.pools.values());
+        for agent in pools
+            .flat_map(|pool| pool.targets.values())
+            .map(|t| t.agent)
+        {
+            if self.streams.contains_key(&agent) {
+                continue;
+            }
+            let stream = old.remove(&agent).unwrap_or_else(|| self.open(agent));
+            self.streams.insert(agent, stream);
+        }
+    }
+
+    fn open(&self, agent: SocketAddr) -> Task {
+        let peers = self.peers.clone();
+        let control = self.control.clone();
+        let (sender, reports) = flume::bounded(ROOM);
+        self.spawner.spawn(async move {
+            let pass = async {
+                while let Ok(report) = reports.recv_async().await {
+                    if control.send_async(Message::Report(report)).await.is_err() {
+                        return;
+                    }
+                }
+            };
+            let receive = async {
+                loop {
+                    peers.reports(agent, INTERVAL, sender.clone()).await;
+                    sleep(REOPEN).await;
+                }
+            };
+            futures_util::future::select(Box::pin(pass), Box::pin(receive)).await;
+        })
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,5 @@
+//! The roles of sardinepath: their control threads, traffic services and composition.
+
+pub mod agent;
+pub mod config;
+pub mod entry;
--- /dev/null
+++ b/crates/node/tests/path.rs
@@ -0,0 +1,142 @@
+//! The whole path in one process: caller, entry, agent, plain service.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use sardinepath_core::domain::key::KeyDigest;
+use sardinepath_core::port::object::Expect;
+use sardinepath_core::port::object::ObjectPort;
+use sardinepath_node::agent::Agent;
+use sardinepath_node::config::AgentSettings;
+use sardinepath_node::config::EntrySettings;
+use sardinepath_node::entry::Entry;
+use sardinepath_standins::objects::MemoryObjects;
+use sardinepath_standins::plain::PlainService;
+use serde_json::json;
+
+const KEY: &str = "key-of-dream-diary-0001";
+
+struct Path {
+    entry: Entry,
+    _agent: Agent,
+    service: PlainService,
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn agent_settings(target: SocketAddr) -> AgentSettings {
+    AgentSettings {
+        host: "host-1".into(),
+        centre: "cx1".into(),
+        listen: loopback(),
+        admin: loopback(),
+        target: "orders-1".into(),
+        address: target,
+        threads: 2,
+    }
+}
+
+fn entry_settings() -> EntrySettings {
+    EntrySettings {
+        host: "host-2".into(),
+        centre: "cx1".into(),
+        listen: loopback(),
+        peer: loopback(),
+        admin: loopback(),
+        objects: loopback(),
+        threads: 2,
+    }
+}
+
+fn tree(agent: SocketAddr) -> String {
+    let digest = String::from(KeyDigest::of(KEY.as_bytes()));
+    json!({
+        "scheme": "slug",
+        "workspaces": {"dream-diary": {}},
+        "keys": {"diary-app": {"workspace": "dream-diary", "digest": digest}},
+        "pools": {"orders": {
+            "kind": "plain",
+            "targets": {"orders-1": {"agent": agent, "centre": "cx1"}},
+        }},
+        "routes": {
+            "orders": {"pool": "orders", "access": {"workspaces": ["dream-diary"]}},
+            "catalogue": {"pool": "orders", "access": {"open": "dream-diary"}},
+        },
+    })
+    .to_string()
+}
+
+fn start_path() -> Path {
+    let service = PlainService::start().unwrap();
+    let agent = Agent::start(&agent_settings(service.address)).unwrap();
+    let objects = Arc::new(MemoryObjects::default());
+    objects
+        .put("config/print", &tree(agent.address), Expect::Absent)
+        .unwrap();
+    let entry = Entry::start(&entry_settings(), objects).unwrap();
+    let path = Path {
+        entry,
+        _agent: agent,
+        service,
+    };
+    wait_until_ready(&path);
+    path
+}
+
+/// Waits until the entry has read its configuration and the first report.
+fn wait_until_ready(path: &Path) {
+    let end = Instant::now() + Duration::from_secs(10);
+    while Instant::now() < end {
+        let url = format!("http://{}/print/catalogue/ready", path.entry.address);
+        let ready = minreq::get(url).send().is_ok_and(|a| a.status_code == 200);
+        if ready {
+            return;
+        }
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    panic!("the path was not ready within ten seconds");
+}
+
+/// Guards against a path that loses the call, repeats it, or shows the key to the target.
+#[test]
+fn keyed_call_runs_once_and_hides_the_key() {
+    let path = start_path();
+    let url = format!("http://{}/print/orders/book/7?copies=2", path.entry.address);
+
+    let answer = minreq::post(url)
+        .with_header("authorization", format!("Bearer {KEY}"))
+        .with_body("{\"pages\": 40}")
+        .send()
+        .unwrap();
+
+    assert_eq!(answer.status_code, 200);
+    assert_eq!(answer.as_str().unwrap(), "executed POST /book/7?copies=2");
+    let seen: Vec<_> = path
+        .service
+        .executed()
+        .into_iter()
+        .filter(|call| call.path.starts_with("/book"))
+        .collect();
+    assert_eq!(seen.len(), 1);
+    assert!(!format!("{seen:?}").contains(KEY));
+}
+
+/// Guards against a request that runs without a key on a route that needs one.
+#[test]
+fn call_without_key_is_refused_and_does_not_run() {
+    let path = start_path();
+    let url = format!("http://{}/print/orders/book/8", path.entry.address);
+
+    let answer = minreq::post(url).send().unwrap();
+
+    assert_eq!(answer.status_code, 401);
+    assert!(answer.as_str().unwrap().contains("not_run"));
+    let executed = path.service.executed();
+    assert!(executed.iter().all(|call| call.path != "/book/8"));
+}
--- /dev/null
+++ b/crates/sardinepath/src/main.rs
@@ -0,0 +1,2 @@
+//! sardinepath
+fn main() {}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,4 @@
+//! Small stand-ins for the systems around sardinepath, for tests and the demo.
+
+pub mod objects;
+pub mod plain;
