Admit fairly, choose targets by load and prefix, and bound retries

Change: weighted fair queue by served tokens per pool with priority classes, concurrency, queue and token rate per workspace divided among entries, deadlines, shedding; choice by load (report corrected by own dispatches), distance, cached prefix and weight version; ejection, probe and slow start; retry budget of a tenth with full jitter. The control loop ticks also under steady traffic.

--- a/crates/core/src/decision/traffic/mod.rs
+++ b/crates/core/src/decision/traffic/mod.rs
@@ -1,150 +1,224 @@
 //! Admission of requests and choice of targets at one entry.
 //!
-//! The control thread owns one `Traffic`. Each method takes the time and returns or queues
-//! actions; the control thread carries the actions out.
+//! The control thread owns one `Traffic`. Each method takes the time and queues actions; the
+//! control thread carries them out. Call sequence: `ask`, then for each failed attempt `retry`,
+//! and at last `ended`; `tick` at short intervals; `next_action` until there is none.
+
+mod admit;
+mod budget;
+mod choose;
+mod place;
+mod queue;
+mod rate;
+mod target;
+mod ticket;
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
 use slotmap::SlotMap;
-use slotmap::new_key_type;
 
 use crate::decision::config::Config;
-use crate::domain::declare::Priority;
+use crate::decision::traffic::budget::Budget;
+use crate::decision::traffic::queue::FairQueue;
+use crate::decision::traffic::rate::Bucket;
+use crate::decision::traffic::target::Target;
+use crate::decision::traffic::ticket::Ticket;
 use crate::domain::error::ErrorKind;
 use crate::domain::error::Failure;
-use crate::domain::key::KeyDigest;
+use crate::domain::error::RunState;
+use crate::domain::name::CentreName;
 use crate::domain::name::PoolId;
 use crate::domain::name::RouteId;
 use crate::domain::name::TargetName;
 use crate::domain::name::WorkspaceId;
 use crate::domain::target::Report;
-use crate::domain::target::ServingState;
 use crate::domain::time::Time;
 
-new_key_type! {
-    /// Names a request at the control thread from admission to its end.
-    pub struct TicketKey;
-}
-
-/// What a request asks of the control thread.
-#[derive(Clone, Debug)]
-pub struct Ask {
-    /// The route.
-    pub route: RouteId,
-    /// The pool that serves it.
-    pub pool: PoolId,
-    /// The workspace for which it runs.
-    pub workspace: WorkspaceId,
-    /// Digest of the key that came with it.
-    pub key: Option<KeyDigest>,
-    /// Priority class.
-    pub priority: Priority,
-    /// Hashes of the prompt's leading blocks, shortest prefix first.
-    pub prefixes: Vec<u64>,
-    /// Most tokens that the answer can have.
-    pub tokens: u32,
-    /// Time by which the answer must be whole.
-    pub deadline: Time,
-}
-
-/// The target of one attempt.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Choice {
-    /// The target.
-    pub target: TargetName,
-    /// Address of its agent.
-    pub agent: SocketAddr,
-}
-
-/// How an admitted request ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// The answer was whole, with this many tokens.
-    Whole(u64),
-    /// The request failed.
-    Failed(Failure),
-}
+pub use ticket::Action;
+pub use ticket::Ask;
+pub use ticket::Choice;
+pub use ticket::Outcome;
+pub use ticket::TicketKey;
 
-/// What the control thread has to tell a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Go to this target after a delay.
-    Grant(TicketKey, Choice, Duration),
-    /// End with this failure. The ticket is closed.
-    Refuse(TicketKey, Failure),
-    /// Stop what runs and end with this failure. The ticket stays open until `ended`.
-    Revoke(TicketKey, Failure),
-}
+/// Requests that may wait at one entry over all workspaces. A waiting request holds its body of
+/// up to 1 MiB, so the bound also limits memory.
+const WAITING: usize = 4096;
 
-/// One admitted or waiting request.
-#[derive(Debug)]
-struct Ticket {
-    ask: Ask,
-    target: Option<TargetName>,
-}
+/// Time that a request waits for a pool in which no target serves, for example while its only
+/// target restarts.
+const NO_TARGET_WAIT: Duration = Duration::from_secs(2);
 
-/// What is known of one target.
-#[derive(Debug)]
-struct Target {
-    report: Option<Report>,
-    inflight: u32,
-}
+/// Tokens charged for an answer whose size cannot be guessed, and the least that is charged.
+const LEAST_TOKENS: u64 = 16;
 
 /// Admission and routing state of one entry.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Traffic {
     config: Arc<Config>,
+    centre: CentreName,
+    /// Live entries, among which the limits of workspaces are divided.
+    entries: u32,
+    draining: bool,
     tickets: SlotMap<TicketKey, Ticket>,
+    waiting: usize,
+    queues: HashMap<PoolId, FairQueue>,
+    buckets: HashMap<WorkspaceId, Bucket>,
+    /// Mean tokens of a workspace's answers.
+    means: HashMap<WorkspaceId, u64>,
+    budgets: HashMap<RouteId, Budget>,
     targets: HashMap<TargetName, Target>,
     actions: VecDeque<Action>,
+    random: ChaCha8Rng,
 }
 
 impl Traffic {
-    /// Puts a configuration in force. Requests whose key was withdrawn are revoked.
-    pub fn configure(&mut self, config: Arc<Config>) {
+    /// Creates the state of an entry in a data centre. The seed decides all random choices.
+    pub fn new(centre: CentreName, seed: u64) -> Self {
+        Self {
+            config: Arc::default(),
+            centre,
+            entries: 1,
+            draining: false,
+            tickets: SlotMap::with_key(),
+            waiting: 0,
+            queues: HashMap::new(),
+            buckets: HashMap::new(),
+            means: HashMap::new(),
+            budgets: HashMap::new(),
+            targets: HashMap::new(),
+            actions: VecDeque::new(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Sets the number of live entries, this one included.
+    pub fn set_entries(&mut self, entries: u32) {
+        self.entries = entries.max(1);
+    }
+
+    /// Refuses new requests from now on. Those that wait or run are finished.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Returns the number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Returns the number of requests that wait or run.
+    pub fn open(&self) -> usize {
+        self.tickets.len()
+    }
+
+    /// Puts a configuration in force. Requests whose key was withdrawn are ended.
+    pub fn configure(&mut self, now: Time, config: Arc<Config>) {
         self.config = config;
-        for (key, ticket) in &self.tickets {
-            let Some(digest) = &ticket.ask.key else {
-                continue;
-            };
-            if self.config.workspace_of(digest) != Some(&ticket.ask.workspace) {
+        self.forget_targets();
+        let withdrawn: Vec<_> = self
+            .tickets
+            .iter()
+            .filter(|(_, ticket)| self.is_withdrawn(&ticket.ask))
+            .map(|(key, ticket)| (key, ticket.is_waiting()))
+            .collect();
+        for (key, waits) in withdrawn {
+            if waits {
+                let failure = Failure {
+                    run: RunState::NotRun,
+                    ..Failure::from(ErrorKind::KeyWithdrawn)
+                };
+                self.refuse(key, failure);
+            } else {
                 let failure = Failure::from(ErrorKind::KeyWithdrawn);
                 self.actions.push_back(Action::Revoke(key, failure));
             }
         }
+        self.pump_all(now);
     }
 
     /// Takes in a target's report.
-    pub fn report(&mut self, report: Report) {
-        let name = report.target.clone();
-        let target = self.targets.entry(name).or_insert(Target {
-            report: None,
-            inflight: 0,
-        });
-        target.report = Some(report);
+    pub fn report(&mut self, now: Time, report: Report) {
+        let target = self.targets.entry(report.target.clone()).or_default();
+        target.take_report(now, report);
+        self.pump_all(now);
     }
 
-    /// Admits or refuses a request.
+    /// Admits, queues or refuses a request.
     pub fn ask(&mut self, now: Time, ask: Ask) -> TicketKey {
-        let key = self.tickets.insert(Ticket { ask, target: None });
-        self.place(now, key);
+        let pool = ask.pool.clone();
+        let refusal = self.refusal(now, &ask);
+        self.budgets.entry(ask.route.clone()).or_default().earn();
+        let key = self.tickets.insert(Ticket::new(now, ask));
+        match refusal {
+            Some(failure) => self.refuse(key, failure),
+            None => {
+                self.enqueue(key);
+                self.pump(now, &pool);
+            }
+        }
         key
     }
 
-    /// Chooses another target after a failed attempt.
-    pub fn retry(&mut self, now: Time, key: TicketKey, _failure: Failure) {
-        self.release(key);
-        self.place(now, key);
+    /// Decides whether another attempt follows a failed one that may be repeated.
+    pub fn retry(&mut self, now: Time, key: TicketKey, failure: Failure) {
+        self.release(now, key, Some(failure.kind));
+        let Some(ticket) = self.tickets.get_mut(key) else {
+            return;
+        };
+        let route = ticket.ask.route.clone();
+        let pool = ticket.ask.pool.clone();
+        let paid = self.budgets.entry(route).or_default().take();
+        let attempts = u32::try_from(ticket.tried.len()).unwrap_or(u32::MAX);
+        let delay = budget::delay(attempts, &mut self.random);
+        let late = now + delay >= ticket.ask.deadline;
+        if !paid || late {
+            self.refuse(key, failure);
+        } else if let Ok(choice) = self.choice(now, key) {
+            self.grant(now, key, choice, delay);
+        } else {
+            self.refuse(key, failure);
+        }
+        self.pump(now, &pool);
     }
 
     /// Closes a ticket.
-    pub fn ended(&mut self, _now: Time, key: TicketKey, _outcome: &Outcome) {
-        self.release(key);
-        self.tickets.remove(key);
+    pub fn ended(&mut self, now: Time, key: TicketKey, outcome: &Outcome) {
+        let failure = match outcome {
+            Outcome::Whole(_) => None,
+            Outcome::Failed(failure) => Some(failure.kind),
+        };
+        self.release(now, key, failure);
+        if self.tickets.get(key).is_some_and(Ticket::is_waiting) {
+            self.dequeue(key);
+        }
+        let Some(ticket) = self.tickets.remove(key) else {
+            return;
+        };
+        let tokens = match outcome {
+            Outcome::Whole(tokens) => *tokens,
+            Outcome::Failed(_) => 0,
+        };
+        self.settle(&ticket, tokens);
+        self.pump(now, &ticket.ask.pool);
+    }
+
+    /// Refuses requests that have waited too long, and starts those that can go.
+    pub fn tick(&mut self, now: Time) {
+        let late: Vec<_> = self
+            .queues
+            .values()
+            .flat_map(FairQueue::keys)
+            .filter_map(|key| Some((key, self.lateness(now, key)?)))
+            .collect();
+        for (key, kind) in late {
+            self.refuse(key, Failure::from(kind));
+        }
+        self.pump_all(now);
     }
 
     /// Returns the next action.
@@ -152,45 +226,22 @@
         self.actions.pop_front()
     }
 
-    /// Grants a target or refuses the ticket.
-    fn place(&mut self, _now: Time, key: TicketKey) {
-        let Some(ticket) = self.tickets.get_mut(key) else {
-            return;
-        };
-        let Some(choice) = choose(&self.config, &self.targets, &ticket.ask) else {
-            let failure = Failure::from(ErrorKind::NoTarget);
-            self.tickets.remove(key);
-            self.actions.push_back(Action::Refuse(key, failure));
-            return;
-        };
-        ticket.target = Some(choice.target.clone());
-        if let Some(target) = self.targets.get_mut(&choice.target) {
-            target.inflight += 1;
+    /// Ends a ticket with a failure.
+    fn refuse(&mut self, key: TicketKey, failure: Failure) {
+        self.dequeue(key);
+        if let Some(ticket) = self.tickets.remove(key) {
+            self.settle(&ticket, 0);
         }
-        let grant = Action::Grant(key, choice, Duration::ZERO);
-        self.actions.push_back(grant);
+        self.actions.push_back(Action::Refuse(key, failure));
     }
 
-    /// Takes the ticket's request off its target's count.
-    fn release(&mut self, key: TicketKey) {
-        let held = self.tickets.get_mut(key).and_then(|t| t.target.take());
-        if let Some(target) = held.and_then(|name| self.targets.get_mut(&name)) {
-            target.inflight = target.inflight.saturating_sub(1);
-        }
+    /// Drops the state of targets that no pool names.
+    fn forget_targets(&mut self) {
+        let config = &self.config;
+        let trees = config.teams().values().filter_map(|t| t.tree.as_deref());
+        let pools: Vec<_> = trees.flat_map(|tree| tree.pools.values()).collect();
+        let named = |name: &TargetName| pools.iter().any(|pool| pool.targets.contains_key(name));
+        self.targets
+            .retain(|name, target| named(name) || !target.is_unused());
     }
 }
-
-/// Chooses the serving target of the pool with the fewest requests of this entry.
-fn choose(config: &Config, targets: &HashMap<TargetName, Target>, ask: &Ask) -> Option<Choice> {
-    let pool = config.pool(&ask.pool)?;
-    let serving = pool.targets.iter().filter_map(|(name, spec)| {
-        let target = targets.get(name)?;
-        let report = target.report.as_ref()?;
-        (report.state == ServingState::Serving).then_some((target.inflight, name, spec))
-    });
-    let (_, name, spec) = serving.min_by_key(|(load, name, _)| (*load, (*name).clone()))?;
-    Some(Choice {
-        target: name.clone(),
-        agent: spec.agent,
-    })
-}
--- /dev/null
+++ b/crates/core/src/decision/traffic/queue.rs
@@ -0,0 +1,154 @@
+//! Weighted fair queue of one pool.
+//!
+//! Start-time fair queueing over workspaces: a workspace's virtual time grows by the tokens it was
+//! served divided by its weight, and the one with the lowest virtual time goes next. A workspace
+//! that was idle starts at the queue's virtual time, so that it cannot save up service.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use crate::decision::traffic::TicketKey;
+use crate::domain::declare::Priority;
+use crate::domain::name::WorkspaceId;
+
+/// Virtual time of one token at weight one.
+const TOKEN: u64 = 1 << 10;
+
+/// Number of priority classes.
+const CLASSES: usize = 3;
+
+/// Requests of one workspace that wait for one pool.
+#[derive(Debug, Default)]
+struct Flow {
+    waiting: [VecDeque<TicketKey>; CLASSES],
+    time: u64,
+    running: u32,
+}
+
+/// The queue of one pool.
+#[derive(Debug, Default)]
+pub(super) struct FairQueue {
+    flows: BTreeMap<WorkspaceId, Flow>,
+    time: u64,
+}
+
+impl FairQueue {
+    /// Adds a request behind those of the same workspace and class.
+    pub(super) fn push(&mut self, workspace: &WorkspaceId, priority: Priority, key: TicketKey) {
+        let idle = self.time;
+        let flow = self.flows.entry(workspace.clone()).or_default();
+        if flow.is_idle() {
+            flow.time = flow.time.max(idle);
+        }
+        flow.waiting[class(priority)].push_back(key);
+    }
+
+    /// Returns the workspaces with waiting requests, the one to be served next first.
+    pub(super) fn order(&self) -> Vec<WorkspaceId> {
+        let waiting = self.flows.iter().filter(|(_, flow)| flow.len() > 0);
+        let mut order: Vec<_> = waiting.map(|(id, flow)| (flow.time, id)).collect();
+        order.sort();
+        order.into_iter().map(|(_, id)| id.clone()).collect()
+    }
+
+    /// Returns the request of a workspace that goes next.
+    pub(super) fn head(&self, workspace: &WorkspaceId) -> Option<TicketKey> {
+        let flow = self.flows.get(workspace)?;
+        flow.waiting.iter().find_map(|class| class.front().copied())
+    }
+
+    /// Takes a waiting request out.
+    pub(super) fn remove(&mut self, workspace: &WorkspaceId, key: TicketKey) {
+        if let Some(flow) = self.flows.get_mut(workspace) {
+            for class in &mut flow.waiting {
+                class.retain(|other| *other != key);
+            }
+        }
+        self.forget(workspace);
+    }
+
+    /// Notes that a request of a workspace starts, with its expected tokens.
+    pub(super) fn start(&mut self, workspace: &WorkspaceId, tokens: u64, weight: u64) {
+        let idle = self.time;
+        let flow = self.flows.entry(workspace.clone()).or_default();
+        flow.running += 1;
+        // The state of a workspace may have been dropped since its request was queued.
+        let start = if flow.running == 1 {
+            flow.time.max(idle)
+        } else {
+            flow.time
+        };
+        self.time = self.time.max(start);
+        flow.time = start.saturating_add(cost(tokens, weight));
+    }
+
+    /// Notes that a request ended, and corrects the charge from the expected to the served tokens.
+    pub(super) fn end(&mut self, workspace: &WorkspaceId, expected: u64, served: u64, weight: u64) {
+        if let Some(flow) = self.flows.get_mut(workspace) {
+            flow.running = flow.running.saturating_sub(1);
+            flow.time = flow.time.saturating_add(cost(served, weight));
+            flow.time = flow.time.saturating_sub(cost(expected, weight));
+        }
+        self.forget(workspace);
+    }
+
+    /// Returns the number of requests of a workspace that run.
+    pub(super) fn running(&self, workspace: &WorkspaceId) -> u32 {
+        self.flows.get(workspace).map_or(0, |flow| flow.running)
+    }
+
+    /// Returns the number of requests of a workspace that wait.
+    pub(super) fn waiting(&self, workspace: &WorkspaceId) -> usize {
+        self.flows.get(workspace).map_or(0, Flow::len)
+    }
+
+    /// Returns all waiting requests.
+    pub(super) fn keys(&self) -> Vec<TicketKey> {
+        let flows = self.flows.values();
+        let classes = flows.flat_map(|flow| flow.waiting.iter());
+        classes.flatten().copied().collect()
+    }
+
+    /// Returns the newest request of the least urgent class that is below `priority`, taken from
+    /// the workspace with the most waiting requests of that class.
+    pub(super) fn sheddable(&self, priority: Priority) -> Option<TicketKey> {
+        let lower = (class(priority) + 1..CLASSES).rev();
+        lower.into_iter().find_map(|class| {
+            let queues = self.flows.values().map(|flow| &flow.waiting[class]);
+            let longest = queues.max_by_key(|queue| queue.len())?;
+            longest.back().copied()
+        })
+    }
+
+    /// Drops the state of a workspace that has no claim left to remember.
+    fn forget(&mut self, workspace: &WorkspaceId) {
+        let time = self.time;
+        let settled = |flow: &Flow| flow.is_idle() && flow.time <= time;
+        if self.flows.get(workspace).is_some_and(settled) {
+            self.flows.remove(workspace);
+        }
+    }
+}
+
+impl Flow {
+    fn len(&self) -> usize {
+        self.waiting.iter().map(VecDeque::len).sum()
+    }
+
+    fn is_idle(&self) -> bool {
+        self.running == 0 && self.len() == 0
+    }
+}
+
+/// Returns the virtual time of some tokens.
+fn cost(tokens: u64, weight: u64) -> u64 {
+    tokens.saturating_mul(TOKEN) / weight.max(1)
+}
+
+fn class(priority: Priority) -> usize {
+    match priority {
+        Priority::Training => 0,
+        Priority::Interactive => 1,
+        Priority::Batch => 2,
+    }
+}
--- a/crates/node/src/entry/control.rs
+++ b/crates/node/src/entry/control.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use flume::Receiver;
@@ -20,6 +21,7 @@
 use sardinepath_core::domain::ids::Revision;
 use sardinepath_core::domain::name::TeamName;
 use sardinepath_core::domain::target::Report;
+use sardinepath_core::domain::time::Time;
 use sardinepath_core::port::clock::Clock;
 use slotmap::SecondaryMap;
 
@@ -118,21 +120,32 @@
 
 impl Control {
     /// Creates the state of a new entry.
-    pub fn new(clock: Arc<dyn Clock>, snapshot: Published, follow: Follow) -> Self {
+    pub fn new(
+        clock: Arc<dyn Clock>,
+        snapshot: Published,
+        follow: Follow,
+        traffic: Traffic,
+    ) -> Self {
         Self {
             clock,
             snapshot,
             config: Arc::default(),
-            traffic: Traffic::default(),
+            traffic,
             verdicts: SecondaryMap::new(),
             follow,
         }
     }
 
-    /// Handles messages until the process stops.
+    /// Handles messages and timers until the process stops.
     pub fn run(mut self, queue: &Receiver<Message>) {
+        let mut next_tick = Instant::now() + TICK;
         loop {
-            let step = match queue.recv_timeout(TICK) {
+            // A queue that is never empty must not hold up the timers.
+            if Instant::now() >= next_tick {
+                self.traffic.tick(self.clock.now());
+                next_tick = Instant::now() + TICK;
+            }
+            let step = match queue.recv_deadline(next_tick) {
                 Ok(message) => self.handle(message),
                 Err(RecvTimeoutError::Timeout) => Step::Continue,
                 Err(RecvTimeoutError::Disconnected) => Step::Stop,
@@ -156,15 +169,15 @@
                 self.traffic.ended(now, ticket, &outcome);
                 self.verdicts.remove(ticket);
             }
-            Message::Report(report) => self.traffic.report(report),
-            Message::Changed { teams, revision } => self.configure(teams, revision),
+            Message::Report(report) => self.traffic.report(now, report),
+            Message::Changed { teams, revision } => self.configure(now, teams, revision),
             Message::Stop => return Step::Stop,
         }
         Step::Continue
     }
 
     /// Puts newer team states in force and publishes them.
-    fn configure(&mut self, teams: Vec<(TeamName, TeamState)>, revision: Revision) {
+    fn configure(&mut self, now: Time, teams: Vec<(TeamName, TeamState)>, revision: Revision) {
         let mut config = Config::clone(&self.config);
         for (team, state) in teams {
             if config.merge(team.clone(), state) == Merge::Old {
@@ -174,7 +187,7 @@
         config.advance(revision);
         self.config = Arc::new(config);
         self.follow.configure(&self.config);
-        self.traffic.configure(self.config.clone());
+        self.traffic.configure(now, self.config.clone());
         self.snapshot.store(Arc::new(Snapshot {
             config: self.config.clone(),
             ready: true,
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -18,6 +18,7 @@
 use sardinepath_adapters::clock::HostClock;
 use sardinepath_adapters::rpc::client::Peers;
 use sardinepath_adapters::runtime::Runtime;
+use sardinepath_core::decision::traffic::Traffic;
 use sardinepath_core::port::clock::Clock;
 use sardinepath_core::port::object::ObjectPort;
 
@@ -53,7 +54,8 @@
         let (control, queue) = flume::bounded(CONTROL_ROOM);
         let snapshot = control::new_snapshot();
         let follow = reports::Follow::new(spawner.clone(), peers.clone(), control.clone());
-        let state = Control::new(clock.clone(), snapshot.clone(), follow);
+        let traffic = Traffic::new(settings.centre.clone(), rand::random());
+        let state = Control::new(clock.clone(), snapshot.clone(), follow, traffic);
         thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || state.run(&queue))?;
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -13,6 +13,7 @@
 use sardinepath_core::decision::authorize::Authorized;
 use sardinepath_core::decision::authorize::Inbound;
 use sardinepath_core::decision::authorize::authorize;
+use sardinepath_core::decision::prefix::prefixes;
 use sardinepath_core::decision::request::Admitted;
 use sardinepath_core::decision::request::AfterFailure;
 use sardinepath_core::decision::request::Answered;
@@ -27,6 +28,7 @@
 use sardinepath_core::domain::error::ErrorKind;
 use sardinepath_core::domain::error::Failure;
 use sardinepath_core::domain::ids::RequestId;
+use sardinepath_core::domain::ids::WeightVersion;
 use sardinepath_core::domain::time::Time;
 use sardinepath_core::port::agent::AgentPort;
 use sardinepath_core::port::clock::Clock;
@@ -149,7 +151,8 @@
             workspace: authorized.workspace.clone(),
             key: authorized.key,
             priority: authorized.priority,
-            prefixes: Vec::new(),
+            prefixes: prefixes(&completion.prompt),
+            floor: WeightVersion::default(),
             tokens: completion.tokens,
             deadline,
         };
