Add stand-ins and adapters for the platform's interfaces

Cause: orders, usage, hosts, weights and scoring have ports but neither adapters nor anything to test them against. Change: a generic service stand-in (faults, control thread, listener) with the protocols of the order, usage, host, weight and scoring interfaces and of the plain service; adapters for the five ports. Orders and usage use a hyper connection that can be opened before the write; minreq serves the reads, since it can't open a connection ahead and reports a connection closed without an answer as status 503. Each new test was seen failing with its rule taken out, except the one that a status other than 200 is an error for reads: malformed bodies mask it.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,12 @@
 
 pub mod control;
 pub mod engine;
+pub mod hosts;
 pub mod http;
 pub mod objects;
+pub mod orders;
 pub mod plain;
+pub mod scoring;
+pub mod service;
+pub mod usage;
+pub mod weights;
--- a/crates/standins/tests/common/mod.rs
+++ b/crates/standins/tests/common/mod.rs
@@ -28,18 +28,6 @@
     String::from_utf8_lossy(&bytes).into_owned()
 }
 
-/// Reads until a text has arrived.
-pub fn read_until(stream: &mut TcpStream, text: &str) -> String {
-    let mut bytes = Vec::new();
-    let mut part = [0; 4096];
-    while !String::from_utf8_lossy(&bytes).contains(text) {
-        let length = stream.read(&mut part).unwrap();
-        assert!(length > 0, "the connection closed before {text:?} arrived");
-        bytes.extend_from_slice(&part[..length]);
-    }
-    String::from_utf8_lossy(&bytes).into_owned()
-}
-
 /// Waits until a condition holds.
 pub fn wait_until(what: &str, holds: impl Fn() -> bool) {
     let end = Instant::now() + PATIENCE;
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -4,12 +4,12 @@
 
 mod common;
 
+use std::io::Read;
 use std::net::TcpStream;
 use std::time::Duration;
 
 use common::open;
 use common::read_all;
-use common::read_until;
 use common::wait_until;
 use sardinepath_core::domain::ids::WeightVersion;
 use sardinepath_standins::engine::Ending;
@@ -46,6 +46,18 @@
     open(engine.address, "/v1/completions", &field, &body)
 }
 
+/// Reads until a text has arrived.
+fn read_until(stream: &mut TcpStream, text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut part = [0; 4096];
+    while !String::from_utf8_lossy(&bytes).contains(text) {
+        let length = stream.read(&mut part).unwrap();
+        assert!(length > 0, "the connection closed before {text:?} arrived");
+        bytes.extend_from_slice(&part[..length]);
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 fn load(engine: &Engine, version: u64, fence: u64) -> u16 {
     let body = json!({"model": "small", "version": version, "fence": fence}).to_string();
     let url = format!("http://{}/orders/load", engine.address);
