--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod plain;
 pub mod scoring;
 pub mod service;
+pub mod trainer;
 pub mod usage;
 pub mod weights;
