Let the engine stop a stream cleanly without its closing event

Cause: a stream that only lacks [DONE] is the one case that HTTP does not show, and nothing tested the target adapter's rule for it.

--- a/crates/adapters/tests/target.rs
+++ b/crates/adapters/tests/target.rs
@@ -105,11 +105,14 @@
 
 /// Guards against a broken-off answer that passes for a whole one.
 #[test]
-fn truncated_answers_fail_in_both_forms() {
+fn truncated_and_stopped_answers_fail() {
     let fixture = fixture();
-    fixture.engine.set_faults(|faults| faults.truncate = 2);
+    fixture.engine.set_faults(|faults| {
+        faults.truncate = 2;
+        faults.stop = 1;
+    });
 
-    let answers = [true, false].map(|streamed| run(&fixture, call("tag:cut", streamed)));
+    let answers = [true, false, true].map(|streamed| run(&fixture, call("tag:cut", streamed)));
 
     for (last, _, _) in answers {
         let TargetEvent::Failed(failure) = last else {
--- a/crates/standins/src/engine/model.rs
+++ b/crates/standins/src/engine/model.rs
@@ -32,8 +32,10 @@
         tokens: u64,
         version: WeightVersion,
     },
-    /// The answer breaks off here.
+    /// The connection breaks here.
     Cut,
+    /// The stream ends here, without its closing event but with a whole HTTP body.
+    Stop,
 }
 
 /// Why a request or an order was not carried out.
@@ -87,8 +89,8 @@
     entry: usize,
     next: usize,
     due: Instant,
-    /// Token at which a fault cuts the answer off.
-    cut: Option<usize>,
+    /// Token at which a fault ends the answer, and how.
+    cut: Option<(usize, Part)>,
 }
 
 /// The engine's state, owned by its control thread.
@@ -252,8 +254,10 @@
             let missing = u32::try_from(self.cache.admit(&job.prompt, now)).unwrap_or(u32::MAX);
             let prefill = self.settings.prefill_time.saturating_mul(missing);
             let entry = self.book.begin(&job.request, job.script.tag());
-            let cut = (self.faults.truncate > 0).then(|| job.script.tokens() / 2);
-            self.faults.truncate = self.faults.truncate.saturating_sub(1);
+            let cut = self
+                .faults
+                .cut()
+                .map(|part| (job.script.tokens() / 2, part));
             let sequence = Sequence {
                 due: now + self.faults.delay + prefill + self.settings.token_time,
                 next: 0,
@@ -320,9 +324,9 @@
 /// Generates one token. Returns false if the sequence has ended.
 fn step(sequence: &mut Sequence, version: WeightVersion, book: &mut Book) -> bool {
     let (entry, parts) = (sequence.entry, &sequence.job.parts);
-    if sequence.cut == Some(sequence.next) {
+    if let Some((_, part)) = sequence.cut.take_if(|(at, _)| *at == sequence.next) {
         // A closed channel means that the caller has gone.
-        let _ = parts.send(Part::Cut);
+        let _ = parts.send(part);
         book.end(entry, Ending::Truncated);
         return false;
     }
@@ -343,6 +347,21 @@
     false
 }
 
+impl EngineFaults {
+    /// Counts the next truncation down. Returns how the answer is to end.
+    fn cut(&mut self) -> Option<Part> {
+        if self.truncate > 0 {
+            self.truncate -= 1;
+            Some(Part::Cut)
+        } else if self.stop > 0 {
+            self.stop -= 1;
+            Some(Part::Stop)
+        } else {
+            None
+        }
+    }
+}
+
 fn rank(priority: Priority) -> u8 {
     match priority {
         Priority::Training => 0,
--- a/crates/standins/src/engine/serve.rs
+++ b/crates/standins/src/engine/serve.rs
@@ -155,6 +155,7 @@
     let parts = parts.into_stream().map(Some).chain(stream::iter([None]));
     let frames = parts.scan(false, |ended, part| {
         let frame = match part {
+            Some(Part::Stop) => None,
             Some(part) => {
                 *ended = part == Part::Cut || matches!(part, Part::Whole { .. });
                 Some(event(part))
@@ -180,7 +181,7 @@
             let value = json!({"choices": [choice], "usage": usage, "weight_version": version});
             format!("data: {value}\n\ndata: [DONE]\n\n")
         }
-        Part::Cut => return Err(io::Error::other("the answer is cut off")),
+        Part::Cut | Part::Stop => return Err(io::Error::other("the answer is cut off")),
     };
     Ok(Frame::data(Bytes::from(text)))
 }
@@ -207,7 +208,7 @@
                 });
                 return Answer::json(200, &value);
             }
-            Part::Cut => return cut(&answer),
+            Part::Cut | Part::Stop => return cut(&answer),
         }
     }
     Answer::Lost
--- a/crates/standins/src/engine/settings.rs
+++ b/crates/standins/src/engine/settings.rs
@@ -37,8 +37,10 @@
 pub struct EngineFaults {
     /// Requests that are refused before they start (503, `x-not-run: 1`).
     pub refuse: u32,
-    /// Answers that break off half-way.
+    /// Answers whose connection breaks half-way.
     pub truncate: u32,
+    /// Streams that end half-way without `[DONE]` but with a whole HTTP body. Other answers break.
+    pub stop: u32,
     /// Weight loads that fail after their time.
     pub fail_swaps: u32,
     /// Time added before the first token.
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -252,6 +252,35 @@
     assert_eq!(endings, [Ending::Truncated, Ending::Truncated]);
 }
 
+/// Guards against a stopped stream that HTTP alone shows as broken, which would leave the rule for
+/// the closing event untested.
+#[test]
+fn stopped_stream_ends_cleanly_without_its_closing_event() {
+    let engine = start(|_| {});
+    engine.set_faults(|faults| faults.stop = 1);
+
+    let answer = read_all(complete(&engine, "tag:stop", 20, true));
+
+    assert!(!answer.contains("[DONE]") && answer.ends_with("0\r\n\r\n"));
+    assert_eq!(engine.book().tagged("stop")[0].ending, Ending::Truncated);
+}
+
+/// Guards against a role that the status does not show, or that an old lease holder sets.
+#[test]
+fn role_changes_only_with_a_current_fence() {
+    let engine = start(|_| {});
+    let order = |role: &str, fence: u64| {
+        let body = json!({"role": role, "fence": fence}).to_string();
+        let answer = read_all(open(engine.address, "/orders/role", "", &body));
+        answer.starts_with("HTTP/1.1 200")
+    };
+
+    let accepted = [order("decode", 7), order("prefill", 6)];
+
+    assert_eq!(accepted, [true, false]);
+    assert_eq!(status(&engine, 0)["role"], "decode");
+}
+
 /// Guards against a refusal that says "not run" about a request that ran.
 #[test]
 fn refused_request_is_seen_but_not_executed() {
