--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,4 +1,14 @@
 //! Small stand-ins for the systems around sardinepath, for tests and the demo.
 
+pub mod control;
+pub mod engine;
+pub mod hosts;
+pub mod http;
 pub mod objects;
+pub mod orders;
 pub mod plain;
+pub mod scoring;
+pub mod service;
+pub mod trainer;
+pub mod usage;
+pub mod weights;
