Add the decisions of target orders

Cause: an order must never follow a newer holder's first one, and a lost answer must not repeat it. Change: intents recorded before they are sent, wait after take-over, completion of open intents under their old ids, reading the interface's state after a lost answer, pace after an outage. Seen failing with the rule taken out: wait, resend of an open intent, time in flight before the read of states, states only for due intents, same id at a resend, read-back of a draft, settled intents not reopened. Remaining windows are stated in the module documentation.

--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -4,5 +4,6 @@
 pub mod authorize;
 pub mod config;
 pub mod lease;
+pub mod order;
 pub mod request;
 pub mod traffic;
--- /dev/null
+++ b/crates/core/src/decision/order/intent.rs
@@ -0,0 +1,138 @@
+//! Life cycle of one intent: `Drafted`, `Recorded`, `Applied`. Only a recorded intent yields an
+//! order, and only an applied one can be settled.
+
+use std::sync::Arc;
+
+use crate::decision::order::IntentRecord;
+use crate::decision::order::IntentState;
+use crate::decision::order::IntentWrite;
+use crate::decision::order::path;
+use crate::domain::ids::Fence;
+use crate::domain::ids::Revision;
+use crate::domain::name::CentreName;
+use crate::domain::name::TargetName;
+use crate::port::object::Expect;
+use crate::port::order::OrderAction;
+use crate::port::order::TargetOrder;
+
+/// Is not known to be stored.
+#[derive(Clone, Debug)]
+pub struct Drafted {
+    expect: Expect,
+}
+
+/// Is stored as open.
+#[derive(Clone, Debug)]
+pub struct Recorded {
+    revision: Revision,
+}
+
+/// Has taken effect at the interface.
+#[derive(Clone, Debug)]
+pub struct Applied {
+    revision: Revision,
+}
+
+/// An intent in one state of its life cycle.
+#[derive(Clone, Debug)]
+pub struct Intent<S> {
+    record: IntentRecord,
+    state: S,
+}
+
+impl Intent<Drafted> {
+    /// Drafts an intent. `number` counts the intents of one tenure.
+    pub fn draft(
+        fence: Fence,
+        number: u64,
+        target: TargetName,
+        action: OrderAction,
+        expect: Expect,
+    ) -> Self {
+        let record = IntentRecord {
+            id: Arc::from(format!("{target}-{}-{number}", fence.0)),
+            fence,
+            target,
+            action,
+            state: IntentState::Open,
+        };
+        let state = Drafted { expect };
+        Self { record, state }
+    }
+
+    /// Returns the write that records the intent.
+    pub fn write(&self, centre: &CentreName) -> IntentWrite {
+        IntentWrite {
+            path: path(centre, &self.record.target),
+            record: self.record.clone(),
+            expect: self.state.expect,
+        }
+    }
+
+    /// Tells whether the object is still as it was when the intent was drafted.
+    pub fn unchanged(&self, found: Option<&(Revision, IntentRecord)>) -> bool {
+        match (self.state.expect, found) {
+            (Expect::Absent, None) => true,
+            (Expect::At(revision), Some(found)) => found.0 == revision,
+            _ => false,
+        }
+    }
+
+    /// Goes on once the record is stored at this revision.
+    pub fn recorded(self, revision: Revision) -> Intent<Recorded> {
+        let state = Recorded { revision };
+        Intent {
+            record: self.record,
+            state,
+        }
+    }
+}
+
+impl Intent<Recorded> {
+    /// Takes over an open intent that is stored at this revision.
+    pub fn adopt(record: IntentRecord, revision: Revision) -> Self {
+        let state = Recorded { revision };
+        Self { record, state }
+    }
+
+    /// Returns the order under the id of the intent and the fencing token of the sender.
+    pub fn order(&self, centre: &CentreName, fence: Fence) -> TargetOrder {
+        TargetOrder {
+            intent: self.record.id.to_string(),
+            fence,
+            centre: centre.clone(),
+            target: self.record.target.clone(),
+            action: self.record.action,
+        }
+    }
+
+    /// Goes on once the interface has carried out the order.
+    pub fn applied(self) -> Intent<Applied> {
+        let revision = self.state.revision;
+        let state = Applied { revision };
+        Intent {
+            record: self.record,
+            state,
+        }
+    }
+}
+
+impl Intent<Applied> {
+    /// Returns the write that settles the intent.
+    pub fn write(&self, centre: &CentreName) -> IntentWrite {
+        let mut record = self.record.clone();
+        record.state = IntentState::Done;
+        IntentWrite {
+            path: path(centre, &record.target),
+            record,
+            expect: Expect::At(self.state.revision),
+        }
+    }
+}
+
+impl<S> Intent<S> {
+    /// Returns the intent as it is stored while open.
+    pub fn record(&self) -> &IntentRecord {
+        &self.record
+    }
+}
--- a/crates/core/tests/lease.rs
+++ b/crates/core/tests/lease.rs
@@ -3,7 +3,13 @@
 
 mod support;
 
-use proptest::prelude::*;
+use proptest::prelude::Just;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prelude::prop;
+use proptest::prop_assert;
+use proptest::prop_oneof;
+use proptest::proptest;
 use sardinepath_core::decision::lease::Claim;
 use sardinepath_core::decision::lease::Held;
 use sardinepath_core::decision::lease::HeldStep;
