--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -7,3 +7,4 @@
 pub mod order;
 pub mod request;
 pub mod traffic;
+pub mod usage;
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -1,4 +1,8 @@
 //! A fake object store shared by the tests of duties.
+#![allow(dead_code)] // Each test file uses a part.
+
+pub mod reporters;
+pub mod usage;
 
 use std::collections::BTreeMap;
 
@@ -39,7 +43,6 @@
     }
 
     /// Reads all objects under a prefix.
-    #[allow(dead_code)]
     pub fn list<T: DeserializeOwned>(&self, prefix: &str) -> Vec<(Revision, T)> {
         let under = self.objects.keys().filter(|path| path.starts_with(prefix));
         under.filter_map(|path| self.get(path)).collect()
--- /dev/null
+++ b/crates/core/tests/support/reporters.rs
@@ -0,0 +1,221 @@
+//! Two ways of reporting, each as a process that makes one call in each step.
+
+use std::sync::Arc;
+
+use sardinepath_core::decision::usage::Closing;
+use sardinepath_core::decision::usage::Counters;
+use sardinepath_core::decision::usage::Frozen;
+use sardinepath_core::decision::usage::Open;
+use sardinepath_core::decision::usage::OpenStep;
+use sardinepath_core::decision::usage::Outcome;
+use sardinepath_core::decision::usage::Reported;
+use sardinepath_core::decision::usage::Window;
+use sardinepath_core::decision::usage::WindowRecord;
+use sardinepath_core::decision::usage::WindowWrite;
+use sardinepath_core::decision::usage::history;
+use sardinepath_core::decision::usage::origin;
+use sardinepath_core::decision::usage::prefix;
+use sardinepath_core::decision::usage::resume;
+use sardinepath_core::domain::ids::Revision;
+use sardinepath_core::port::object::Expect;
+use sardinepath_core::port::object::ObjectError;
+use sardinepath_core::port::usage::UsageError;
+use sardinepath_core::port::usage::UsageReport;
+
+use crate::support::Fate;
+use crate::support::usage::World;
+use crate::support::usage::workspace;
+
+pub trait Reporter {
+    fn start() -> Self;
+    fn step(&mut self, world: &mut World, fate: Fate, reach: [bool; 4]);
+}
+
+/// Freezes each window before it is reported.
+pub struct Outbox {
+    unreported: Vec<Window<Frozen>>,
+    phase: Phase,
+}
+
+enum Phase {
+    Start,
+    Open(Window<Open>),
+    LookedUp(Window<Open>, Counters),
+    Close(Window<Open>, WindowWrite),
+    ReadBack(Window<Open>, Arc<str>),
+    Mark(Window<Open>, Window<Reported>),
+}
+
+fn put(world: &mut World, write: &WindowWrite, fate: Fate) -> Result<Revision, ObjectError> {
+    world
+        .store
+        .put(&write.path, &write.record, write.expect, fate)
+}
+
+fn records(world: &World) -> Vec<(Revision, WindowRecord)> {
+    world.store.list(&prefix(&workspace()))
+}
+
+impl Reporter for Outbox {
+    fn start() -> Self {
+        Self {
+            unreported: vec![],
+            phase: Phase::Start,
+        }
+    }
+
+    fn step(&mut self, world: &mut World, fate: Fate, reach: [bool; 4]) {
+        let phase = std::mem::replace(&mut self.phase, Phase::Start);
+        self.phase = match phase {
+            Phase::Start => self.take_over(world, fate),
+            Phase::Open(open) => self.open(open, world, fate, reach),
+            Phase::LookedUp(open, all) => {
+                let OpenStep::Freeze(write) = open.close(&world.collect(reach), Some(&all)) else {
+                    panic!("looked up twice")
+                };
+                Phase::Close(open, write)
+            }
+            Phase::Close(open, write) => {
+                let answer = put(world, &write, fate);
+                self.closing(open.answered(&write, &answer), world, reach)
+            }
+            Phase::ReadBack(open, path) if fate == Fate::Down => Phase::ReadBack(open, path),
+            Phase::ReadBack(open, path) => {
+                let found = world.store.get(&path);
+                self.closing(open.read(Ok(found)), world, reach)
+            }
+            Phase::Mark(open, window) => {
+                let _ = put(world, &window.mark(), fate);
+                Phase::Open(open)
+            }
+        };
+    }
+}
+
+impl Outbox {
+    fn take_over(&mut self, world: &mut World, fate: Fate) -> Phase {
+        if let Some(found) = resume(&workspace(), records(world)) {
+            self.unreported = found.unreported;
+            return Phase::Open(found.open);
+        }
+        let _ = put(world, &origin(&workspace(), world.window()), fate);
+        Phase::Start
+    }
+
+    fn open(
+        &mut self,
+        open: Window<Open>,
+        world: &mut World,
+        fate: Fate,
+        reach: [bool; 4],
+    ) -> Phase {
+        if !self.unreported.is_empty() {
+            let window = self.unreported.remove(0);
+            let answer = world.report(&window.report(), fate);
+            return match window.sent(&answer) {
+                Outcome::Reported(window) => Phase::Mark(open, window),
+                Outcome::Again(window) | Outcome::Contradiction(window) => {
+                    self.unreported.insert(0, window);
+                    Phase::Open(open)
+                }
+            };
+        }
+        if !open.due(world.window()) || fate == Fate::Down {
+            return Phase::Open(open);
+        }
+        match open.close(&world.collect(reach), None) {
+            OpenStep::Freeze(write) => Phase::Close(open, write),
+            OpenStep::LookUp(_) => {
+                let found: Vec<_> = records(world).into_iter().map(|pair| pair.1).collect();
+                Phase::LookedUp(open, history(&found))
+            }
+        }
+    }
+
+    fn closing(&mut self, closing: Closing, world: &mut World, reach: [bool; 4]) -> Phase {
+        match closing {
+            Closing::Open(open) => Phase::Open(open),
+            Closing::ReadBack(open, path) => Phase::ReadBack(open, path),
+            Closing::Frozen(window) => {
+                world.prune(window.covered(), reach);
+                let open = window.following();
+                self.unreported.push(window);
+                Phase::Open(open)
+            }
+        }
+    }
+}
+
+/// Reports the growth since the last stored base, then stores the new base. The usual way.
+pub struct Direct {
+    base: Option<(Expect, WindowRecord)>,
+    stored: bool,
+}
+
+impl Reporter for Direct {
+    fn start() -> Self {
+        Self {
+            base: None,
+            stored: true,
+        }
+    }
+
+    fn step(&mut self, world: &mut World, fate: Fate, reach: [bool; 4]) {
+        let Some((expect, mut base)) = self.base.take() else {
+            self.base = Some(Self::read(world));
+            return;
+        };
+        if !self.stored {
+            let answer = world.store.put("base", &base, expect, fate);
+            self.stored = answer.is_ok();
+            // Another holder stored a base, or the answer is lost: continues from what is stored.
+            self.base = match answer {
+                Ok(revision) => Some((Expect::At(revision), base)),
+                Err(ObjectError::Unavailable(_)) => Some((expect, base)),
+                Err(_) => {
+                    self.stored = true;
+                    None
+                }
+            };
+            return;
+        }
+        if base.window + 1 < world.window() {
+            let counters = world.collect(reach);
+            let known = |i| base.counters.get(i).copied().unwrap_or_default();
+            let growth = counters.iter().map(|(i, now)| now.saturating_sub(known(i)));
+            let window = base.window + 1;
+            let report = UsageReport {
+                id: format!("{}/{window}", workspace()),
+                workspace: workspace(),
+                window,
+                tokens: growth.sum(),
+            };
+            // A refusal means that the window has a figure, so the next window follows.
+            let answer = world.report(&report, fate);
+            if matches!(answer, Ok(()) | Err(UsageError::Contradiction)) {
+                for (incarnation, now) in counters {
+                    let known = base.counters.entry(incarnation).or_default();
+                    *known = now.max(*known);
+                }
+                base.window = window;
+                self.stored = false;
+            }
+        }
+        self.base = Some((expect, base));
+    }
+}
+
+impl Direct {
+    fn read(world: &World) -> (Expect, WindowRecord) {
+        let fresh = |window| WindowRecord {
+            window,
+            tokens: 0,
+            counters: Counters::new(),
+            reported: true,
+        };
+        match world.store.get("base") {
+            Some((revision, base)) => (Expect::At(revision), base),
+            None => (Expect::Absent, fresh(world.window())),
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/tests/usage.rs
@@ -0,0 +1,280 @@
+//! Usage under crashes, lost answers, outages, two holders and clock jumps. The book of the fake
+//! interface is the judge. Direct reporting runs under the same failures as the baseline.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use std::time::Duration;
+
+use proptest::prelude::Just;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::prop_assert_eq;
+use proptest::prop_oneof;
+use proptest::proptest;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::TestRunner;
+use sardinepath_core::decision::usage::Counters;
+use sardinepath_core::decision::usage::Tally;
+use sardinepath_core::decision::usage::WindowClock;
+use sardinepath_core::domain::call::Counter;
+use sardinepath_core::domain::ids::Incarnation;
+use sardinepath_core::domain::time::Time;
+use sardinepath_core::domain::time::WallTime;
+
+use crate::support::Fate;
+use crate::support::reporters::Direct;
+use crate::support::reporters::Outbox;
+use crate::support::reporters::Reporter;
+use crate::support::usage::World;
+use crate::support::usage::workspace;
+
+/// Random event lists of the comparison.
+const LISTS: u32 = 300;
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// An agent completes an answer, and an entry hears of it.
+    Answer {
+        agent: usize,
+        entry: usize,
+        tokens: u64,
+    },
+    AgentRestart(usize),
+    EntryRestart(usize),
+    /// One reporter makes one call. `reach` says which entries and agents it reaches.
+    Step {
+        reporter: usize,
+        fate: Fate,
+        reach: [bool; 4],
+    },
+    /// One reporter's process is replaced.
+    TakeOver(usize),
+    Pass {
+        seconds: u64,
+    },
+    Jump {
+        seconds: i64,
+    },
+    Arrive,
+}
+
+fn any_event() -> impl Strategy<Value = Event> {
+    let fate = prop_oneof![
+        5 => Just(Fate::Done),
+        1 => Just(Fate::AnswerLost),
+        1 => Just(Fate::CallLost),
+        1 => Just(Fate::Late),
+        1 => Just(Fate::Down),
+    ];
+    prop_oneof![
+        6 => (0..2usize, 0..2usize, 1..100u64)
+            .prop_map(|(agent, entry, tokens)| Event::Answer { agent, entry, tokens }),
+        1 => (0..2usize).prop_map(Event::AgentRestart),
+        1 => (0..2usize).prop_map(Event::EntryRestart),
+        24 => (prop_oneof![3 => Just(0usize), 1 => Just(1)], fate, any::<[bool; 4]>())
+            .prop_map(|(reporter, fate, reach)| Event::Step { reporter, fate, reach }),
+        1 => (0..2usize).prop_map(Event::TakeOver),
+        6 => (10..90u64).prop_map(|seconds| Event::Pass { seconds }),
+        1 => (-200..200i64).prop_map(|seconds| Event::Jump { seconds }),
+        2 => Just(Event::Arrive),
+    ]
+}
+
+fn any_events() -> impl Strategy<Value = Vec<Event>> {
+    prop::collection::vec(any_event(), 1..250)
+}
+
+/// Runs the events with two reporters, then lets the first one finish in peace.
+fn simulate<R: Reporter>(events: &[Event]) -> World {
+    let mut world = World::default();
+    let mut reporters = [R::start(), R::start()];
+    for event in events {
+        match *event {
+            Event::Answer {
+                agent,
+                entry,
+                tokens,
+            } => world.answer(agent, entry, tokens),
+            Event::AgentRestart(agent) => world.restart_agent(agent),
+            Event::EntryRestart(entry) => world.restart_entry(entry),
+            Event::Step {
+                reporter,
+                fate,
+                reach,
+            } => reporters[reporter].step(&mut world, fate, reach),
+            Event::TakeOver(reporter) => reporters[reporter] = R::start(),
+            Event::Pass { seconds } => world.wall += seconds,
+            Event::Jump { seconds } => world.wall = world.wall.saturating_add_signed(seconds),
+            Event::Arrive => world.store.arrive(),
+        }
+    }
+    world.store.arrive();
+    for _ in 0..400 {
+        world.wall += 20;
+        reporters[0].step(&mut world, Fate::Done, [true; 4]);
+    }
+    world
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(600))]
+
+    /// Guards against tokens that are lost or billed twice, and against a window that is reported
+    /// with two figures.
+    #[test]
+    fn frozen_windows_bill_every_token_once(events in any_events()) {
+        let world = simulate::<Outbox>(&events);
+        prop_assert_eq!(world.contradictions, 0);
+        prop_assert_eq!(world.billed(), world.truth);
+    }
+}
+
+/// Guards against a claim of benefit that nobody measured: counts the runs that go wrong under
+/// the same random event lists. Run with `--nocapture` to see the figures.
+#[test]
+fn direct_reporting_is_wrong_where_frozen_windows_are_exact() {
+    let mut runner = TestRunner::deterministic();
+    let (mut outbox, mut direct) = (Measure::default(), Measure::default());
+    for _ in 0..LISTS {
+        let events = any_events().new_tree(&mut runner).unwrap().current();
+        outbox.add(&simulate::<Outbox>(&events));
+        direct.add(&simulate::<Direct>(&events));
+    }
+    println!("frozen windows: {outbox:?}");
+    println!("direct reports: {direct:?}");
+    assert_eq!(outbox.contradicted + outbox.under + outbox.over, 0);
+    assert!(direct.contradicted > 0 && direct.over > 0);
+}
+
+/// Runs with a fault of each kind, and the tokens concerned.
+#[derive(Debug, Default)]
+struct Measure {
+    truth: u64,
+    contradicted: u64,
+    under: u64,
+    over: u64,
+    lost: u64,
+    doubled: u64,
+}
+
+impl Measure {
+    fn add(&mut self, world: &World) {
+        let (truth, billed) = (world.truth, world.billed());
+        self.truth += truth;
+        self.contradicted += u64::from(world.contradictions > 0);
+        self.under += u64::from(billed < truth);
+        self.over += u64::from(billed > truth);
+        self.lost += truth.saturating_sub(billed);
+        self.doubled += billed.saturating_sub(truth);
+    }
+}
+
+/// Guards against windows that are closed because the wall clock jumped for a moment.
+#[test]
+fn a_jump_is_adopted_only_after_it_has_lasted() {
+    let mut clock = WindowClock::new(Time(0), WallTime(1_000_000));
+    assert_eq!(
+        clock.read(Time(1_000), WallTime(1_001_500)),
+        WallTime(1_001_500)
+    );
+    assert_eq!(
+        clock.read(Time(2_000), WallTime(9_002_500)),
+        WallTime(1_002_500)
+    );
+    assert_eq!(
+        clock.read(Time(3_000), WallTime(1_003_500)),
+        WallTime(1_003_500)
+    );
+    assert_eq!(
+        clock.read(Time(4_000), WallTime(504_500)),
+        WallTime(1_004_500)
+    );
+    assert_eq!(
+        clock.read(Time(300_000), WallTime(800_500)),
+        WallTime(1_300_500)
+    );
+    assert_eq!(
+        clock.read(Time(604_000), WallTime(1_104_500)),
+        WallTime(1_104_500)
+    );
+    assert_eq!(WallTime(7_200_000).window(Duration::from_secs(3_600)), 2);
+}
+
+/// Guards against a counter that is billed again when an entry returns with an old copy.
+#[test]
+fn an_old_copy_that_returns_is_not_billed_again() {
+    let mut world = World::default();
+    let mut reporter = Outbox::start();
+    let mut close = |world: &mut World, reach| {
+        world.wall += 120;
+        (0..20).for_each(|_| reporter.step(world, Fate::Done, reach));
+    };
+    close(&mut world, [true; 4]);
+    world.answer(0, 0, 50);
+    close(&mut world, [false, false, true, true]);
+    world.restart_agent(0);
+    close(&mut world, [false, false, true, true]);
+    close(&mut world, [true; 4]);
+    assert_eq!((world.billed(), world.truth), (50, 50));
+}
+
+/// Guards against a lost window when the object API is down at its close.
+#[test]
+fn a_window_that_ends_in_an_outage_is_closed_after_it() {
+    let mut world = World::default();
+    let mut reporter = Outbox::start();
+    (0..4).for_each(|_| reporter.step(&mut world, Fate::Done, [true; 4]));
+    world.answer(0, 0, 50);
+    world.wall += 190;
+    (0..20).for_each(|_| reporter.step(&mut world, Fate::Down, [true; 4]));
+    assert_eq!(world.billed(), 0);
+    world.answer(1, 1, 7);
+    (0..20).for_each(|_| reporter.step(&mut world, Fate::Done, [true; 4]));
+    assert_eq!((world.billed(), world.reports()), (57, 2));
+}
+
+/// Guards against a baseline that is wrong by itself: without failures both ways are exact.
+#[test]
+fn both_ways_are_exact_without_failures() {
+    let step = Event::Step {
+        reporter: 0,
+        fate: Fate::Done,
+        reach: [true; 4],
+    };
+    let answer = Event::Answer {
+        agent: 0,
+        entry: 1,
+        tokens: 9,
+    };
+    let round = [
+        answer,
+        Event::Pass { seconds: 30 },
+        step.clone(),
+        step.clone(),
+        step,
+    ];
+    let events: Vec<_> = (0..50).flat_map(|_| round.clone()).collect();
+    let (outbox, direct) = (simulate::<Outbox>(&events), simulate::<Direct>(&events));
+    assert_eq!((outbox.billed(), outbox.contradictions), (450, 0));
+    assert_eq!((direct.billed(), direct.contradictions), (450, 0));
+}
+
+/// Guards against a counter that goes back when a late copy arrives.
+#[test]
+fn a_late_copy_does_not_lower_a_counter() {
+    let mut tally = Tally::default();
+    for tokens in [5, 9, 7] {
+        let incarnation = Incarnation(1);
+        let workspace = workspace();
+        tally.merge(&Counter {
+            incarnation,
+            workspace,
+            tokens,
+        });
+    }
+    let counters = tally.counters(&workspace());
+    assert_eq!(counters, Counters::from([(Incarnation(1), 9)]));
+}
