Add the decisions of samples

Cause: each group must reach its trainer once, labelled and within the staleness bound. Change: typestate Open, Generated, Recorded; staleness at start, recording and delivery; rounds after expiry; cursor by revision; delivered groups that became too old are withheld and named; plan of a step. Seen failing with the rule taken out: conditional delivery, cursor, staleness in the answer, delivered state in the answer (property test, 2,000 cases), staleness at recording and at the poll, round after expiry, lowest version, longest first, budget, deadline.

--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -6,5 +6,6 @@
 pub mod lease;
 pub mod order;
 pub mod request;
+pub mod sample;
 pub mod traffic;
 pub mod usage;
--- /dev/null
+++ b/crates/core/src/decision/sample/group.rs
@@ -0,0 +1,195 @@
+//! Life cycle of one group: `Open`, `Generated`, `Recorded`. Only a generated group can be
+//! recorded and only a recorded one can be delivered or expired. Delivered groups have no step.
+
+use std::fmt;
+use std::sync::Arc;
+
+use crate::decision::sample::Freshness;
+use crate::decision::sample::GroupId;
+use crate::decision::sample::GroupRecord;
+use crate::decision::sample::GroupState;
+use crate::decision::sample::GroupWrite;
+use crate::decision::sample::Sample;
+use crate::domain::ids::Revision;
+use crate::port::object::Expect;
+use crate::port::object::ObjectError;
+
+/// Has no complete result in this round.
+#[derive(Clone, Debug)]
+pub struct Open {
+    size: u32,
+    round: u32,
+    expect: Expect,
+}
+
+/// Has a complete result that may not be stored.
+#[derive(Clone, Debug)]
+pub struct Generated {
+    round: u32,
+    expect: Expect,
+    samples: Vec<Sample>,
+}
+
+/// Is stored and waits for the trainer.
+#[derive(Clone, Debug)]
+pub struct Recorded {
+    revision: Revision,
+    record: GroupRecord,
+}
+
+/// A group in one state of its life cycle.
+#[derive(Clone, Debug)]
+pub struct Group<S> {
+    id: GroupId,
+    state: S,
+}
+
+/// Why a result is not recorded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// An index is missing, doubled or out of range.
+    Incomplete,
+    /// A sample names no weight version.
+    Unlabelled,
+    /// A sample is older than the bound. Generate again.
+    Stale,
+}
+
+/// What follows a write or a read-back of a generated group.
+#[derive(Debug)]
+pub enum Recording {
+    /// A result of this round or a later one is stored, of this process or another.
+    Recorded(Revision, GroupRecord),
+    /// Read the object at this path and pass the result to `read`.
+    ReadBack(Group<Generated>, Arc<str>),
+    /// Not stored. Check the freshness and write again after a pause.
+    Again(Group<Generated>),
+}
+
+impl Group<Open> {
+    /// Starts the first round of a group of this size.
+    pub fn first(id: GroupId, size: u32) -> Self {
+        let (round, expect) = (0, Expect::Absent);
+        let state = Open {
+            size,
+            round,
+            expect,
+        };
+        Self { id, state }
+    }
+
+    /// Starts the round after an expired one that is stored at this revision.
+    pub fn again(id: GroupId, size: u32, revision: Revision, expired: &GroupRecord) -> Self {
+        let (round, expect) = (expired.round + 1, Expect::At(revision));
+        let state = Open {
+            size,
+            round,
+            expect,
+        };
+        Self { id, state }
+    }
+
+    /// Takes the answers of all members.
+    pub fn generated(self, mut samples: Vec<Sample>) -> Result<Group<Generated>, Refusal> {
+        samples.sort_by_key(|sample| sample.index);
+        let indexes = samples.iter().map(|sample| sample.index);
+        if !indexes.eq(0..self.state.size) {
+            return Err(Refusal::Incomplete);
+        }
+        if samples.iter().any(|sample| sample.versions.is_empty()) {
+            return Err(Refusal::Unlabelled);
+        }
+        let state = Generated {
+            round: self.state.round,
+            expect: self.state.expect,
+            samples,
+        };
+        Ok(Group { id: self.id, state })
+    }
+}
+
+impl Group<Generated> {
+    /// Returns the write that records the group, unless a sample is too old.
+    pub fn record(&self, fresh: Freshness) -> Result<GroupWrite, Refusal> {
+        let samples = &self.state.samples;
+        if !samples.iter().all(|sample| fresh.allows(&sample.versions)) {
+            return Err(Refusal::Stale);
+        }
+        let record = GroupRecord {
+            state: GroupState::Recorded,
+            round: self.state.round,
+            samples: samples.clone(),
+        };
+        let (path, expect) = (self.id.path(), self.state.expect);
+        Ok(GroupWrite {
+            path,
+            record,
+            expect,
+        })
+    }
+
+    /// Takes in the answer to the write.
+    pub fn answered(self, write: &GroupWrite, answer: &Result<Revision, ObjectError>) -> Recording {
+        match answer {
+            Ok(revision) => Recording::Recorded(*revision, write.record.clone()),
+            Err(ObjectError::Conflict(_) | ObjectError::Unknown(_)) => {
+                Recording::ReadBack(self, write.path.clone())
+            }
+            Err(_) => Recording::Again(self),
+        }
+    }
+
+    /// Takes in the object that was read back. The first complete result of a round stays.
+    pub fn read(self, found: Result<Option<(Revision, GroupRecord)>, ObjectError>) -> Recording {
+        match found {
+            Ok(Some((revision, record))) if record.round >= self.state.round => {
+                Recording::Recorded(revision, record)
+            }
+            Ok(_) => Recording::Again(self),
+            Err(_) => {
+                let path = self.id.path();
+                Recording::ReadBack(self, path)
+            }
+        }
+    }
+}
+
+impl Group<Recorded> {
+    /// Continues with a stored group whose state is `GroupState::Recorded`.
+    pub fn recorded(id: GroupId, revision: Revision, record: GroupRecord) -> Self {
+        let state = Recorded { revision, record };
+        Self { id, state }
+    }
+
+    /// Returns the write that delivers the group, or expires it if it is too old for this poll.
+    /// After any answer but success the poll reads the objects again.
+    pub fn deliver(self, fresh: Freshness) -> GroupWrite {
+        let Recorded { revision, record } = self.state;
+        let usable = record.samples.iter().all(|s| fresh.allows(&s.versions));
+        let (state, samples) = match usable {
+            true => (GroupState::Delivered, record.samples),
+            false => (GroupState::Expired, Vec::new()),
+        };
+        GroupWrite {
+            path: self.id.path(),
+            record: GroupRecord {
+                state,
+                round: record.round,
+                samples,
+            },
+            expect: Expect::At(revision),
+        }
+    }
+}
+
+impl fmt::Display for Refusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Incomplete => "the group does not have each index once",
+            Self::Unlabelled => "a sample names no weight version",
+            Self::Stale => "a sample is older than the staleness bound",
+        })
+    }
+}
+
+impl std::error::Error for Refusal {}
--- /dev/null
+++ b/crates/core/tests/sample.rs
@@ -0,0 +1,359 @@
+//! Samples under two runners, lost answers, late writes, version changes and trainer restarts. The
+//! trainer's own list of received groups is the judge.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use proptest::prelude::Just;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::prop_oneof;
+use proptest::proptest;
+use sardinepath_core::decision::sample::Freshness;
+use sardinepath_core::decision::sample::Generated;
+use sardinepath_core::decision::sample::Group;
+use sardinepath_core::decision::sample::GroupId;
+use sardinepath_core::decision::sample::GroupRecord;
+use sardinepath_core::decision::sample::GroupState;
+use sardinepath_core::decision::sample::GroupWrite;
+use sardinepath_core::decision::sample::Plan;
+use sardinepath_core::decision::sample::PlanStep;
+use sardinepath_core::decision::sample::Recording;
+use sardinepath_core::decision::sample::Refusal;
+use sardinepath_core::decision::sample::Reply;
+use sardinepath_core::decision::sample::Run;
+use sardinepath_core::decision::sample::Sample;
+use sardinepath_core::decision::sample::Stored;
+use sardinepath_core::decision::sample::collect;
+use sardinepath_core::domain::ids::Revision;
+use sardinepath_core::domain::ids::WeightVersion;
+use sardinepath_core::domain::name::TrainerName;
+use sardinepath_core::domain::time::Time;
+use sardinepath_core::port::object::ObjectError;
+
+use crate::support::FakeStore;
+use crate::support::Fate;
+
+const GROUPS: u32 = 2;
+const BOUND: u64 = 1;
+
+fn id(group: u32) -> GroupId {
+    let trainer = TrainerName::from("t1");
+    GroupId {
+        trainer,
+        step: 4,
+        group,
+    }
+}
+
+fn samples(version: u64) -> Vec<Sample> {
+    let sample = |index| Sample {
+        index,
+        versions: vec![WeightVersion(version)],
+        tokens: 5,
+        score: 1.0,
+        text: format!("produced by {version}").into(),
+    };
+    vec![sample(1), sample(0)]
+}
+
+#[derive(Default)]
+struct World {
+    store: FakeStore,
+    /// Version of the trainer, and how far the targets lag behind it.
+    trainer: u64,
+    lag: u64,
+    cursor: Revision,
+    received: Vec<(GroupId, GroupRecord)>,
+    withheld: BTreeSet<GroupId>,
+    fault: Option<String>,
+}
+
+impl World {
+    fn fresh(&self) -> Freshness {
+        Freshness {
+            trainer: WeightVersion(self.trainer),
+            bound: BOUND,
+        }
+    }
+
+    fn stored(&self) -> Vec<Stored> {
+        let found = (0..GROUPS).filter_map(|g| self.store.get(&id(g).path()).map(|f| (g, f)));
+        found
+            .map(|(g, (revision, record))| (id(g), revision, record))
+            .collect()
+    }
+
+    fn put(&mut self, write: &GroupWrite, fate: Fate) -> Result<Revision, ObjectError> {
+        self.store
+            .put(&write.path, &write.record, write.expect, fate)
+    }
+
+    fn deliver(&mut self, fate: Fate) {
+        for (id, revision, record) in self.stored() {
+            if record.state == GroupState::Recorded {
+                let write = Group::recorded(id, revision, record).deliver(self.fresh());
+                let _ = self.put(&write, fate);
+            }
+        }
+    }
+
+    fn reply(&self) -> Reply {
+        collect(self.stored(), self.cursor, self.fresh())
+    }
+
+    fn receive(&mut self, reply: Reply) {
+        for (id, record) in reply.groups {
+            if self.received.iter().any(|known| known.0 == id) || self.withheld.contains(&id) {
+                self.fault = Some(format!("{id:?} received twice"));
+            }
+            for sample in &record.samples {
+                let produced = format!("produced by {}", sample.versions[0]);
+                let old = self.trainer - sample.versions[0].0 > BOUND;
+                if old || *sample.text != *produced {
+                    self.fault = Some(format!("{id:?} is too old or wrongly labelled"));
+                }
+            }
+            self.received.push((id, record));
+        }
+        self.withheld.extend(reply.withheld);
+        self.cursor = reply.cursor;
+    }
+}
+
+enum Runner {
+    Idle,
+    Write(Group<Generated>),
+    ReadBack(Group<Generated>),
+}
+
+/// Takes one step of a runner for one group.
+fn run(runner: Runner, group: u32, world: &mut World, fate: Fate) -> Runner {
+    let recording = match runner {
+        Runner::Idle => {
+            let open = match world.store.get::<GroupRecord>(&id(group).path()) {
+                None => Group::first(id(group), 2),
+                Some((revision, record)) if record.state == GroupState::Expired => {
+                    Group::again(id(group), 2, revision, &record)
+                }
+                Some(_) => return Runner::Idle,
+            };
+            let version = world.trainer - world.lag;
+            return Runner::Write(open.generated(samples(version)).unwrap());
+        }
+        Runner::Write(generated) => match generated.record(world.fresh()) {
+            Err(_) => return Runner::Idle,
+            Ok(write) => {
+                let answer = world.put(&write, fate);
+                generated.answered(&write, &answer)
+            }
+        },
+        Runner::ReadBack(generated) if fate == Fate::Down => return Runner::ReadBack(generated),
+        Runner::ReadBack(generated) => {
+            let found = world.store.get(&id(group).path());
+            generated.read(Ok(found))
+        }
+    };
+    match recording {
+        Recording::Recorded(..) => Runner::Idle,
+        Recording::ReadBack(generated, _) => Runner::ReadBack(generated),
+        Recording::Again(generated) => Runner::Write(generated),
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Run {
+        runner: usize,
+        group: u32,
+        fate: Fate,
+    },
+    RunnerRestart(usize),
+    Deliver(Fate),
+    Answer {
+        lost: bool,
+    },
+    NewVersion,
+    Lag(u64),
+    /// The trainer restarts from a checkpoint without what it received after it.
+    TrainerRestart,
+    Arrive,
+}
+
+fn any_event() -> impl Strategy<Value = Event> {
+    let fate = || {
+        prop_oneof![
+            3 => Just(Fate::Done),
+            1 => Just(Fate::AnswerLost),
+            1 => Just(Fate::CallLost),
+            1 => Just(Fate::Late),
+            1 => Just(Fate::Down),
+        ]
+    };
+    prop_oneof![
+        10 => (0..2usize, 0..GROUPS, fate())
+            .prop_map(|(runner, group, fate)| Event::Run { runner, group, fate }),
+        1 => (0..2usize).prop_map(Event::RunnerRestart),
+        3 => fate().prop_map(Event::Deliver),
+        3 => any::<bool>().prop_map(|lost| Event::Answer { lost }),
+        1 => Just(Event::NewVersion),
+        1 => (0..3u64).prop_map(Event::Lag),
+        1 => Just(Event::TrainerRestart),
+        2 => Just(Event::Arrive),
+    ]
+}
+
+fn idle() -> [[Runner; 2]; 2] {
+    [[Runner::Idle, Runner::Idle], [Runner::Idle, Runner::Idle]]
+}
+
+fn simulate(events: &[Event]) -> World {
+    let mut world = World {
+        trainer: 5,
+        ..World::default()
+    };
+    let mut runners = idle();
+    for event in events {
+        match *event {
+            Event::Run {
+                runner,
+                group,
+                fate,
+            } => {
+                let slot = &mut runners[runner][group as usize];
+                *slot = run(
+                    std::mem::replace(slot, Runner::Idle),
+                    group,
+                    &mut world,
+                    fate,
+                );
+            }
+            Event::RunnerRestart(runner) => runners[runner] = [Runner::Idle, Runner::Idle],
+            Event::Deliver(fate) => world.deliver(fate),
+            Event::Answer { lost: true } => drop(world.reply()),
+            Event::Answer { lost: false } => {
+                let reply = world.reply();
+                world.receive(reply);
+            }
+            Event::NewVersion => world.trainer += 1,
+            Event::Lag(lag) => world.lag = lag,
+            Event::TrainerRestart => {
+                world.cursor = Revision(0);
+                world.received.clear();
+                world.withheld.clear();
+            }
+            Event::Arrive => world.store.arrive(),
+        }
+    }
+    world.store.arrive();
+    world.lag = 0;
+    for _ in 0..8 {
+        for (index, slot) in runners[0].iter_mut().enumerate() {
+            let old = std::mem::replace(slot, Runner::Idle);
+            *slot = run(old, index as u32, &mut world, Fate::Done);
+        }
+        world.deliver(Fate::Done);
+    }
+    let reply = world.reply();
+    world.receive(reply);
+    world
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2000))]
+
+    /// Guards against a group that the trainer gets twice, never, too old or wrongly labelled.
+    #[test]
+    fn each_group_reaches_its_trainer_once_and_fresh(
+        events in prop::collection::vec(any_event(), 1..80),
+    ) {
+        let world = simulate(&events);
+        prop_assert!(world.fault.is_none(), "{:?}", world.fault);
+        prop_assert_eq!(world.received.len() + world.withheld.len(), GROUPS as usize);
+    }
+}
+
+/// Guards against groups with a missing or doubled member, or with a sample without a version.
+#[test]
+fn an_incomplete_or_unlabelled_group_is_refused() {
+    let generated = |samples| Group::first(id(0), 2).generated(samples).map(drop);
+    let mut unlabelled = samples(5);
+    unlabelled[0].versions.clear();
+    let mut doubled = samples(5);
+    doubled[0].index = 0;
+    assert_eq!(generated(samples(5)), Ok(()));
+    assert_eq!(generated(unlabelled), Err(Refusal::Unlabelled));
+    assert_eq!(generated(doubled), Err(Refusal::Incomplete));
+    assert_eq!(
+        generated(samples(5)[..1].to_vec()),
+        Err(Refusal::Incomplete)
+    );
+}
+
+/// Guards against a sample judged by its newest version, and against a start that is too late.
+#[test]
+fn freshness_counts_the_lowest_version_and_the_running_time() {
+    let fresh = Freshness {
+        trainer: WeightVersion(9),
+        bound: 2,
+    };
+    let minutes = |n: u64| Duration::from_secs(n * 60);
+    assert!(fresh.allows(&[WeightVersion(7), WeightVersion(9)]));
+    assert!(!fresh.allows(&[WeightVersion(9), WeightVersion(6)]));
+    assert!(!fresh.allows(&[]));
+    assert!(fresh.allows_start(WeightVersion(9), minutes(6), minutes(3)));
+    assert!(!fresh.allows_start(WeightVersion(9), minutes(7), minutes(3)));
+}
+
+/// Guards against a step that waits for its longest members at the end, or for one straggler.
+#[test]
+fn a_plan_starts_the_longest_first_and_sends_stragglers_again() {
+    let limit = Duration::from_secs(10);
+    let lengths = [((0, 0), 10), ((1, 0), 30), ((2, 0), 20)];
+    let mut plan = Plan::new(lengths, 2, 1, limit);
+    assert_eq!(plan.next(Time(0)), PlanStep::Start((1, 0), Run(1)));
+    assert_eq!(plan.next(Time(0)), PlanStep::Start((2, 0), Run(2)));
+    assert_eq!(plan.next(Time(0)), PlanStep::Wait(Time(10_000)));
+    assert!(plan.answered((2, 0), Run(2)));
+    assert_eq!(plan.next(Time(5_000)), PlanStep::Start((0, 0), Run(3)));
+    assert!(plan.answered((0, 0), Run(3)));
+    // A free slot serves a second run of the straggler, once.
+    assert_eq!(plan.next(Time(6_000)), PlanStep::Start((1, 0), Run(4)));
+    assert_eq!(plan.next(Time(10_000)), PlanStep::Cancel((1, 0), Run(1)));
+    assert_eq!(plan.next(Time(10_000)), PlanStep::Wait(Time(16_000)));
+    plan.failed((1, 0), Run(4));
+    assert_eq!(plan.next(Time(11_000)), PlanStep::Start((1, 0), Run(5)));
+    assert!(plan.answered((1, 0), Run(5)));
+    assert!(!plan.answered((1, 0), Run(4)));
+    assert_eq!(plan.next(Time(12_000)), PlanStep::Complete);
+}
+
+/// Guards against a group that is recorded too old, that is withheld for ever instead of generated
+/// again, or whose next round cannot be told from the one before.
+#[test]
+fn a_stale_group_is_refused_at_recording_and_expired_at_the_poll() {
+    let fresh = |trainer| Freshness {
+        trainer: WeightVersion(trainer),
+        bound: BOUND,
+    };
+    let generated = Group::first(id(0), 2).generated(samples(5)).unwrap();
+    assert_eq!(generated.record(fresh(7)), Err(Refusal::Stale));
+    let recorded = generated.record(fresh(6)).unwrap().record;
+    let expired = Group::recorded(id(0), Revision(3), recorded)
+        .deliver(fresh(7))
+        .record;
+    assert_eq!((expired.state, expired.round), (GroupState::Expired, 0));
+    let next = Group::again(id(0), 2, Revision(4), &expired)
+        .generated(samples(7))
+        .unwrap();
+    assert_eq!(next.record(fresh(7)).unwrap().record.round, 1);
+    let found = next.read(Ok(Some((Revision(4), expired))));
+    assert!(matches!(found, Recording::Again(_)));
+}
