--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -3,6 +3,10 @@
 pub mod agent;
 pub mod authorize;
 pub mod config;
+pub mod lease;
+pub mod order;
 pub mod prefix;
 pub mod request;
+pub mod sample;
 pub mod traffic;
+pub mod usage;
