Find keys under every encoding and never claim "not run" after a dispatch

Cause: a key that was JSON-escaped in a body that is not valid JSON, in a replaced duplicate field or behind two encodings reached the target, and so did a percent-encoded key in a header on the allow-list. A request that the entry stopped after its dispatch kept the run state of the failure's kind, so draining answered "not run".

Change: the decision searches the bytes of path, body and forwarded headers through up to three layers of percent encoding and JSON escapes. Compressed bodies, and bodies for a model that are no completions request, are refused. Stopping a dispatched request claims at least "may have run"; a refusal before any attempt that may have run claims "not run".

--- a/crates/adapters/src/caller/inbound.rs
+++ b/crates/adapters/src/caller/inbound.rs
@@ -58,7 +58,11 @@
 
 /// Reads the part of a completions request that decisions need.
 fn completion(json: &Value) -> Option<Completion> {
-    let prompt = json.get("prompt")?.as_str()?;
+    // Chat requests carry messages in place of a prompt; their text serves as the prompt.
+    let prompt = match json.get("prompt").or_else(|| json.get("messages"))? {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    };
     let tokens = json.get("max_tokens").and_then(Value::as_u64);
     Some(Completion {
         streamed: json.get("stream").and_then(Value::as_bool) == Some(true),
--- a/crates/core/src/decision/authorize.rs
+++ b/crates/core/src/decision/authorize.rs
@@ -3,14 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use percent_encoding::percent_decode;
-
 use crate::decision::config::Config;
+use crate::decision::expose::exposes;
 use crate::domain::call::Field;
 use crate::domain::declare::Access;
 use crate::domain::declare::Priority;
 use crate::domain::declare::Repeat;
 use crate::domain::declare::RouteSpec;
+use crate::domain::declare::TargetKind;
 use crate::domain::error::ErrorKind;
 use crate::domain::key::KeyDigest;
 use crate::domain::name::PoolId;
@@ -91,6 +91,7 @@
     if inbound.body.len() > spec.body as usize {
         return Err(ErrorKind::BodyTooLarge);
     }
+    refuse_encoded(&inbound.fields)?;
     let key = presented_key(&inbound.fields)?;
     if let Some(key) = key {
         refuse_exposed(key, rest, inbound)?;
@@ -109,11 +110,13 @@
         }
     };
     let limits = config.workspace(&workspace).ok_or(ErrorKind::NoRoute)?;
+    let pool = PoolId {
+        team: route.team.clone(),
+        name: spec.pool.clone(),
+    };
+    refuse_unread(config, &pool, inbound)?;
     Ok(Authorized {
-        pool: PoolId {
-            team: route.team.clone(),
-            name: spec.pool.clone(),
-        },
+        pool,
         idempotent: idempotent(spec, &inbound.method),
         deadline: Duration::from_secs(spec.deadline.into()),
         priority: limits.priority,
@@ -141,6 +144,17 @@
     Ok((route, rest))
 }
 
+/// Refuses a compressed body. Its encoding is not passed on, and a key inside it cannot be seen.
+fn refuse_encoded(fields: &[Field]) -> Result<(), ErrorKind> {
+    let encoded = fields.iter().any(|field| {
+        &*field.name == "content-encoding" && !field.value.eq_ignore_ascii_case(b"identity")
+    });
+    if encoded {
+        return Err(ErrorKind::BadRequest);
+    }
+    Ok(())
+}
+
 /// Finds the key in its header. Two different keys are an error.
 fn presented_key(fields: &[Field]) -> Result<Option<&[u8]>, ErrorKind> {
     let mut found = None;
@@ -180,22 +194,24 @@
 
 /// Refuses a request that holds its key where a target could see it.
 fn refuse_exposed(key: &[u8], rest: &str, inbound: &Inbound) -> Result<(), ErrorKind> {
-    let path: Vec<u8> = percent_decode(rest.as_bytes()).collect();
-    let body: Vec<u8> = percent_decode(&inbound.body).collect();
     let forwarded = forwarded(&inbound.fields);
-    let places = [rest.as_bytes(), &path, &inbound.body, &body];
-    let exposed = places.into_iter().any(|place| contains(place, key))
-        || forwarded.iter().any(|field| contains(&field.value, key))
-        || inbound.texts.iter().any(|t| contains(t.as_bytes(), key));
+    let exposed = exposes(rest.as_bytes(), key)
+        || exposes(&inbound.body, key)
+        || forwarded.iter().any(|field| exposes(&field.value, key))
+        || inbound.texts.iter().any(|t| exposes(t.as_bytes(), key));
     if exposed {
         return Err(ErrorKind::KeyExposed);
     }
     Ok(())
 }
 
-/// Returns true if `needle` occurs in `place`.
-fn contains(place: &[u8], needle: &[u8]) -> bool {
-    place.windows(needle.len()).any(|window| window == needle)
+/// Refuses a body for a model that the front end could not read as a completions request.
+fn refuse_unread(config: &Config, pool: &PoolId, inbound: &Inbound) -> Result<(), ErrorKind> {
+    let model = config.pool(pool).ok_or(ErrorKind::NoRoute)?.kind == TargetKind::Model;
+    if model && inbound.completion.is_none() && !inbound.body.is_empty() {
+        return Err(ErrorKind::BadRequest);
+    }
+    Ok(())
 }
 
 /// Keeps the header fields that targets may see.
--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -3,5 +3,6 @@
 pub mod agent;
 pub mod authorize;
 pub mod config;
+mod expose;
 pub mod request;
 pub mod traffic;
--- a/crates/core/src/decision/request.rs
+++ b/crates/core/src/decision/request.rs
@@ -71,10 +71,14 @@
         }
     }
 
-    /// Ends before another attempt. The failure never claims more than earlier attempts allow.
+    /// Ends between attempts. Only earlier attempts can have run, whatever the failure's kind.
     pub fn refuse(self, failure: Failure) -> Request<Answered> {
-        let touched = self.state.touched;
-        self.answered(Some(weaken(failure, touched)))
+        let run = if self.state.touched {
+            RunState::MayHaveRun
+        } else {
+            RunState::NotRun
+        };
+        self.answered(Some(Failure { run, ..failure }))
     }
 }
 
@@ -94,10 +98,9 @@
         self.answered(None)
     }
 
-    /// Ends with a failure that is final whatever its kind.
+    /// Ends because this entry stops the attempt. The attempt was sent, so it may have run.
     pub fn abort(self, failure: Failure) -> Request<Answered> {
-        let touched = self.state.touched;
-        self.answered(Some(weaken(failure, touched)))
+        self.answered(Some(weaken(failure, true)))
     }
 
     /// Decides what follows a failed attempt.
@@ -108,7 +111,8 @@
         let clean = failure.run == RunState::NotRun;
         let safe = clean || self.idempotent;
         if !failure.kind.answer().elsewhere || self.state.sent || !safe {
-            return AfterFailure::Final(self.abort(failure));
+            let touched = self.state.touched || self.state.sent;
+            return AfterFailure::Final(self.answered(Some(weaken(failure, touched))));
         }
         AfterFailure::Retry(Request {
             id: self.id,
--- /dev/null
+++ b/crates/core/tests/request.rs
@@ -0,0 +1,171 @@
+//! Properties of the life cycle of a request and of the agent's memory of request ids.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prelude::prop_oneof;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use sardinepath_core::decision::agent::AgentState;
+use sardinepath_core::decision::agent::Known;
+use sardinepath_core::decision::request::AfterFailure;
+use sardinepath_core::decision::request::Request;
+use sardinepath_core::domain::error::ErrorKind;
+use sardinepath_core::domain::error::Failure;
+use sardinepath_core::domain::error::RunState;
+use sardinepath_core::domain::ids::Fence;
+use sardinepath_core::domain::ids::Incarnation;
+use sardinepath_core::domain::ids::RequestId;
+use sardinepath_core::domain::name::WorkspaceId;
+
+/// What happens to one attempt.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// The entry cannot reach the agent, so nothing runs.
+    Unreachable,
+    /// The target runs the call, and its answer is lost on the way.
+    RunAndLost(ErrorKind),
+    /// The target runs the call and the answer is whole.
+    Whole,
+    /// The caller gets a part of the answer, then the stream breaks.
+    SentAndLost,
+    /// The entry stops the attempt after the target ran it, with a kind that claims "not run".
+    Stopped(ErrorKind),
+    /// The control thread refuses before the attempt.
+    Refused(ErrorKind),
+}
+
+fn any_event() -> impl Strategy<Value = Event> {
+    let lost = prop_oneof![
+        Just(ErrorKind::AgentLost),
+        Just(ErrorKind::Truncated),
+        Just(ErrorKind::TargetSilent),
+        Just(ErrorKind::TargetFailed),
+    ];
+    let local = prop_oneof![
+        Just(ErrorKind::Draining),
+        Just(ErrorKind::KeyWithdrawn),
+        Just(ErrorKind::NoTarget),
+    ];
+    prop_oneof![
+        3 => Just(Event::Unreachable),
+        3 => lost.prop_map(Event::RunAndLost),
+        1 => Just(Event::Whole),
+        1 => Just(Event::SentAndLost),
+        1 => local.clone().prop_map(Event::Stopped),
+        1 => local.prop_map(Event::Refused),
+    ]
+}
+
+/// Drives a request. Returns how often it ran, and its failure or none after a whole answer.
+fn drive(idempotent: bool, events: &[Event]) -> (u32, Option<Failure>) {
+    let mut request = Request::new(RequestId(7), idempotent);
+    let mut ran = 0;
+    for event in events {
+        if let Event::Refused(kind) = event {
+            return (ran, request.refuse(Failure::from(*kind)).failure());
+        }
+        let mut sent = request.dispatch();
+        if !matches!(event, Event::Unreachable) {
+            ran += 1;
+        }
+        let failure = match *event {
+            Event::Whole => return (ran, sent.finish().failure()),
+            Event::Stopped(kind) => return (ran, sent.abort(Failure::from(kind)).failure()),
+            Event::Unreachable => ErrorKind::Unreachable,
+            Event::RunAndLost(kind) => kind,
+            Event::SentAndLost => {
+                sent.mark_sent();
+                ErrorKind::Truncated
+            }
+            Event::Refused(_) => unreachable!("handled above"),
+        };
+        request = match sent.fail(Failure::from(failure)) {
+            AfterFailure::Retry(next) => next,
+            AfterFailure::Final(answered) => return (ran, answered.failure()),
+        };
+    }
+    let failure = Failure::from(ErrorKind::NoTarget);
+    (ran, request.refuse(failure).failure())
+}
+
+fn workspace() -> WorkspaceId {
+    WorkspaceId {
+        team: "print".into(),
+        name: "dream-diary".into(),
+    }
+}
+
+proptest! {
+    /// Guards against a caller that is told "not run" of a request that ran, and that then sends
+    /// it again.
+    #[test]
+    fn not_run_is_never_claimed_after_a_run(
+        idempotent in any::<bool>(),
+        events in proptest::collection::vec(any_event(), 0..6),
+    ) {
+        let (ran, failure) = drive(idempotent, &events);
+
+        let claims = failure.is_some_and(|f| f.run == RunState::NotRun);
+        prop_assert!(!claims || ran == 0, "ran {ran} times: {events:?}");
+    }
+
+    /// Guards against a repeated attempt of a call that must run at most once.
+    #[test]
+    fn non_idempotent_request_runs_at_most_once(
+        events in proptest::collection::vec(any_event(), 0..6),
+    ) {
+        let (ran, _) = drive(false, &events);
+
+        prop_assert!(ran <= 1, "ran {ran} times: {events:?}");
+    }
+
+    /// Guards against an agent that starts a known id again, in whatever order begins, ends and
+    /// look-ups come, and against a look-up that forgets a running request.
+    #[test]
+    fn agent_starts_each_non_idempotent_id_once(
+        steps in proptest::collection::vec((0_u128..4, any::<bool>()), 0..40),
+    ) {
+        let mut agent = AgentState::new(Incarnation(1));
+        let mut begun = [0_u32; 4];
+        let mut open = [false; 4];
+
+        for (id, begin) in steps {
+            let at = usize::try_from(id).unwrap();
+            if begin {
+                let fine = agent.begin(RequestId(id), false).is_ok();
+                begun[at] += u32::from(fine);
+                open[at] |= fine;
+            } else if open[at] {
+                agent.end(RequestId(id), &workspace(), None);
+                open[at] = false;
+            }
+            let known = match (begun[at], open[at]) {
+                (0, _) => Known::Unknown,
+                (_, true) => Known::Running,
+                (_, false) => Known::Ended,
+            };
+            prop_assert_eq!(agent.lookup(RequestId(id)), known);
+        }
+
+        prop_assert!(begun.iter().all(|times| *times <= 1));
+        let running = open.iter().filter(|open| **open).count();
+        prop_assert_eq!(agent.running() as usize, running);
+    }
+
+    /// Guards against an order of a former holder that takes effect after one of its successor.
+    #[test]
+    fn accepted_fences_never_fall(fences in proptest::collection::vec(0_u64..9, 0..30)) {
+        let mut agent = AgentState::new(Incarnation(1));
+
+        let accepted: Vec<_> = fences
+            .into_iter()
+            .filter(|fence| agent.fence(Fence(*fence)).is_ok())
+            .collect();
+
+        prop_assert!(accepted.is_sorted());
+    }
+}
