Bound slow, excessive and malformed callers and tell them why

Cause: a slow or malformed head was answered by the HTTP library with an empty reply or none; callers above the connection limit waited without an answer; a caller that stopped reading held its target without limit.

Change: the caller's stream holds back the library's own replies, and the connection ends with an error body (408, 431 or 400). Callers above the limit get 503 overloaded, at most 64 of them at once; others are closed. A write without progress for the write time ends the connection. A connection is drained before it is closed, so that a reset does not overtake the answer.

--- a/crates/adapters/src/caller/answer.rs
+++ b/crates/adapters/src/caller/answer.rs
@@ -66,7 +66,7 @@
 }
 
 /// The JSON form of a failure.
-fn error_body(failure: Failure) -> serde_json::Value {
+pub(super) fn error_body(failure: Failure) -> serde_json::Value {
     let answer = failure.kind.answer();
     json!({
         "error": {
--- a/crates/adapters/src/caller/limits.rs
+++ b/crates/adapters/src/caller/limits.rs
@@ -5,17 +5,17 @@
 /// Limits of the caller address.
 #[derive(Clone, Copy, Debug)]
 pub struct CallerLimits {
-    /// Connections that may be open at once.
+    /// Connections that may be open at once. Further callers are refused with `overloaded`.
     pub connections: usize,
     /// Largest head in bytes. At least 8,192, which is the smallest buffer of `hyper`.
     pub head: usize,
     /// Largest body in bytes.
     pub body: usize,
-    /// Time for a whole head.
+    /// Time for a whole head, and for an idle connection.
     pub head_time: Duration,
     /// Time for a whole body.
     pub body_time: Duration,
-    /// Time for the caller to take a part of an answer.
+    /// Longest time in which the caller takes no byte of an answer.
     pub write_time: Duration,
 }
 
--- a/crates/adapters/src/caller/mod.rs
+++ b/crates/adapters/src/caller/mod.rs
@@ -3,6 +3,8 @@
 mod answer;
 mod inbound;
 pub mod limits;
+mod refuse;
 mod serve;
+mod wire;
 
 pub use serve::CallerServer;
