--- a/crates/adapters/src/rpc/client.rs
+++ b/crates/adapters/src/rpc/client.rs
@@ -7,20 +7,32 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use bytes::Bytes;
 use flume::Sender;
+use sardinepath_core::decision::agent::Known;
 use sardinepath_core::domain::call::Call;
 use sardinepath_core::domain::call::CallEvent;
+use sardinepath_core::domain::call::Counter;
 use sardinepath_core::domain::error::ErrorKind;
 use sardinepath_core::domain::error::Failure;
+use sardinepath_core::domain::ids::Incarnation;
+use sardinepath_core::domain::ids::RequestId;
+use sardinepath_core::domain::order::AgentOrder;
+use sardinepath_core::domain::order::OrderAnswer;
 use sardinepath_core::domain::target::Report;
 use sardinepath_core::port::agent::AgentPort;
 use sardinepath_core::port::target::CallGuard;
+use tonic::Response;
 use tonic::Status;
 use tonic::transport::Channel;
 use tonic::transport::Endpoint;
 
+use crate::rpc::convert::answer_from_wire;
 use crate::rpc::convert::call_to_wire;
+use crate::rpc::convert::counter_from_wire;
 use crate::rpc::convert::event_from_wire;
+use crate::rpc::convert::known_from_wire;
+use crate::rpc::convert::order_to_wire;
 use crate::rpc::convert::report_from_wire;
 use crate::rpc::generated as wire;
 use crate::rpc::generated::agent_client::AgentClient;
@@ -39,6 +51,16 @@
 /// Longest silence on a stream. The other side sends a heartbeat every second.
 const SILENCE_LIMIT: Duration = Duration::from_secs(4);
 
+/// Time for an order. The agent gives the target 30 s for a load.
+const ORDER_LIMIT: Duration = Duration::from_secs(35);
+
+/// Bytes that one unread stream may hold. A caller that stops reading holds this much.
+const STREAM_WINDOW: u32 = 64 << 10;
+
+/// Bytes that all unread streams of a connection may hold. Stalled callers use up a smaller
+/// window, and then every stream of the connection stands still.
+const CONNECTION_WINDOW: u32 = 4096 * STREAM_WINDOW;
+
 /// Connections to other processes by address.
 #[derive(Debug)]
 pub struct Peers {
@@ -72,6 +94,40 @@
         }
     }
 
+    /// Sends an order to an agent and waits until it has taken effect or failed.
+    pub async fn order(
+        &self,
+        agent: SocketAddr,
+        order: &AgentOrder,
+    ) -> Result<OrderAnswer, Failure> {
+        let mut client = AgentClient::new(self.channel(agent));
+        let answer = within(ORDER_LIMIT, client.order(order_to_wire(order))).await;
+        unary(answer).map(|reply| answer_from_wire(&reply))
+    }
+
+    /// Asks an agent what it knows of a request. An agent that has restarted knows nothing of
+    /// earlier requests, so "unknown" never means "not run".
+    pub async fn lookup(
+        &self,
+        agent: SocketAddr,
+        request: RequestId,
+    ) -> Result<(Incarnation, Known), Failure> {
+        let mut client = AgentClient::new(self.channel(agent));
+        let request = wire::LookupRequest {
+            request: Bytes::copy_from_slice(&request.0.to_be_bytes()),
+        };
+        let answer = within(SILENCE_LIMIT, client.lookup(request)).await;
+        unary(answer).map(|reply| known_from_wire(&reply))
+    }
+
+    /// Reads the usage counters of an agent.
+    pub async fn counters(&self, agent: SocketAddr) -> Result<Vec<Counter>, Failure> {
+        let mut client = AgentClient::new(self.channel(agent));
+        let answer = within(SILENCE_LIMIT, client.counters(wire::CountersRequest {})).await;
+        let reply = unary(answer)?;
+        Ok(reply.counters.into_iter().map(counter_from_wire).collect())
+    }
+
     /// Returns the connection to an address. It is opened at first use.
     fn channel(&self, address: SocketAddr) -> Channel {
         let _context = self.spawner.enter();
@@ -98,15 +154,16 @@
 /// Runs one attempt and passes its events on.
 async fn execute(channel: Channel, call: Call, events: Sender<CallEvent>) {
     let mut client = AgentClient::new(channel).max_decoding_message_size(8 << 20);
-    let deadline = call.deadline;
-    let mut stream = match within(deadline, client.execute(call_to_wire(&call))).await {
+    let of = (call.request, call.attempt);
+    // The agent opens the stream at once and sends its events on it.
+    let mut stream = match within(SILENCE_LIMIT, client.execute(call_to_wire(&call))).await {
         Some(Ok(answer)) => answer.into_inner(),
         Some(Err(status)) => return fail(&events, failure_of(&status)).await,
-        None => return fail(&events, Failure::from(ErrorKind::DeadlinePassed)).await,
+        None => return fail(&events, Failure::from(ErrorKind::AgentLost)).await,
     };
     loop {
         let event = match within(SILENCE_LIMIT, stream.message()).await {
-            Some(Ok(Some(event))) => event_from_wire(event),
+            Some(Ok(Some(event))) => event_from_wire(event, of),
             Some(Ok(None)) => return fail(&events, Failure::from(ErrorKind::Truncated)).await,
             Some(Err(_)) => return fail(&events, Failure::from(ErrorKind::AgentLost)).await,
             None => return fail(&events, Failure::from(ErrorKind::TargetSilent)).await,
@@ -123,6 +180,15 @@
     let _ = events.send_async(CallEvent::Failed(failure)).await;
 }
 
+/// Returns the reply to a question, or why there is none.
+fn unary<T>(answer: Option<Result<Response<T>, Status>>) -> Result<T, Failure> {
+    match answer {
+        Some(Ok(reply)) => Ok(reply.into_inner()),
+        Some(Err(status)) => Err(failure_of(&status)),
+        None => Err(Failure::from(ErrorKind::AgentLost)),
+    }
+}
+
 /// Tells whether the request left this host. Only a connection that was never made is certain.
 fn failure_of(status: &Status) -> Failure {
     let mut cause: Option<&(dyn Error + 'static)> = status.source();
@@ -142,6 +208,8 @@
     Endpoint::from_shared(format!("http://{address}"))
         .expect("a socket address makes a valid URI")
         .connect_timeout(CONNECT_LIMIT)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
         .http2_keep_alive_interval(PING_INTERVAL)
         .keep_alive_timeout(PING_LIMIT)
         .keep_alive_while_idle(true)
--- a/crates/adapters/src/rpc/convert.rs
+++ b/crates/adapters/src/rpc/convert.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use sardinepath_core::decision::agent::Known;
 use sardinepath_core::domain::call::Call;
 use sardinepath_core::domain::call::CallEvent;
 use sardinepath_core::domain::call::Counter;
@@ -14,13 +15,18 @@
 use sardinepath_core::domain::error::Failure;
 use sardinepath_core::domain::error::RunState;
 use sardinepath_core::domain::ids::Attempt;
+use sardinepath_core::domain::ids::Fence;
 use sardinepath_core::domain::ids::Incarnation;
 use sardinepath_core::domain::ids::RequestId;
 use sardinepath_core::domain::ids::WeightVersion;
+use sardinepath_core::domain::name::ModelName;
 use sardinepath_core::domain::name::TargetName;
 use sardinepath_core::domain::name::TeamName;
 use sardinepath_core::domain::name::WorkspaceId;
 use sardinepath_core::domain::name::WorkspaceName;
+use sardinepath_core::domain::order::AgentAction;
+use sardinepath_core::domain::order::AgentOrder;
+use sardinepath_core::domain::order::OrderAnswer;
 use sardinepath_core::domain::target::Report;
 use sardinepath_core::domain::target::ServingState;
 
@@ -68,8 +74,9 @@
     Some(RequestId(u128::from_be_bytes(bytes)))
 }
 
-/// Encodes an event.
-pub(crate) fn event_to_wire(event: CallEvent) -> wire::ExecuteEvent {
+/// Encodes an event of an attempt.
+pub(crate) fn event_to_wire(event: CallEvent, of: (RequestId, Attempt)) -> wire::ExecuteEvent {
+    let marked = !matches!(event, CallEvent::Chunk(_) | CallEvent::Heartbeat);
     let event = match event {
         CallEvent::Head { status, fields } => Event::Head(wire::Head {
             status: status.into(),
@@ -88,11 +95,26 @@
             detail: String::new(),
         }),
     };
-    wire::ExecuteEvent { event: Some(event) }
+    let (request, attempt) = of;
+    wire::ExecuteEvent {
+        event: Some(event),
+        request: if marked {
+            Bytes::copy_from_slice(&request.0.to_be_bytes())
+        } else {
+            Bytes::new()
+        },
+        attempt: if marked { attempt.0 } else { 0 },
+    }
 }
 
-/// Decodes an event. An event of an unknown kind becomes a failure that claims nothing.
-pub(crate) fn event_from_wire(wire: wire::ExecuteEvent) -> CallEvent {
+/// Decodes an event of an attempt. An event of an unknown kind, or a head, end or failure of
+/// another attempt, becomes a failure that claims nothing.
+pub(crate) fn event_from_wire(wire: wire::ExecuteEvent, of: (RequestId, Attempt)) -> CallEvent {
+    let unmarked = matches!(wire.event, Some(Event::Chunk(_) | Event::Heartbeat(_)));
+    let from = request_id(&wire.request).map(|id| (id, Attempt(wire.attempt)));
+    if !unmarked && from != Some(of) {
+        return CallEvent::Failed(Failure::from(ErrorKind::AgentLost));
+    }
     match wire.event {
         Some(Event::Head(head)) => CallEvent::Head {
             status: u16::try_from(head.status).unwrap_or(502),
@@ -106,10 +128,85 @@
             counter: end.counter.map(counter_from_wire),
         }),
         Some(Event::Failure(failure)) => CallEvent::Failed(failure_from_wire(&failure)),
-        None => CallEvent::Failed(Failure::from(ErrorKind::Internal)),
+        None => CallEvent::Failed(Failure::from(ErrorKind::AgentLost)),
+    }
+}
+
+/// Encodes an order.
+pub(crate) fn order_to_wire(order: &AgentOrder) -> wire::OrderRequest {
+    let action = match &order.action {
+        AgentAction::Load { model, version } => {
+            wire::order_request::Order::Load(wire::LoadVersion {
+                model: model.to_string(),
+                version: version.0,
+            })
+        }
+        AgentAction::Drain => wire::order_request::Order::Drain(wire::Drain {}),
+    };
+    wire::OrderRequest {
+        fence: order.fence.0,
+        intent: order.intent.to_string(),
+        order: Some(action),
     }
 }
 
+/// Decodes an order. Returns none if it does not say what to do.
+pub(crate) fn order_from_wire(wire: wire::OrderRequest) -> Option<AgentOrder> {
+    let action = match wire.order? {
+        wire::order_request::Order::Load(load) => AgentAction::Load {
+            model: ModelName::from(load.model),
+            version: WeightVersion(load.version),
+        },
+        wire::order_request::Order::Drain(_) => AgentAction::Drain,
+    };
+    Some(AgentOrder {
+        fence: Fence(wire.fence),
+        intent: Arc::from(wire.intent),
+        action,
+    })
+}
+
+/// Encodes what became of an order.
+pub(crate) fn answer_to_wire(answer: OrderAnswer) -> wire::OrderReply {
+    let detail = answer.result.err().map(|kind| kind.answer().code);
+    wire::OrderReply {
+        accepted: answer.result.is_ok(),
+        fence: answer.fence.0,
+        detail: detail.unwrap_or_default().to_owned(),
+    }
+}
+
+/// Decodes what became of an order.
+pub(crate) fn answer_from_wire(wire: &wire::OrderReply) -> OrderAnswer {
+    let kind = ErrorKind::from_code(&wire.detail).unwrap_or(ErrorKind::Internal);
+    OrderAnswer {
+        fence: Fence(wire.fence),
+        result: if wire.accepted { Ok(()) } else { Err(kind) },
+    }
+}
+
+/// Encodes what an agent knows of a request.
+pub(crate) fn known_to_wire(incarnation: Incarnation, known: Known) -> wire::LookupReply {
+    wire::LookupReply {
+        incarnation: incarnation.0,
+        state: match known {
+            Known::Unknown => 0,
+            Known::Running => 1,
+            Known::Ended => 2,
+        },
+    }
+}
+
+/// Decodes what an agent knows of a request.
+pub(crate) fn known_from_wire(wire: &wire::LookupReply) -> (Incarnation, Known) {
+    let known = match wire.state {
+        1 => Known::Running,
+        2 => Known::Ended,
+        _ => Known::Unknown,
+    };
+    (Incarnation(wire.incarnation), known)
+}
+
 /// Encodes a usage counter.
 pub(crate) fn counter_to_wire(counter: &Counter) -> wire::Counter {
     wire::Counter {
--- a/crates/adapters/src/rpc/server.rs
+++ b/crates/adapters/src/rpc/server.rs
@@ -19,10 +19,14 @@
 use tonic::Status;
 use tonic::transport::Server;
 
+use crate::rpc::convert::answer_to_wire;
 use crate::rpc::convert::call_from_wire;
 use crate::rpc::convert::counter_to_wire;
 use crate::rpc::convert::event_to_wire;
+use crate::rpc::convert::known_to_wire;
+use crate::rpc::convert::order_from_wire;
 use crate::rpc::convert::report_to_wire;
+use crate::rpc::convert::request_id;
 use crate::rpc::generated as wire;
 use crate::rpc::generated::agent_server::Agent;
 use crate::rpc::generated::agent_server::AgentServer;
@@ -95,11 +99,12 @@
     ) -> Result<Response<Self::ExecuteStream>, Status> {
         let call = call_from_wire(request.into_inner())
             .ok_or_else(|| Status::invalid_argument("the request id is malformed"))?;
+        let of = (call.request, call.attempt);
         let (sender, events) = flume::bounded(EVENT_ROOM);
         let guard = self.front.execute(call, sender);
-        let stream = unfold((events, guard), |(events, guard)| async move {
+        let stream = unfold((events, guard), move |(events, guard)| async move {
             let event = next_event(&events).await?;
-            Some((Ok(event_to_wire(event)), (events, guard)))
+            Some((Ok(event_to_wire(event, of)), (events, guard)))
         });
         Ok(Response::new(Box::pin(stream)))
     }
@@ -120,16 +125,25 @@
 
     async fn order(
         &self,
-        _request: Request<wire::OrderRequest>,
+        request: Request<wire::OrderRequest>,
     ) -> Result<Response<wire::OrderReply>, Status> {
-        Err(Status::unimplemented("orders are not served"))
+        let order = order_from_wire(request.into_inner())
+            .ok_or_else(|| Status::invalid_argument("the order does not say what to do"))?;
+        let (sender, reply) = flume::bounded(1);
+        self.front.order(order, sender);
+        Ok(Response::new(answer_to_wire(answered(reply).await?)))
     }
 
     async fn lookup(
         &self,
-        _request: Request<wire::LookupRequest>,
+        request: Request<wire::LookupRequest>,
     ) -> Result<Response<wire::LookupReply>, Status> {
-        Err(Status::unimplemented("look-ups are not served"))
+        let request = request_id(&request.into_inner().request)
+            .ok_or_else(|| Status::invalid_argument("the request id is malformed"))?;
+        let (sender, reply) = flume::bounded(1);
+        self.front.lookup(request, sender);
+        let (incarnation, known) = answered(reply).await?;
+        Ok(Response::new(known_to_wire(incarnation, known)))
     }
 
     async fn counters(
@@ -138,16 +152,19 @@
     ) -> Result<Response<wire::CountersReply>, Status> {
         let (sender, reply) = flume::bounded(1);
         self.front.counters(sender);
-        let counters = reply
-            .recv_async()
-            .await
-            .map_err(|_| Status::unavailable("the agent is stopping"))?;
+        let counters = answered(reply).await?;
         Ok(Response::new(wire::CountersReply {
             counters: counters.iter().map(counter_to_wire).collect(),
         }))
     }
 }
 
+/// Waits for the agent's answer to a question.
+async fn answered<T>(reply: Receiver<T>) -> Result<T, Status> {
+    let answer = reply.recv_async().await;
+    answer.map_err(|_| Status::unavailable("the agent is stopping or overloaded"))
+}
+
 /// Waits for the next event, or a heartbeat if there is none for a while.
 async fn next_event(events: &Receiver<CallEvent>) -> Option<CallEvent> {
     match within(HEARTBEAT, events.recv_async()).await {
--- a/crates/adapters/src/target/body.rs
+++ b/crates/adapters/src/target/body.rs
@@ -42,15 +42,17 @@
     }
 
     fn read(&mut self, event: &[u8]) -> Facts {
-        let Some(data) = event.strip_prefix(b"data:") else {
-            return Facts::default();
-        };
-        let data = data.trim_ascii();
+        let lines = event.split(|byte| *byte == b'\n');
+        let data: Vec<_> = lines
+            .filter_map(|line| line.strip_prefix(b"data:"))
+            .map(<[u8]>::trim_ascii)
+            .collect();
+        let data = data.join(&b'\n');
         if data == b"[DONE]" {
             self.done = true;
             return Facts::default();
         }
-        facts(data)
+        facts(&data)
     }
 }
 
@@ -69,5 +71,10 @@
 
 /// Returns the index behind the first blank line.
 fn find_end(bytes: &[u8]) -> Option<usize> {
-    bytes.windows(2).position(|w| w == b"\n\n").map(|at| at + 2)
+    let ends = [&b"\n\n"[..], b"\r\n\r\n"];
+    let found = ends.into_iter().filter_map(|end| {
+        let at = bytes.windows(end.len()).position(|w| w == end)?;
+        Some(at + end.len())
+    });
+    found.min()
 }
--- a/crates/adapters/src/target/http.rs
+++ b/crates/adapters/src/target/http.rs
@@ -6,9 +6,15 @@
 
 use bytes::Bytes;
 use flume::Sender;
+use http::HeaderMap;
+use http::StatusCode;
+use http::header::CONTENT_TYPE;
+use http::header::TRANSFER_ENCODING;
+use http::response::Parts;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -59,6 +65,9 @@
     spawner: Spawner,
     address: SocketAddr,
     client: Client<HttpConnector, Full<Bytes>>,
+    /// Opens a connection for each call. A target may close an idle connection at any moment,
+    /// and a call that was written to it by then may have run.
+    unpooled: Client<HttpConnector, Full<Bytes>>,
 }
 
 /// Sends events, and stops the call once nobody takes them.
@@ -70,17 +79,24 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(Duration::from_secs(1)));
         connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new()).build(connector);
+        let client = Client::builder(TokioExecutor::new()).build(connector.clone());
+        let unpooled = Client::builder(TokioExecutor::new())
+            .pool_max_idle_per_host(0)
+            .retry_canceled_requests(false)
+            .build(connector);
         Self {
             spawner,
             address,
             client,
+            unpooled,
         }
     }
 
     /// Runs a call to its end and passes its events on.
     async fn run(self, call: Call, sink: Sink) {
-        if let Err(failure) = self.forward(&call, &sink).await {
+        let forwarded = within(call.deadline, self.forward(&call, &sink)).await;
+        let passed = Failure::from(ErrorKind::DeadlinePassed);
+        if let Err(failure) = forwarded.unwrap_or(Err(passed)) {
             // A closed channel means that the call was abandoned.
             let _ = sink.send_async(TargetEvent::Failed(failure)).await;
         }
@@ -88,23 +104,30 @@
 
     async fn forward(&self, call: &Call, sink: &Sink) -> Result<(), Failure> {
         let request = self.request(call)?;
-        let response = within(call.deadline, self.client.request(request))
-            .await
-            .ok_or(Failure::from(ErrorKind::DeadlinePassed))?
-            .map_err(|e| {
-                if e.is_connect() {
-                    Failure::from(ErrorKind::Unreachable)
-                } else {
-                    Failure::from(ErrorKind::TargetFailed)
-                }
-            })?;
+        let client = if call.idempotent {
+            &self.client
+        } else {
+            &self.unpooled
+        };
+        let response = client.request(request).await.map_err(|e| {
+            if e.is_connect() {
+                Failure::from(ErrorKind::Unreachable)
+            } else {
+                Failure::from(ErrorKind::TargetFailed)
+            }
+        })?;
         let (head, body) = response.into_parts();
+        check_head(&head, call)?;
+        let streamed = call.streamed && is_event_stream(&head.headers);
+        if !streamed && !is_framed(&head, &body) {
+            return Err(Failure::from(ErrorKind::Truncated));
+        }
         let head = TargetEvent::Head {
             status: head.status.as_u16(),
             fields: returned(&head.headers),
         };
         send(sink, head).await?;
-        if call.streamed {
+        if streamed {
             stream(body, sink).await
         } else {
             whole(body, sink).await
@@ -161,6 +184,16 @@
         Ok(status(&value))
     }
 
+    fn version(&self, reply: Sender<Option<WeightVersion>>) -> Box<dyn CallGuard> {
+        let target = self.clone();
+        Box::new(self.spawner.spawn(async move {
+            let answer = target.get(format!("/status?after={}", u64::MAX)).await;
+            let version = answer.ok().and_then(|value| value.get("version")?.as_u64());
+            // A closed channel means that the question was given up.
+            let _ = reply.send(version.map(WeightVersion));
+        }))
+    }
+
     fn load(&self, model: &ModelName, version: WeightVersion, fence: Fence) -> Result<(), Failure> {
         let body = json!({"model": model, "version": version, "fence": fence}).to_string();
         let uri = format!("http://{}/orders/load", self.address);
@@ -171,6 +204,36 @@
     }
 }
 
+/// Refuses an answer that is none to this call, or that says that the call was not started.
+fn check_head(head: &Parts, call: &Call) -> Result<(), Failure> {
+    if let Some(id) = head.headers.get("x-request-id")
+        && id.as_bytes() != call.request.to_string().as_bytes()
+    {
+        log::error!(
+            "the target answered request {} with another id",
+            call.request
+        );
+        return Err(Failure::from(ErrorKind::TargetFailed));
+    }
+    let not_run = head.headers.get("x-not-run").is_some_and(|v| v == "1");
+    if head.status == StatusCode::SERVICE_UNAVAILABLE && not_run {
+        return Err(Failure::from(ErrorKind::TargetBusy));
+    }
+    Ok(())
+}
+
+/// Returns true if the body is a stream of server-sent events. An error answer of a streaming
+/// call usually is not.
+fn is_event_stream(headers: &HeaderMap) -> bool {
+    let kind = headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+}
+
+/// Returns true if the end of the body can be told from a broken connection.
+fn is_framed(head: &Parts, body: &Incoming) -> bool {
+    body.size_hint().exact().is_some() || head.headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Passes on a stream of server-sent events, whole events at a time.
 async fn stream(mut body: Incoming, sink: &Sink) -> Result<(), Failure> {
     let mut splitter = EventSplitter::default();
@@ -233,7 +296,7 @@
         .map_err(|_| Failure::from(ErrorKind::Cancelled))
 }
 
-fn returned(headers: &http::HeaderMap) -> Vec<Field> {
+fn returned(headers: &HeaderMap) -> Vec<Field> {
     headers
         .iter()
         .filter(|(name, _)| RETURNED.contains(&name.as_str()))
--- a/crates/core/src/decision/agent.rs
+++ b/crates/core/src/decision/agent.rs
@@ -1,5 +1,6 @@
 //! Control state of an agent: repeated requests, drain, fencing, usage counters.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
@@ -8,6 +9,7 @@
 use crate::domain::ids::Fence;
 use crate::domain::ids::Incarnation;
 use crate::domain::ids::RequestId;
+use crate::domain::ids::WeightVersion;
 use crate::domain::name::WorkspaceId;
 use crate::domain::target::ServingState;
 
@@ -26,6 +28,13 @@
     Ended,
 }
 
+/// The weight versions of one answer, gathered while it is passed on.
+#[derive(Clone, Debug, Default)]
+pub struct Label {
+    named: BTreeSet<WeightVersion>,
+    before: Option<WeightVersion>,
+}
+
 /// Control state of one agent.
 #[derive(Debug)]
 pub struct AgentState {
@@ -38,6 +47,36 @@
     counters: HashMap<WorkspaceId, u64>,
 }
 
+impl Label {
+    /// Starts with the version that was read before the call, if it could be read.
+    pub fn new(before: Option<WeightVersion>) -> Self {
+        Self {
+            named: BTreeSet::new(),
+            before,
+        }
+    }
+
+    /// Notes a version that a part of the answer names.
+    pub fn name(&mut self, version: WeightVersion) {
+        self.named.insert(version);
+    }
+
+    /// Returns all versions that may have produced the answer, ascending.
+    ///
+    /// The list is empty if the parts name none and one of the two readings is missing, because a
+    /// swap could then go unnoticed.
+    pub fn versions(self, after: Option<WeightVersion>) -> Vec<WeightVersion> {
+        let blind = self.before.is_none() || after.is_none();
+        if self.named.is_empty() && blind {
+            return Vec::new();
+        }
+        let mut versions = self.named;
+        versions.extend(self.before);
+        versions.extend(after);
+        versions.into_iter().collect()
+    }
+}
+
 impl AgentState {
     /// Creates the state of a new run of an agent.
     pub fn new(incarnation: Incarnation) -> Self {
@@ -99,6 +138,16 @@
         })
     }
 
+    /// Notes that the target did not start an attempt that had begun. The id may come again.
+    pub fn refuse(&mut self, request: RequestId) {
+        self.running = self.running.saturating_sub(1);
+        self.seen.remove(&request);
+        // The id is among the newest.
+        if let Some(at) = self.order.iter().rposition(|id| *id == request) {
+            self.order.remove(at);
+        }
+    }
+
     /// Tells what is known of a request id.
     pub fn lookup(&self, request: RequestId) -> Known {
         self.seen.get(&request).copied().unwrap_or(Known::Unknown)
@@ -124,6 +173,11 @@
         self.serving = ServingState::Leaving;
     }
 
+    /// Returns the highest fencing token seen.
+    pub fn highest_fence(&self) -> Fence {
+        self.fence
+    }
+
     /// Accepts an order if its fencing token is not older than any seen before.
     pub fn fence(&mut self, fence: Fence) -> Result<(), Fence> {
         if fence < self.fence {
--- a/crates/core/src/domain/mod.rs
+++ b/crates/core/src/domain/mod.rs
@@ -6,5 +6,6 @@
 pub mod ids;
 pub mod key;
 pub mod name;
+pub mod order;
 pub mod target;
 pub mod time;
--- a/crates/core/src/port/front.rs
+++ b/crates/core/src/port/front.rs
@@ -5,10 +5,15 @@
 
 use flume::Sender;
 
+use crate::decision::agent::Known;
 use crate::decision::authorize::Inbound;
 use crate::domain::call::Call;
 use crate::domain::call::CallEvent;
 use crate::domain::call::Counter;
+use crate::domain::ids::Incarnation;
+use crate::domain::ids::RequestId;
+use crate::domain::order::AgentOrder;
+use crate::domain::order::OrderAnswer;
 use crate::domain::target::Report;
 use crate::port::target::CallGuard;
 
@@ -27,6 +32,12 @@
     /// Sends a report at once and then at each interval, until the guard is dropped.
     fn reports(&self, interval: Duration, reports: Sender<Report>) -> Box<dyn CallGuard>;
 
+    /// Carries out an order. The answer comes when it has taken effect, was refused or failed.
+    fn order(&self, order: AgentOrder, reply: Sender<OrderAnswer>);
+
+    /// Answers with what this run of the agent knows of a request id.
+    fn lookup(&self, request: RequestId, reply: Sender<(Incarnation, Known)>);
+
     /// Answers with all usage counters.
     fn counters(&self, reply: Sender<Vec<Counter>>);
 }
--- a/crates/core/src/port/target.rs
+++ b/crates/core/src/port/target.rs
@@ -66,6 +66,10 @@
     /// Reads the state, with the cache events after a sequence number.
     fn status(&self, after: u64) -> Result<TargetStatus, Failure>;
 
+    /// Reads the version of the loaded weights, or none if the target does not tell. Dropping the
+    /// guard gives the question up.
+    fn version(&self, reply: Sender<Option<WeightVersion>>) -> Box<dyn CallGuard>;
+
     /// Orders the target to load a weight version. Blocks until it has been loaded or has failed.
     fn load(&self, model: &ModelName, version: WeightVersion, fence: Fence) -> Result<(), Failure>;
 }
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -92,6 +92,19 @@
     (ran, request.refuse(failure).failure())
 }
 
+/// What an agent is told of a request.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Begin,
+    End,
+    /// The target did not start it.
+    NotRun,
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![Just(Step::Begin), Just(Step::End), Just(Step::NotRun)]
+}
+
 fn workspace() -> WorkspaceId {
     WorkspaceId {
         team: "print".into(),
@@ -123,25 +136,36 @@
         prop_assert!(ran <= 1, "ran {ran} times: {events:?}");
     }
 
-    /// Guards against an agent that starts a known id again, in whatever order begins, ends and
-    /// look-ups come, and against a look-up that forgets a running request.
+    /// Guards against an agent that starts a known id again, in whatever order begins, ends,
+    /// refusals by the target and look-ups come, against one that refuses an id that never ran,
+    /// and against a look-up that forgets a running request.
     #[test]
     fn agent_starts_each_non_idempotent_id_once(
-        steps in proptest::collection::vec((0_u128..4, any::<bool>()), 0..40),
+        steps in proptest::collection::vec((0_u128..4, any_step()), 0..40),
     ) {
         let mut agent = AgentState::new(Incarnation(1));
         let mut begun = [0_u32; 4];
         let mut open = [false; 4];
 
-        for (id, begin) in steps {
+        for (id, step) in steps {
             let at = usize::try_from(id).unwrap();
-            if begin {
-                let fine = agent.begin(RequestId(id), false).is_ok();
-                begun[at] += u32::from(fine);
-                open[at] |= fine;
-            } else if open[at] {
-                agent.end(RequestId(id), &workspace(), None);
-                open[at] = false;
+            match step {
+                Step::Begin => {
+                    let fine = agent.begin(RequestId(id), false).is_ok();
+                    prop_assert_eq!(fine, begun[at] == 0);
+                    begun[at] += u32::from(fine);
+                    open[at] |= fine;
+                }
+                Step::End if open[at] => {
+                    agent.end(RequestId(id), &workspace(), None);
+                    open[at] = false;
+                }
+                Step::NotRun if open[at] => {
+                    agent.refuse(RequestId(id));
+                    begun[at] -= 1;
+                    open[at] = false;
+                }
+                Step::End | Step::NotRun => {}
             }
             let known = match (begun[at], open[at]) {
                 (0, _) => Known::Unknown,
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -5,18 +5,28 @@
 use std::time::Duration;
 
 use flume::Receiver;
+use flume::SendError;
 use flume::Sender;
 use sardinepath_core::decision::agent::AgentState;
+use sardinepath_core::decision::agent::Known;
 use sardinepath_core::domain::call::Counter;
 use sardinepath_core::domain::error::ErrorKind;
+use sardinepath_core::domain::ids::Incarnation;
 use sardinepath_core::domain::ids::RequestId;
+use sardinepath_core::domain::ids::WeightVersion;
 use sardinepath_core::domain::name::TargetName;
 use sardinepath_core::domain::name::WorkspaceId;
+use sardinepath_core::domain::order::AgentAction;
+use sardinepath_core::domain::order::AgentOrder;
+use sardinepath_core::domain::order::OrderAnswer;
 use sardinepath_core::domain::target::Report;
 use sardinepath_core::domain::target::ServingState;
 use sardinepath_core::port::target::TargetPort;
 use sardinepath_core::port::target::TargetStatus;
 
+use crate::agent::orders::Load;
+use crate::agent::running::Running;
+
 /// Interval at which the target's state is read.
 const STATUS_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -25,12 +35,12 @@
 pub enum Message {
     /// An attempt asks to start.
     Begin {
-        /// The request.
-        request: RequestId,
-        /// True if it may run more than once.
+        /// The attempt.
+        running: Running,
+        /// True if the request may run more than once.
         idempotent: bool,
         /// Where the decision goes.
-        reply: Sender<Result<(), ErrorKind>>,
+        reply: Sender<Begun>,
     },
     /// An attempt that had begun has ended.
     End {
@@ -43,22 +53,42 @@
         /// Where the counter goes.
         reply: Sender<Option<Counter>>,
     },
+    /// The target did not start an attempt that had begun.
+    NotRun(RequestId),
     /// The state of the target, or none if it does not answer.
     Status(Option<TargetStatus>),
     /// An entry asks for a report.
     Report(Sender<Report>),
+    /// The holder of a duty orders something.
+    Order {
+        /// The order.
+        order: AgentOrder,
+        /// Where the result goes.
+        reply: Sender<OrderAnswer>,
+    },
+    /// Somebody asks what is known of a request.
+    Lookup {
+        /// The request.
+        request: RequestId,
+        /// Where the answer goes.
+        reply: Sender<(Incarnation, Known)>,
+    },
     /// The reporter asks for all counters.
     Counters(Sender<Vec<Counter>>),
     /// The process stops.
     Stop,
 }
 
+/// The decision on an attempt: a handle, and whether its answer carries weight versions.
+pub type Begun = Result<(Running, bool), ErrorKind>;
+
 /// State of the control thread.
 #[derive(Debug)]
 pub struct Control {
     state: AgentState,
     target: TargetName,
     status: Option<TargetStatus>,
+    loads: Sender<Load>,
 }
 
 /// What the loop does next.
@@ -69,11 +99,12 @@
 
 impl Control {
     /// Creates the state of a new agent.
-    pub fn new(state: AgentState, target: TargetName) -> Self {
+    pub fn new(state: AgentState, target: TargetName, loads: Sender<Load>) -> Self {
         Self {
             state,
             target,
             status: None,
+            loads,
         }
     }
 
@@ -90,12 +121,10 @@
         // A closed reply channel means that the question was given up.
         match message {
             Message::Begin {
-                request,
+                running,
                 idempotent,
                 reply,
-            } => {
-                let _ = reply.send(self.state.begin(request, idempotent));
-            }
+            } => self.begin(running, idempotent, &reply),
             Message::End {
                 request,
                 workspace,
@@ -104,10 +133,16 @@
             } => {
                 let _ = reply.send(self.state.end(request, &workspace, tokens));
             }
+            Message::NotRun(request) => self.state.refuse(request),
             Message::Status(status) => self.status = status,
             Message::Report(reply) => {
                 let _ = reply.send(self.report());
             }
+            Message::Order { order, reply } => self.order(order, reply),
+            Message::Lookup { request, reply } => {
+                let known = self.state.lookup(request);
+                let _ = reply.send((self.state.incarnation(), known));
+            }
             Message::Counters(reply) => {
                 let _ = reply.send(self.state.counters());
             }
@@ -116,6 +151,47 @@
         Step::Continue
     }
 
+    /// Decides on an attempt. One that was given up meanwhile ends at once.
+    fn begin(&mut self, running: Running, idempotent: bool, reply: &Sender<Begun>) {
+        let begun = self.state.begin(running.request, idempotent);
+        let labelled = self
+            .status
+            .as_ref()
+            .is_none_or(|status| status.version != WeightVersion(0));
+        let begun = begun.map(|()| (running.open(), labelled));
+        if let Err(SendError(Ok((mut running, _)))) = reply.send(begun) {
+            running.close();
+            self.state.end(running.request, &running.workspace, None);
+        }
+    }
+
+    /// Checks the fencing token of an order and carries the order out or passes it on.
+    fn order(&mut self, order: AgentOrder, reply: Sender<OrderAnswer>) {
+        let result = match (self.state.fence(order.fence), order.action) {
+            (Err(_), _) => Err(ErrorKind::Fenced),
+            (Ok(()), AgentAction::Drain) => {
+                self.state.drain();
+                Ok(())
+            }
+            (Ok(()), AgentAction::Load { model, version }) => {
+                let load = Load {
+                    fence: order.fence,
+                    model,
+                    version,
+                    reply: reply.clone(),
+                };
+                match self.loads.try_send(load) {
+                    Ok(()) => return,
+                    Err(_) => Err(ErrorKind::TargetBusy),
+                }
+            }
+        };
+        let _ = reply.send(OrderAnswer {
+            fence: self.state.highest_fence(),
+            result,
+        });
+    }
+
     fn report(&self) -> Report {
         let status = self.status.clone().unwrap_or_default();
         let state = match &self.status {
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -1,6 +1,8 @@
 //! The agent role.
 
 pub mod control;
+pub mod orders;
+pub mod running;
 pub mod service;
 
 use std::net::SocketAddr;
@@ -45,11 +47,12 @@
         let spawner = runtime.spawner();
         let (control, queue) = flume::bounded(CONTROL_ROOM);
         let state = AgentState::new(Incarnation(rand::random()));
-        let state = Control::new(state, settings.target.clone());
+        let target = Arc::new(HttpTarget::new(spawner.clone(), settings.address));
+        let loads = orders::start(target.clone())?;
+        let state = Control::new(state, settings.target.clone(), loads);
         thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || state.run(&queue))?;
-        let target = Arc::new(HttpTarget::new(spawner.clone(), settings.address));
         control::poll_status(target.clone(), control.clone())?;
         let service = AgentService::new(spawner.clone(), control.clone(), target);
         let listener = TcpListener::bind(settings.listen)
--- a/crates/node/src/agent/service.rs
+++ b/crates/node/src/agent/service.rs
@@ -1,28 +1,34 @@
 //! Runs attempts on the traffic threads of an agent.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use flume::Sender;
 use sardinepath_adapters::runtime::Spawner;
 use sardinepath_adapters::runtime::sleep;
+use sardinepath_core::decision::agent::Known;
+use sardinepath_core::decision::agent::Label;
 use sardinepath_core::domain::call::Call;
 use sardinepath_core::domain::call::CallEvent;
 use sardinepath_core::domain::call::Counter;
-use sardinepath_core::domain::call::Ending;
 use sardinepath_core::domain::error::ErrorKind;
 use sardinepath_core::domain::error::Failure;
+use sardinepath_core::domain::error::RunState;
+use sardinepath_core::domain::ids::Incarnation;
 use sardinepath_core::domain::ids::RequestId;
 use sardinepath_core::domain::ids::WeightVersion;
-use sardinepath_core::domain::name::WorkspaceId;
+use sardinepath_core::domain::order::AgentOrder;
+use sardinepath_core::domain::order::OrderAnswer;
 use sardinepath_core::domain::target::Report;
 use sardinepath_core::port::front::AgentFront;
 use sardinepath_core::port::target::CallGuard;
 use sardinepath_core::port::target::TargetEvent;
 use sardinepath_core::port::target::TargetPort;
 
+use crate::agent::control::Begun;
 use crate::agent::control::Message;
+use crate::agent::running::Gathered;
+use crate::agent::running::Running;
 
 /// Events of one attempt that may wait.
 const EVENT_ROOM: usize = 16;
@@ -35,21 +41,6 @@
     target: Arc<dyn TargetPort>,
 }
 
-/// Tells the control thread the end of an attempt, also if its task is stopped.
-struct Running {
-    request: RequestId,
-    workspace: WorkspaceId,
-    control: Sender<Message>,
-    open: bool,
-}
-
-/// What an answer says of itself, gathered over its parts.
-#[derive(Default)]
-struct Gathered {
-    versions: BTreeSet<WeightVersion>,
-    tokens: u64,
-}
-
 impl AgentService {
     /// Creates the service.
     pub fn new(spawner: Spawner, control: Sender<Message>, target: Arc<dyn TargetPort>) -> Self {
@@ -63,7 +54,7 @@
     /// Runs one attempt.
     async fn run(self, call: Call, events: Sender<CallEvent>) {
         let last = match self.begin(&call).await {
-            Ok(running) => self.forward(call, running, &events).await,
+            Ok((running, labelled)) => self.forward(call, running, labelled, &events).await,
             Err(kind) => CallEvent::Failed(Failure::from(kind)),
         };
         // A closed channel means that the entry gave the attempt up.
@@ -71,10 +62,11 @@
     }
 
     /// Asks the control thread whether the attempt may start.
-    async fn begin(&self, call: &Call) -> Result<Running, ErrorKind> {
+    async fn begin(&self, call: &Call) -> Begun {
+        let control = self.control.clone();
         let (reply, decision) = flume::bounded(1);
         let message = Message::Begin {
-            request: call.request,
+            running: Running::new(call.request, call.workspace.clone(), control),
             idempotent: call.idempotent,
             reply,
         };
@@ -82,20 +74,23 @@
             .try_send(message)
             .map_err(|_| ErrorKind::TargetBusy)?;
         let decision = decision.recv_async().await;
-        decision.map_err(|_| ErrorKind::Draining)??;
-        Ok(Running {
-            request: call.request,
-            workspace: call.workspace.clone(),
-            control: self.control.clone(),
-            open: true,
-        })
+        decision.map_err(|_| ErrorKind::Draining)?
     }
 
     /// Passes the target's answer on and returns the last event.
-    async fn forward(&self, call: Call, running: Running, events: &Sender<CallEvent>) -> CallEvent {
+    async fn forward(
+        &self,
+        call: Call,
+        running: Running,
+        labelled: bool,
+        events: &Sender<CallEvent>,
+    ) -> CallEvent {
+        let mut gathered = Gathered {
+            label: Label::new(self.version(labelled).await),
+            tokens: 0,
+        };
         let (sender, parts) = flume::bounded(EVENT_ROOM);
         let _guard = self.target.call(call, sender);
-        let mut gathered = Gathered::default();
         while let Ok(part) = parts.recv_async().await {
             let event = match part {
                 TargetEvent::Head { status, fields } => CallEvent::Head { status, fields },
@@ -104,12 +99,22 @@
                     version,
                     tokens,
                 } => {
-                    gathered.versions.extend(version);
+                    if let Some(version) = version {
+                        gathered.label.name(version);
+                    }
                     gathered.tokens = tokens.unwrap_or(gathered.tokens);
                     CallEvent::Chunk(bytes)
                 }
-                TargetEvent::Whole => return running.whole(gathered).await,
-                TargetEvent::Failed(failure) => return CallEvent::Failed(failure),
+                TargetEvent::Whole => {
+                    let after = self.version(labelled).await;
+                    return running.whole(gathered, after).await;
+                }
+                TargetEvent::Failed(failure) => {
+                    if failure.run == RunState::NotRun {
+                        running.refuse().await;
+                    }
+                    return CallEvent::Failed(failure);
+                }
             };
             if events.send_async(event).await.is_err() {
                 return CallEvent::Failed(Failure::from(ErrorKind::Cancelled));
@@ -117,6 +122,16 @@
         }
         CallEvent::Failed(Failure::from(ErrorKind::Truncated))
     }
+
+    /// Reads the version of the target's weights, if its answers carry versions.
+    async fn version(&self, labelled: bool) -> Option<WeightVersion> {
+        if !labelled {
+            return None;
+        }
+        let (reply, version) = flume::bounded(1);
+        let _guard = self.target.version(reply);
+        version.recv_async().await.ok().flatten()
+    }
 }
 
 impl AgentFront for AgentService {
@@ -143,43 +158,18 @@
         }))
     }
 
-    fn counters(&self, reply: Sender<Vec<Counter>>) {
-        // A closed queue drops the reply channel, which the caller sees.
-        let _ = self.control.send(Message::Counters(reply));
-    }
-}
-
-impl Running {
-    /// Counts a whole answer and builds its last event.
-    async fn whole(mut self, gathered: Gathered) -> CallEvent {
-        let (reply, counter) = flume::bounded(1);
-        self.open = false;
-        let message = self.end(Some(gathered.tokens), reply);
-        // The control thread is gone only when the process stops.
-        let _ = self.control.send_async(message).await;
-        CallEvent::End(Ending {
-            tokens: gathered.tokens,
-            versions: gathered.versions.into_iter().collect(),
-            counter: counter.recv_async().await.ok().flatten(),
-        })
+    fn order(&self, order: AgentOrder, reply: Sender<OrderAnswer>) {
+        // A full queue drops the reply channel, which the sender of the order sees.
+        let _ = self.control.try_send(Message::Order { order, reply });
     }
 
-    fn end(&self, tokens: Option<u64>, reply: Sender<Option<Counter>>) -> Message {
-        Message::End {
-            request: self.request,
-            workspace: self.workspace.clone(),
-            tokens,
-            reply,
-        }
+    fn lookup(&self, request: RequestId, reply: Sender<(Incarnation, Known)>) {
+        // A full queue drops the reply channel, which the questioner sees.
+        let _ = self.control.try_send(Message::Lookup { request, reply });
     }
-}
 
-impl Drop for Running {
-    fn drop(&mut self) {
-        if self.open {
-            let (reply, _) = flume::bounded(1);
-            // The control thread is gone only when the process stops.
-            let _ = self.control.send(self.end(None, reply));
-        }
+    fn counters(&self, reply: Sender<Vec<Counter>>) {
+        // A full queue drops the reply channel, which the questioner sees.
+        let _ = self.control.try_send(Message::Counters(reply));
     }
 }
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -67,6 +67,7 @@
     authorized: Authorized,
     inbound: Inbound,
     deadline: Time,
+    clock: Arc<dyn Clock>,
     streamed: bool,
     verdicts: Receiver<Verdict>,
     events: Sender<CallEvent>,
@@ -167,6 +168,7 @@
             streamed: completion.streamed,
             inbound,
             deadline,
+            clock: self.clock.clone(),
             verdicts,
             events,
         })
@@ -192,9 +194,15 @@
             };
             let mut ticket = Ticket::new(key, &self.control);
             sleep(delay).await;
+            if job.left().is_zero() {
+                let failure = Failure::from(ErrorKind::DeadlineInQueue);
+                let answered = request.refuse(failure);
+                ticket.done(&answered, 0);
+                return answered.failure();
+            }
             match self.attempt(job, request.dispatch(), &choice).await {
                 Step::Retry(next, failure) => {
-                    ticket.retry(failure);
+                    ticket.retry(failure).await;
                     request = next;
                 }
                 Step::Done(answered, tokens) => {
@@ -208,18 +216,13 @@
     /// Makes one attempt.
     async fn attempt(&self, job: &Job, request: Request<Dispatched>, choice: &Choice) -> Step {
         let mut request = request;
-        let left = job.deadline.since(self.clock.now());
-        if left.is_zero() {
-            let failure = Failure::from(ErrorKind::DeadlineInQueue);
-            return Step::Done(request.abort(failure), 0);
-        }
         let (sender, events) = flume::bounded(EVENT_ROOM);
-        let call = job.call(&request, left);
+        let call = job.call(&request, job.left());
         let _guard = self.agents.execute(choice.agent, call, sender);
         let end = if job.streamed {
-            stream(job, &mut request, &events, left).await
+            stream(job, &mut request, &events).await
         } else {
-            collect(job, &events, left).await
+            collect(job, &events).await
         };
         match end {
             AttemptEnd::Whole(tokens) => Step::Done(request.finish(), tokens),
@@ -250,32 +253,36 @@
         }
     }
 
-    /// Waits for the next event of an attempt, a revocation or the deadline.
-    async fn next(&self, events: &Receiver<CallEvent>, left: Duration) -> CallEvent {
-        let event = events.recv_async();
+    /// Returns the time left until the deadline.
+    fn left(&self) -> Duration {
+        self.deadline.since(self.clock.now())
+    }
+
+    /// Does a part of an attempt, unless a revocation or the deadline comes first.
+    ///
+    /// The revocation is looked at first, so a steady stream cannot hold it off.
+    async fn until_stopped<T>(&self, work: impl Future<Output = T>) -> Result<T, Failure> {
         let verdict = self.verdicts.recv_async();
-        let limit = Box::pin(sleep(left));
-        match select(select(event, verdict), limit).await {
-            Either::Left((Either::Left((Ok(event), _)), _)) => event,
-            Either::Left((Either::Left((Err(_), _)), _)) => {
-                CallEvent::Failed(Failure::from(ErrorKind::AgentLost))
-            }
-            Either::Left((Either::Right((Ok(Verdict::Revoked(failure)), _)), _)) => {
-                CallEvent::Failed(failure)
-            }
-            Either::Left((Either::Right(_), _)) => {
-                CallEvent::Failed(Failure::from(ErrorKind::Draining))
-            }
-            Either::Right(_) => CallEvent::Failed(Failure::from(ErrorKind::DeadlinePassed)),
+        let work = select(Box::pin(work), Box::pin(sleep(self.left())));
+        match select(verdict, work).await {
+            Either::Right((Either::Left((done, _)), _)) => Ok(done),
+            Either::Right((Either::Right(_), _)) => Err(Failure::from(ErrorKind::DeadlinePassed)),
+            Either::Left((Ok(Verdict::Revoked(failure)), _)) => Err(failure),
+            Either::Left(_) => Err(Failure::from(ErrorKind::Draining)),
         }
     }
 
+    /// Waits for the next event of an attempt.
+    async fn next(&self, events: &Receiver<CallEvent>) -> Result<CallEvent, Failure> {
+        let event = self.until_stopped(events.recv_async()).await?;
+        let lost = CallEvent::Failed(Failure::from(ErrorKind::AgentLost));
+        Ok(event.unwrap_or(lost))
+    }
+
     /// Passes an event on to the caller.
     async fn pass(&self, event: CallEvent) -> Result<(), Failure> {
-        self.events
-            .send_async(event)
-            .await
-            .map_err(|_| Failure::from(ErrorKind::Cancelled))
+        let passed = self.until_stopped(self.events.send_async(event)).await?;
+        passed.map_err(|_| Failure::from(ErrorKind::Cancelled))
     }
 }
 
@@ -290,13 +297,14 @@
     }
 
     /// Asks for another target. The request stays known to the control thread.
-    fn retry(mut self, failure: Failure) {
-        self.open = false;
+    async fn retry(mut self, failure: Failure) {
         // The request sees a closed verdict channel if the control thread is gone.
-        let _ = self.control.send(Message::Retry {
+        let message = Message::Retry {
             ticket: self.key,
             failure,
-        });
+        };
+        let _ = self.control.send_async(message).await;
+        self.open = false;
     }
 
     /// Notes how the request ended.
@@ -327,13 +335,15 @@
     job: &Job,
     request: &mut Request<Dispatched>,
     events: &Receiver<CallEvent>,
-    left: Duration,
 ) -> AttemptEnd {
     loop {
-        let event = job.next(events, left).await;
+        let event = match job.next(events).await {
+            Ok(event) => event,
+            Err(failure) => return AttemptEnd::Revoked(failure),
+        };
         match event {
             CallEvent::Heartbeat => continue,
-            CallEvent::Failed(failure) => return ended(failure),
+            CallEvent::Failed(failure) => return AttemptEnd::Failed(failure),
             CallEvent::Head { .. } | CallEvent::Chunk(_) => {
                 request.mark_sent();
                 if let Err(failure) = job.pass(event).await {
@@ -349,14 +359,17 @@
 }
 
 /// Collects an answer and passes it on when it is whole.
-async fn collect(job: &Job, events: &Receiver<CallEvent>, left: Duration) -> AttemptEnd {
+async fn collect(job: &Job, events: &Receiver<CallEvent>) -> AttemptEnd {
     let mut parts = Vec::new();
     let mut size = 0;
     loop {
-        let event = job.next(events, left).await;
+        let event = match job.next(events).await {
+            Ok(event) => event,
+            Err(failure) => return AttemptEnd::Revoked(failure),
+        };
         match event {
             CallEvent::Heartbeat => continue,
-            CallEvent::Failed(failure) => return ended(failure),
+            CallEvent::Failed(failure) => return AttemptEnd::Failed(failure),
             CallEvent::End(ref ending) => {
                 let tokens = ending.tokens;
                 parts.push(event);
@@ -381,11 +394,3 @@
     }
     AttemptEnd::Whole(tokens)
 }
-
-/// Tells a failed attempt from one that was stopped here.
-fn ended(failure: Failure) -> AttemptEnd {
-    match failure.kind {
-        ErrorKind::KeyWithdrawn | ErrorKind::DeadlinePassed => AttemptEnd::Revoked(failure),
-        _ => AttemptEnd::Failed(failure),
-    }
-}
--- /dev/null
+++ b/crates/node/tests/request_attempts.rs
@@ -0,0 +1,279 @@
+//! Attempts that fail on the way, judged by what the targets executed.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod request_support;
+
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use request_support::KEY;
+use request_support::Path;
+use request_support::read_until;
+use request_support::start_agent;
+use request_support::start_path;
+use request_support::wait_until;
+use sardinepath_standins::relay::Direction;
+
+/// Posts in the background once the target has started the call, does something, and returns
+/// status and body.
+fn post_and(path: &Path, route: &str, rest: &str, act: impl FnOnce()) -> (i32, String) {
+    thread::scope(|scope| {
+        let answer = scope.spawn(|| path.post(route, rest));
+        wait_until("the target runs the call", || path.runs(rest) > 0);
+        act();
+        answer.join().unwrap()
+    })
+}
+
+/// Asserts that a call that ran once failed, and that the caller was told that it may have run.
+fn assert_may_have_run(path: &Path, answer: &(i32, String), rest: &str) {
+    assert!(matches!(answer.0, 502 | 504), "{answer:?}");
+    assert!(answer.1.contains("\"run\":\"may_have_run\""), "{answer:?}");
+    assert_eq!(path.runs(rest), 1);
+}
+
+/// Guards against a part, another request's answer or a broken answer that is taken for the
+/// whole, and against a second run after it.
+#[test]
+fn broken_answers_fail_and_do_not_run_again() {
+    let path = start_path(1);
+    for rest in ["truncated/1", "unframed/1", "crash/1", "crossed/1"] {
+        let answer = path.post("once", rest);
+
+        assert_may_have_run(&path, &answer, rest);
+    }
+}
+
+/// Guards against an error answer of a target that is taken for a failure of the path and
+/// repeated or replaced.
+#[test]
+fn error_answers_of_targets_reach_the_caller() {
+    let path = start_path(1);
+
+    let answers = ["error/1", "plain503/1"].map(|rest| path.post("again", rest));
+
+    assert_eq!(answers[0], (500, "{\"error\":\"mine\"}".to_owned()));
+    assert_eq!(answers[1], (503, "ran".to_owned()));
+    assert_eq!((path.runs("error/1"), path.runs("plain503/1")), (1, 1));
+}
+
+/// Guards against an error answer to a streaming call that is taken for a truncated stream.
+#[test]
+fn error_answer_to_a_streaming_call_reaches_the_caller() {
+    let path = start_path(1);
+
+    let answer = read_until(&mut path.open_stream("again", "error/1"), "mine");
+
+    assert!(answer.starts_with("HTTP/1.1 500"), "{answer}");
+}
+
+/// Guards against a non-idempotent call that is given up although the target refused it before
+/// it started.
+#[test]
+fn refusal_before_the_start_is_repeated() {
+    let path = start_path(1);
+    path.targets[0].log.busy.store(true, Ordering::SeqCst);
+
+    let answer = thread::scope(|scope| {
+        let answer = scope.spawn(|| path.post("once", "busy/1"));
+        thread::sleep(Duration::from_millis(300));
+        path.targets[0].log.busy.store(false, Ordering::SeqCst);
+        answer.join().unwrap()
+    });
+
+    assert_eq!(answer, (200, "ran /busy/1".to_owned()));
+    assert_eq!(path.runs("busy/1"), 1);
+}
+
+/// Guards against answers that reach another caller when they are late and many.
+#[test]
+fn concurrent_late_answers_reach_their_callers() {
+    let path = start_path(2);
+    for relay in &path.relays {
+        relay.delay(Duration::from_millis(20));
+    }
+
+    let answers: Vec<_> = thread::scope(|scope| {
+        let path = &path;
+        let calls: Vec<_> = (0..16)
+            .map(|n| scope.spawn(move || path.post("once", &format!("late/{n}"))))
+            .collect();
+        calls.into_iter().map(|call| call.join().unwrap()).collect()
+    });
+
+    for (n, answer) in answers.into_iter().enumerate() {
+        assert_eq!(answer, (200, format!("late /late/{n}")));
+        assert_eq!(path.runs(&format!("/late/{n} ")), 1);
+    }
+}
+
+/// Guards against a false "not run", and against a second run, when the agent dies while the
+/// target runs the call.
+#[test]
+fn agent_killed_during_a_call() {
+    let mut path = start_path(1);
+    let agent = path.agents.pop();
+
+    let answer = post_and(&path, "once", "late/1", || drop(agent));
+
+    assert_may_have_run(&path, &answer, "late/1");
+}
+
+/// Guards against a run by an agent that is gone, and a claim that nobody can prove.
+#[test]
+fn agent_killed_before_a_call() {
+    let mut path = start_path(1);
+    path.agents.clear();
+    path.relays[0].cut();
+
+    let answer = path.post("hasty", "plain/1");
+
+    assert!(answer.0 >= 500, "{answer:?}");
+    assert_eq!(path.runs("plain/1"), 0);
+}
+
+/// Guards against an idempotent call that is lost with its agent although the agent is back,
+/// and against a non-idempotent one that is repeated there.
+#[test]
+fn agent_restarted_between_an_attempt_and_its_retry() {
+    for (route, status, runs) in [("again", 200, 2), ("once", 502, 1)] {
+        let mut path = start_path(1);
+        let agent = path.agents.pop();
+        let next = start_agent(path.targets[0].address, 0);
+
+        let answer = post_and(&path, route, "late/1", || {
+            path.relays[0].redirect(next.address);
+            drop(agent);
+            path.relays[0].cut();
+        });
+
+        assert_eq!(answer.0, status, "{answer:?}");
+        assert_eq!(path.runs("late/1"), runs);
+        assert_eq!(answer.1.contains("may_have_run"), status != 200);
+    }
+}
+
+/// Guards against a call that waits for ever on a connection that lost one direction, and
+/// against a second run of a call that may have run. Idempotent calls go on over a new
+/// connection.
+#[test]
+fn silent_connections_are_found_in_both_directions() {
+    for direction in [Direction::Forward, Direction::Back] {
+        for route in ["once", "again"] {
+            let path = start_path(1);
+            path.relays[0].freeze(direction);
+
+            let answer = path.post(route, "plain/1");
+
+            if route == "again" {
+                assert_eq!(answer, (200, "ran /plain/1".to_owned()));
+            } else {
+                assert!(matches!(answer.0, 502 | 504), "{answer:?}");
+                assert!(answer.1.contains("may_have_run"), "{answer:?}");
+                assert!(path.runs("plain/1") <= 1);
+            }
+        }
+    }
+}
+
+/// Guards against work that goes on at the target after its caller hung up, before the answer
+/// and in mid-stream.
+#[test]
+fn target_work_is_cancelled_when_the_caller_hangs_up() {
+    let path = start_path(1);
+    for rest in ["hang/1", "endless/1"] {
+        let mut stream = path.open_stream("once", rest);
+        wait_until("the target runs the call", || path.runs(rest) == 1);
+        if rest.starts_with("endless") {
+            read_until(&mut stream, "first");
+        }
+
+        stream.shutdown(Shutdown::Both).unwrap();
+        drop(stream);
+
+        let log = &path.targets[0].log;
+        wait_until("the call is cancelled", || {
+            log.cancelled
+                .lock()
+                .unwrap()
+                .iter()
+                .any(|p| p.contains(rest))
+        });
+        assert_eq!(path.runs(rest), 1);
+    }
+}
+
+/// Guards against a deadline that starts again with each event, and against work that goes on
+/// after it.
+#[test]
+fn deadline_ends_a_stream_and_its_work() {
+    let path = start_path(1);
+    let mut stream = path.open_stream("hasty", "endless/1");
+
+    let answer = read_until(&mut stream, "deadline_passed");
+
+    assert!(answer.contains("event: error"), "{answer}");
+    let log = &path.targets[0].log;
+    wait_until("the call is cancelled", || {
+        !log.cancelled.lock().unwrap().is_empty()
+    });
+}
+
+/// Guards against a key in what the target sees, in any header or body of any route.
+#[test]
+fn target_never_sees_the_key() {
+    let path = start_path(1);
+    let escaped: String = KEY.bytes().map(|b| format!("\\u{b:04X}")).collect();
+    let percent: String = KEY.bytes().map(|b| format!("%{b:02x}")).collect();
+
+    let fine = path.post("once", "plain/1");
+    let statuses = [
+        raw(
+            path.entry.address,
+            &format!("x-request-tag: {percent}\r\n"),
+            "/",
+            "",
+        ),
+        raw(path.entry.address, "", &format!("/a?k={percent}"), ""),
+        raw(
+            path.entry.address,
+            "",
+            "/",
+            &format!("{{\"a\":\"{escaped}\""),
+        ),
+        raw(path.entry.address, &format!("{KEY}: x\r\n"), "/", ""),
+        raw(
+            path.entry.address,
+            &format!("cookie: k={KEY}\r\nx-api-key: {KEY}\r\n"),
+            "/",
+            "",
+        ),
+    ];
+
+    assert_eq!(fine.0, 200);
+    let executed = path.targets[0].log.executed.lock().unwrap().join("\n");
+    assert!(executed.contains("/plain/1"));
+    for form in [KEY, &percent, &escaped] {
+        assert!(!executed.contains(form), "{executed}");
+    }
+    assert_eq!(statuses, ["400", "400", "400", "400", "200"]);
+}
+
+/// Posts with the key and some header lines, and returns the status.
+fn raw(entry: SocketAddr, fields: &str, rest: &str, body: &str) -> String {
+    let mut stream = std::net::TcpStream::connect(entry).unwrap();
+    stream
+        .set_read_timeout(Some(request_support::PATIENCE))
+        .unwrap();
+    let length = body.len();
+    let head = format!("POST /print/again{rest} HTTP/1.1\r\nauthorization: Bearer {KEY}\r\n");
+    let call = format!("{head}{fields}content-length: {length}\r\n\r\n{body}");
+    stream.write_all(call.as_bytes()).unwrap();
+    let answer = read_until(&mut stream, "\r\n");
+    answer.split(' ').nth(1).unwrap().to_owned()
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod objects;
 pub mod plain;
+pub mod relay;
