--- a/crates/adapters/tests/target.rs
+++ b/crates/adapters/tests/target.rs
@@ -7,6 +7,7 @@
 
 use sardinepath_adapters::runtime::Runtime;
 use sardinepath_adapters::target::HttpTarget;
+use sardinepath_core::decision::prefix::prefixes;
 use sardinepath_core::domain::call::Call;
 use sardinepath_core::domain::declare::Priority;
 use sardinepath_core::domain::error::ErrorKind;
@@ -19,7 +20,6 @@
 use sardinepath_core::port::target::TargetPort;
 use sardinepath_standins::engine::Engine;
 use sardinepath_standins::engine::EngineSettings;
-use sardinepath_standins::engine::prefixes;
 use serde_json::json;
 
 struct Fixture {
--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -3,6 +3,7 @@
 pub mod agent;
 pub mod authorize;
 pub mod config;
+mod expose;
 pub mod lease;
 pub mod order;
 pub mod prefix;
--- a/crates/core/src/decision/prefix.rs
+++ b/crates/core/src/decision/prefix.rs
@@ -1,7 +1,7 @@
 //! Hashes of a prompt's leading blocks, by which cached prefixes are compared.
 
-/// Bytes of one block.
-const BLOCK: usize = 64;
+/// Bytes of one block. Only whole blocks count.
+pub const BLOCK: usize = 64;
 
 /// Most blocks that are hashed. Longer prompts differ little in what their cache is worth.
 const MOST: usize = 64;
--- a/crates/core/src/decision/traffic/mod.rs
+++ b/crates/core/src/decision/traffic/mod.rs
@@ -176,12 +176,14 @@
         let attempts = u32::try_from(ticket.tried.len()).unwrap_or(u32::MAX);
         let delay = budget::delay(attempts, &mut self.random);
         let late = now + delay >= ticket.ask.deadline;
+        // The wait for a target counts from the failure, not from the arrival.
+        ticket.since = now;
         if !paid || late {
             self.refuse(key, failure);
         } else if let Ok(choice) = self.choice(now, key) {
             self.grant(now, key, choice, delay);
         } else {
-            self.refuse(key, failure);
+            self.enqueue(key);
         }
         self.pump(now, &pool);
     }
--- a/crates/core/src/decision/traffic/place.rs
+++ b/crates/core/src/decision/traffic/place.rs
@@ -58,7 +58,10 @@
         let spec = self.config.workspace(workspace)?;
         let most = divided(spec.concurrency, self.entries);
         let running: u32 = self.queues.values().map(|q| q.running(workspace)).sum();
-        (running < most).then(|| queue.head(workspace)).flatten()
+        let key = queue.head(workspace)?;
+        // A request that waits for its next attempt is counted as running already.
+        let counted = self.tickets.get(key).is_some_and(|t| t.charged.is_some());
+        (counted || running < most).then_some(key)
     }
 
     /// Chooses a target for a ticket.
@@ -109,7 +112,8 @@
         if let Some(ticket) = self.tickets.get_mut(key) {
             ticket.state = State::Waiting;
             let queue = self.queues.entry(ticket.ask.pool.clone()).or_default();
-            queue.push(&ticket.ask.workspace, ticket.ask.priority, key);
+            let back = ticket.charged.is_none();
+            queue.push(&ticket.ask.workspace, ticket.ask.priority, key, back);
             self.waiting += 1;
         }
     }
--- a/crates/core/src/decision/traffic/queue.rs
+++ b/crates/core/src/decision/traffic/queue.rs
@@ -33,14 +33,26 @@
 }
 
 impl FairQueue {
-    /// Adds a request behind those of the same workspace and class.
-    pub(super) fn push(&mut self, workspace: &WorkspaceId, priority: Priority, key: TicketKey) {
+    /// Adds a request behind those of the same workspace and class, or in front of them if it has
+    /// been admitted before.
+    pub(super) fn push(
+        &mut self,
+        workspace: &WorkspaceId,
+        priority: Priority,
+        key: TicketKey,
+        back: bool,
+    ) {
         let idle = self.time;
         let flow = self.flows.entry(workspace.clone()).or_default();
         if flow.is_idle() {
             flow.time = flow.time.max(idle);
         }
-        flow.waiting[class(priority)].push_back(key);
+        let queue = &mut flow.waiting[class(priority)];
+        if back {
+            queue.push_back(key);
+        } else {
+            queue.push_front(key);
+        }
     }
 
     /// Returns the workspaces with waiting requests, the one to be served next first.
--- a/crates/core/tests/traffic.rs
+++ b/crates/core/tests/traffic.rs
@@ -382,6 +382,30 @@
     assert_eq!(actions(&mut traffic), expected);
 }
 
+/// Guards against a request that is given up because its only target was away for a moment, and
+/// against one that blocks itself by being counted as running.
+#[test]
+fn retry_waits_for_a_target_that_returns() {
+    let spec = WorkspaceSpec {
+        concurrency: 1,
+        ..WorkspaceSpec::default()
+    };
+    let mut traffic = traffic(1, 1, &[("app", spec)]);
+    let ticket = traffic.ask(Time(0), ask("app", FAR));
+    granted(&mut traffic, ticket);
+
+    traffic.retry(
+        Time(5 * SECOND),
+        ticket,
+        Failure::from(ErrorKind::AgentLost),
+    );
+    let meanwhile = actions(&mut traffic);
+    traffic.report(Time(6 * SECOND), report(0, 1));
+
+    assert_eq!(meanwhile, vec![]);
+    granted(&mut traffic, ticket);
+}
+
 /// Guards against a workspace that goes on after its token rate is used up.
 #[test]
 fn token_rate_refuses_with_the_time_to_come_back() {
--- a/crates/standins/src/engine/answer.rs
+++ b/crates/standins/src/engine/answer.rs
@@ -3,8 +3,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-
-use crate::engine::cache::prefixes;
+use sardinepath_core::decision::prefix::prefixes;
 
 /// Mark of the tag in a prompt, which ends at the next white space.
 const TAG_MARK: &str = "tag:";
@@ -77,7 +76,7 @@
 
 /// Hashes the whole prompt, with the unfinished last block filled up.
 fn hash(prompt: &str) -> u64 {
-    let room = crate::engine::cache::BLOCK_BYTES;
+    let room = sardinepath_core::decision::prefix::BLOCK;
     let width = prompt.len().div_ceil(room).max(1) * room;
     let filled = format!("{prompt}{}", " ".repeat(width - prompt.len()));
     prefixes(&filled).last().copied().unwrap_or_default()
--- a/crates/standins/src/engine/cache.rs
+++ b/crates/standins/src/engine/cache.rs
@@ -5,15 +5,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
-/// Bytes of a block of the prompt. The cache keeps whole blocks.
-pub const BLOCK_BYTES: usize = 64;
+use sardinepath_core::decision::prefix::prefixes;
 
 /// Events that are kept for readers. A reader that is further behind sees a gap.
 const EVENT_ROOM: usize = 1024;
 
-/// Offset basis and prime of the 64-bit FNV-1a hash.
-const FNV: (u64, u64) = (0xcbf2_9ce4_8422_2325, 0x0100_0000_01b3);
-
 /// Cache events after a sequence number.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CacheNews {
@@ -120,16 +116,3 @@
         }
     }
 }
-
-/// Returns the FNV-1a hash of the first block, the first two blocks and so on.
-pub fn prefixes(prompt: &str) -> Vec<u64> {
-    let mut hash = FNV.0;
-    let blocks = prompt.as_bytes().chunks_exact(BLOCK_BYTES);
-    let next = |block: &[u8]| {
-        for byte in block {
-            hash = (hash ^ u64::from(*byte)).wrapping_mul(FNV.1);
-        }
-        hash
-    };
-    blocks.map(next).collect()
-}
--- a/crates/standins/src/engine/mod.rs
+++ b/crates/standins/src/engine/mod.rs
@@ -14,8 +14,6 @@
 pub use book::Ending;
 pub use book::Execution;
 pub use book::OrderRecord;
-pub use cache::BLOCK_BYTES;
-pub use cache::prefixes;
 pub use settings::EngineFaults;
 pub use settings::EngineSettings;
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod objects;
 pub mod orders;
 pub mod plain;
+pub mod relay;
 pub mod scoring;
 pub mod service;
 pub mod trainer;
--- a/crates/standins/tests/engine.rs
+++ b/crates/standins/tests/engine.rs
@@ -11,12 +11,12 @@
 use common::open;
 use common::read_all;
 use common::wait_until;
+use sardinepath_core::decision::prefix::prefixes;
 use sardinepath_core::domain::ids::WeightVersion;
 use sardinepath_standins::engine::Ending;
 use sardinepath_standins::engine::Engine;
 use sardinepath_standins::engine::EngineSettings;
 use sardinepath_standins::engine::Script;
-use sardinepath_standins::engine::prefixes;
 use serde_json::Value;
 use serde_json::json;
 
