Add the process life cycle and the catalogue of log events

Log lines had no numbers that operators could look up, and a process had no type for its drain. Events are a closed enum, emit() writes them with fields, and the drain is a typestate whose only input is the time.

--- /dev/null
+++ b/crates/adapters/src/event.rs
@@ -0,0 +1,54 @@
+//! Writes log events with their number and fields.
+
+use std::fmt::Display;
+
+use log::Level;
+use log::Record;
+use log::kv::ToValue;
+use log::kv::Value;
+use sardinepath_core::domain::event::Event;
+use sardinepath_core::domain::event::Severity;
+
+/// Target of all records that carry an event.
+pub const TARGET: &str = "sardinepath";
+
+/// Field that carries the number of the event.
+pub const NUMBER: &str = "event";
+
+/// Field that carries the name of the event.
+pub const NAME: &str = "name";
+
+/// Logs an event with fields.
+pub fn emit(event: Event, fields: &[(&str, &dyn Display)]) {
+    let info = event.info();
+    let level = level(info.severity);
+    if level > log::max_level() {
+        return;
+    }
+    let mut pairs = vec![
+        (NUMBER, info.number.to_value()),
+        (NAME, info.name.to_value()),
+    ];
+    pairs.extend(
+        fields
+            .iter()
+            .map(|(k, v)| (*k, Value::from_dyn_display(*v))),
+    );
+    log::logger().log(
+        &Record::builder()
+            .target(TARGET)
+            .level(level)
+            .args(format_args!("{}", info.text))
+            .key_values(&pairs.as_slice())
+            .build(),
+    );
+}
+
+fn level(severity: Severity) -> Level {
+    match severity {
+        Severity::Error => Level::Error,
+        Severity::Warn => Level::Warn,
+        Severity::Info => Level::Info,
+        Severity::Debug => Level::Debug,
+    }
+}
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod caller;
 pub mod clock;
+pub mod event;
 pub mod platform;
 pub mod rpc;
 pub mod runtime;
--- a/crates/core/src/domain/mod.rs
+++ b/crates/core/src/domain/mod.rs
@@ -3,6 +3,7 @@
 pub mod call;
 pub mod declare;
 pub mod error;
+pub mod event;
 pub mod ids;
 pub mod key;
 pub mod name;
--- a/crates/core/src/port/mod.rs
+++ b/crates/core/src/port/mod.rs
@@ -1,5 +1,6 @@
 //! Ports: what the core asks of the outside. Adapters implement them.
 
+pub mod admin;
 pub mod agent;
 pub mod clock;
 pub mod front;
--- /dev/null
+++ b/crates/core/tests/process.rs
@@ -0,0 +1,26 @@
+//! Life cycle of a process in virtual time.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::time::Duration;
+
+use sardinepath_core::decision::process::DrainStep;
+use sardinepath_core::decision::process::Draining;
+use sardinepath_core::decision::process::Process;
+use sardinepath_core::domain::time::Time;
+
+fn draining(start: Time, limit: Duration) -> Process<Draining> {
+    Process::new(limit).serve().drain(start)
+}
+
+/// Guards against a drain that gives up before its limit or waits past it.
+#[test]
+fn drain_waits_exactly_until_its_limit() {
+    let process = draining(Time(1_000), Duration::from_secs(2));
+
+    let steps = [1_000, 2_999, 3_000, 9_000].map(|now| process.step(Time(now)));
+
+    let wait = |millis| DrainStep::Wait(Duration::from_millis(millis));
+    let expected = [wait(2_000), wait(1), DrainStep::GiveUp, DrainStep::GiveUp];
+    assert_eq!(steps, expected);
+}
--- a/crates/node/src/entry/control.rs
+++ b/crates/node/src/entry/control.rs
@@ -7,6 +7,7 @@
 use flume::Receiver;
 use flume::RecvTimeoutError;
 use flume::Sender;
+use sardinepath_adapters::event::emit;
 use sardinepath_core::decision::config::Config;
 use sardinepath_core::decision::config::Merge;
 use sardinepath_core::decision::config::TeamState;
@@ -17,6 +18,7 @@
 use sardinepath_core::decision::traffic::TicketKey;
 use sardinepath_core::decision::traffic::Traffic;
 use sardinepath_core::domain::error::Failure;
+use sardinepath_core::domain::event::Event;
 use sardinepath_core::domain::ids::Revision;
 use sardinepath_core::domain::name::TeamName;
 use sardinepath_core::domain::target::Report;
@@ -168,7 +170,7 @@
         let mut config = Config::clone(&self.config);
         for (team, state) in teams {
             if config.merge(team.clone(), state) == Merge::Old {
-                log::debug!("team {team} is known at this revision already");
+                emit(Event::TreeKnown, &[("team", &team)]);
             }
         }
         config.advance(revision);
--- a/crates/node/src/entry/watch.rs
+++ b/crates/node/src/entry/watch.rs
@@ -6,7 +6,9 @@
 
 use anyhow::Context;
 use flume::Sender;
+use sardinepath_adapters::event::emit;
 use sardinepath_core::decision::config::TeamState;
+use sardinepath_core::domain::event::Event;
 use sardinepath_core::domain::ids::Revision;
 use sardinepath_core::domain::name::TeamName;
 use sardinepath_core::port::object::Change;
@@ -95,7 +97,7 @@
             Some((TeamName::from(team), state))
         }
         Err(e) => {
-            log::error!("the declarations of team {team} cannot be read: {e}");
+            emit(Event::TreeUnreadable, &[("team", &team), ("error", &e)]);
             None
         }
     }
