Drain entries and agents, and serve metrics and health

A process that ended cut its running requests, and operators saw neither metrics nor health. An agent reports that it leaves at once, refuses attempts and waits for running ones. The administration address serves /metrics, /healthz and /readyz. The binary reads settings, logs events and drains on SIGTERM.

A request that was dispatched when the control thread stopped was failed as not run; it is now failed as may have run. No test shows this, since the answer does not leave the process.

--- a/crates/adapters/src/rpc/server.rs
+++ b/crates/adapters/src/rpc/server.rs
@@ -8,9 +8,11 @@
 
 use anyhow::Context as _;
 use flume::Receiver;
+use flume::Sender;
 use futures_util::Stream;
 use futures_util::stream::unfold;
 use sardinepath_core::domain::call::CallEvent;
+use sardinepath_core::domain::event::Event;
 use sardinepath_core::port::front::AgentFront;
 use sardinepath_core::port::target::CallGuard;
 use tokio_stream::wrappers::TcpListenerStream;
@@ -19,6 +21,7 @@
 use tonic::Status;
 use tonic::transport::Server;
 
+use crate::event::emit;
 use crate::rpc::convert::call_from_wire;
 use crate::rpc::convert::counter_to_wire;
 use crate::rpc::convert::event_to_wire;
@@ -46,6 +49,8 @@
 pub struct RpcServer {
     /// Address on which it listens.
     pub address: SocketAddr,
+    stop: Sender<()>,
+    finished: Receiver<()>,
     _task: Task,
 }
 
@@ -65,23 +70,41 @@
         listener.set_nonblocking(true)?;
         let _context = spawner.enter();
         let listener = tokio::net::TcpListener::from_std(listener)?;
+        let (stop, stopped) = flume::bounded(1);
+        let (ended, finished) = flume::bounded::<()>(0);
         let service = AgentServer::new(AgentAdapter { front }).max_decoding_message_size(8 << 20);
         let serve = Server::builder()
             .http2_keepalive_interval(Some(PING))
             .http2_keepalive_timeout(Some(PING))
             .tcp_nodelay(true)
             .add_service(service)
-            .serve_with_incoming(TcpListenerStream::new(listener));
+            .serve_with_incoming_shutdown(TcpListenerStream::new(listener), async move {
+                // A closed channel means that the server is dropped.
+                let _ = stopped.recv_async().await;
+            });
         let task = spawner.spawn(async move {
             if let Err(e) = serve.await {
-                log::error!("the server on {address} ended: {e}");
+                emit(
+                    Event::RpcServerEnded,
+                    &[("address", &address), ("error", &e)],
+                );
             }
+            drop(ended);
         });
         Ok(Self {
             address,
+            stop,
+            finished,
             _task: task,
         })
     }
+
+    /// Accepts no more calls. The returned channel closes once all open streams have ended.
+    pub fn drain(&self) -> Receiver<()> {
+        // A full channel holds the same request already.
+        let _ = self.stop.try_send(());
+        self.finished.clone()
+    }
 }
 
 #[tonic::async_trait]
--- a/crates/core/src/port/front.rs
+++ b/crates/core/src/port/front.rs
@@ -9,6 +9,7 @@
 use crate::domain::call::Call;
 use crate::domain::call::CallEvent;
 use crate::domain::call::Counter;
+use crate::domain::error::ErrorKind;
 use crate::domain::target::Report;
 use crate::port::target::CallGuard;
 
@@ -17,6 +18,9 @@
     /// Starts a request. Events arrive on `events`; the sender is dropped after the last one.
     /// Dropping the guard cancels the request.
     fn submit(&self, inbound: Inbound, events: Sender<CallEvent>) -> Box<dyn CallGuard>;
+
+    /// Notes a request that the adapter refused before it was submitted.
+    fn note_refusal(&self, kind: ErrorKind);
 }
 
 /// What an agent offers to entries.
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -1,5 +1,6 @@
 //! The control thread of an agent. It owns all mutable control state.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -49,6 +50,8 @@
     Report(Sender<Report>),
     /// The reporter asks for all counters.
     Counters(Sender<Vec<Counter>>),
+    /// The drain starts. The channel closes once no attempt is running.
+    Drain(Sender<()>),
     /// The process stops.
     Stop,
 }
@@ -59,6 +62,10 @@
     state: AgentState,
     target: TargetName,
     status: Option<TargetStatus>,
+    /// Dropped when the drain starts, which wakes the report streams.
+    leaving: Option<Sender<Infallible>>,
+    /// Dropped when the drain has started and no attempt is running.
+    idle: Option<Sender<()>>,
 }
 
 /// What the loop does next.
@@ -69,11 +76,13 @@
 
 impl Control {
     /// Creates the state of a new agent.
-    pub fn new(state: AgentState, target: TargetName) -> Self {
+    pub fn new(state: AgentState, target: TargetName, leaving: Sender<Infallible>) -> Self {
         Self {
             state,
             target,
             status: None,
+            leaving: Some(leaving),
+            idle: None,
         }
     }
 
@@ -83,6 +92,9 @@
             if let Step::Stop = self.handle(message) {
                 return;
             }
+            if self.state.running() == 0 {
+                self.idle = None;
+            }
         }
     }
 
@@ -111,6 +123,11 @@
             Message::Counters(reply) => {
                 let _ = reply.send(self.state.counters());
             }
+            Message::Drain(idle) => {
+                self.state.drain();
+                self.leaving = None;
+                self.idle = Some(idle);
+            }
             Message::Stop => return Step::Stop,
         }
         Step::Continue
@@ -120,6 +137,7 @@
         let status = self.status.clone().unwrap_or_default();
         let state = match &self.status {
             Some(_) => self.state.serving(),
+            None if self.leaving.is_none() => ServingState::Leaving,
             None => ServingState::Starting,
         };
         Report {
--- a/crates/node/src/agent/mod.rs
+++ b/crates/node/src/agent/mod.rs
@@ -1,16 +1,19 @@
 //! The agent role.
 
 pub mod control;
+pub mod drain;
 pub mod service;
 
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::thread;
 use std::time::Duration;
 
 use anyhow::Context;
 use flume::Sender;
+use sardinepath_adapters::admin::AdminServer;
 use sardinepath_adapters::rpc::server::RpcServer;
 use sardinepath_adapters::runtime::Runtime;
 use sardinepath_adapters::target::HttpTarget;
@@ -19,8 +22,11 @@
 
 use crate::agent::control::Control;
 use crate::agent::control::Message;
+use crate::agent::drain::AgentAdmin;
+use crate::agent::drain::Leaving;
 use crate::agent::service::AgentService;
 use crate::config::AgentSettings;
+use crate::metrics::Metrics;
 
 /// Messages that may wait for the control thread.
 const CONTROL_ROOM: usize = 1024;
@@ -33,9 +39,13 @@
 pub struct Agent {
     /// Address for entries.
     pub address: SocketAddr,
+    /// Address for administration.
+    pub admin: SocketAddr,
+    draining: Arc<AtomicBool>,
     control: Sender<Message>,
     runtime: Option<Runtime>,
-    _server: RpcServer,
+    server: RpcServer,
+    _admin: AdminServer,
 }
 
 impl Agent {
@@ -44,22 +54,40 @@
         let runtime = Runtime::start(settings.threads).context("could not start threads")?;
         let spawner = runtime.spawner();
         let (control, queue) = flume::bounded(CONTROL_ROOM);
+        let metrics = Arc::new(Metrics::new()?);
+        let (signal, leaving) = Leaving::new();
         let state = AgentState::new(Incarnation(rand::random()));
-        let state = Control::new(state, settings.target.clone());
+        let state = Control::new(state, settings.target.clone(), signal);
         thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || state.run(&queue))?;
         let target = Arc::new(HttpTarget::new(spawner.clone(), settings.address));
         control::poll_status(target.clone(), control.clone())?;
-        let service = AgentService::new(spawner.clone(), control.clone(), target);
+        let service = AgentService::new(
+            spawner.clone(),
+            control.clone(),
+            target,
+            leaving,
+            metrics.clone(),
+        );
         let listener = TcpListener::bind(settings.listen)
             .with_context(|| format!("could not listen on {}", settings.listen))?;
         let server = RpcServer::agent(&spawner, listener, Arc::new(service))?;
+        let draining = Arc::new(AtomicBool::new(false));
+        let front = AgentAdmin {
+            metrics,
+            control: control.clone(),
+            draining: draining.clone(),
+        };
+        let admin = AdminServer::start(settings.admin, Arc::new(front))?;
         Ok(Self {
             address: server.address,
+            admin: admin.address,
+            draining,
             control,
             runtime: Some(runtime),
-            _server: server,
+            server,
+            _admin: admin,
         })
     }
 }
--- a/crates/node/src/agent/service.rs
+++ b/crates/node/src/agent/service.rs
@@ -6,7 +6,6 @@
 
 use flume::Sender;
 use sardinepath_adapters::runtime::Spawner;
-use sardinepath_adapters::runtime::sleep;
 use sardinepath_core::domain::call::Call;
 use sardinepath_core::domain::call::CallEvent;
 use sardinepath_core::domain::call::Counter;
@@ -23,6 +22,8 @@
 use sardinepath_core::port::target::TargetPort;
 
 use crate::agent::control::Message;
+use crate::agent::drain::Leaving;
+use crate::metrics::Metrics;
 
 /// Events of one attempt that may wait.
 const EVENT_ROOM: usize = 16;
@@ -33,6 +34,8 @@
     spawner: Spawner,
     control: Sender<Message>,
     target: Arc<dyn TargetPort>,
+    leaving: Leaving,
+    metrics: Arc<Metrics>,
 }
 
 /// Tells the control thread the end of an attempt, also if its task is stopped.
@@ -52,20 +55,35 @@
 
 impl AgentService {
     /// Creates the service.
-    pub fn new(spawner: Spawner, control: Sender<Message>, target: Arc<dyn TargetPort>) -> Self {
+    pub fn new(
+        spawner: Spawner,
+        control: Sender<Message>,
+        target: Arc<dyn TargetPort>,
+        leaving: Leaving,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         Self {
             spawner,
             control,
             target,
+            leaving,
+            metrics,
         }
     }
 
     /// Runs one attempt.
     async fn run(self, call: Call, events: Sender<CallEvent>) {
+        let metrics = self.metrics.clone();
+        let _running = metrics.start();
         let last = match self.begin(&call).await {
             Ok(running) => self.forward(call, running, &events).await,
             Err(kind) => CallEvent::Failed(Failure::from(kind)),
         };
+        match &last {
+            CallEvent::End(ending) => metrics.finish(ending.tokens),
+            CallEvent::Failed(failure) => metrics.refuse(failure.kind),
+            _ => {}
+        }
         // A closed channel means that the entry gave the attempt up.
         let _ = events.send_async(last).await;
     }
@@ -126,6 +144,7 @@
 
     fn reports(&self, interval: Duration, reports: Sender<Report>) -> Box<dyn CallGuard> {
         let control = self.control.clone();
+        let leaving = self.leaving.clone();
         Box::new(self.spawner.spawn(async move {
             loop {
                 let (reply, report) = flume::bounded(1);
@@ -138,7 +157,7 @@
                 if reports.send_async(report).await.is_err() {
                     return;
                 }
-                sleep(interval).await;
+                leaving.pause(interval).await;
             }
         }))
     }
--- a/crates/node/src/config/agent.rs
+++ b/crates/node/src/config/agent.rs
@@ -7,10 +7,15 @@
 use sardinepath_core::domain::name::TargetName;
 use serde::Deserialize;
 
+use crate::config::range;
+use crate::config::role::AgentRole;
+
 /// Settings of an agent.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AgentSettings {
+    /// Always `agent`.
+    pub role: AgentRole,
     /// Host on which the agent runs.
     pub host: HostName,
     /// Data centre of the host.
@@ -23,9 +28,15 @@
     pub target: TargetName,
     /// Address of the target on this host.
     pub address: SocketAddr,
-    /// Number of traffic threads.
-    #[serde(default = "default_threads")]
+    /// Number of traffic threads, from 1 to 64.
+    #[serde(default = "default_threads", deserialize_with = "range::threads")]
     pub threads: usize,
+    /// Longest drain in seconds, from 1 to 86,400.
+    #[serde(
+        default = "range::default_drain_limit",
+        deserialize_with = "range::drain_limit"
+    )]
+    pub drain_limit: u64,
 }
 
 fn default_threads() -> usize {
--- a/crates/node/src/config/entry.rs
+++ b/crates/node/src/config/entry.rs
@@ -6,10 +6,15 @@
 use sardinepath_core::domain::name::HostName;
 use serde::Deserialize;
 
+use crate::config::range;
+use crate::config::role::EntryRole;
+
 /// Settings of an entry.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntrySettings {
+    /// Always `entry`.
+    pub role: EntryRole,
     /// Host on which the entry runs.
     pub host: HostName,
     /// Data centre of the host.
@@ -22,9 +27,15 @@
     pub admin: SocketAddr,
     /// Address of the platform's object API.
     pub objects: SocketAddr,
-    /// Number of traffic threads.
-    #[serde(default = "default_threads")]
+    /// Number of traffic threads, from 1 to 64.
+    #[serde(default = "default_threads", deserialize_with = "range::threads")]
     pub threads: usize,
+    /// Longest drain in seconds, from 1 to 86,400.
+    #[serde(
+        default = "range::default_drain_limit",
+        deserialize_with = "range::drain_limit"
+    )]
+    pub drain_limit: u64,
 }
 
 fn default_threads() -> usize {
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod agent;
 pub mod entry;
+mod range;
+pub mod role;
 
 pub use agent::AgentSettings;
 pub use entry::EntrySettings;
--- /dev/null
+++ b/crates/node/src/entry/drain.rs
@@ -0,0 +1,53 @@
+//! Drains an entry and shows its state at the administration address.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+
+use flume::Sender;
+use sardinepath_core::decision::process::DrainEnd;
+use sardinepath_core::decision::process::Process;
+use sardinepath_core::decision::process::Serving;
+use sardinepath_core::port::admin::AdminFront;
+use sardinepath_core::port::admin::Readiness;
+use sardinepath_core::port::clock::Clock;
+
+use crate::entry::Entry;
+use crate::entry::control::Message;
+use crate::entry::control::Published;
+use crate::metrics::Metrics;
+use crate::process::wait;
+
+/// What an entry shows at the administration address.
+pub(super) struct EntryAdmin {
+    pub(super) metrics: Arc<Metrics>,
+    pub(super) snapshot: Published,
+    pub(super) control: Sender<Message>,
+    pub(super) draining: Arc<AtomicBool>,
+}
+
+impl AdminFront for EntryAdmin {
+    fn metrics(&self) -> String {
+        self.metrics.text(self.control.len())
+    }
+
+    fn ready(&self) -> Readiness {
+        if self.draining.load(Ordering::Relaxed) {
+            return Readiness::Draining;
+        }
+        match self.snapshot.load().ready {
+            true => Readiness::Ready,
+            false => Readiness::Starting,
+        }
+    }
+}
+
+impl Entry {
+    /// Stops admission and waits until every running request has its answer.
+    pub fn drain(&self, process: Process<Serving>, clock: &dyn Clock) -> DrainEnd {
+        let process = process.drain(clock.now());
+        self.draining.store(true, Ordering::Relaxed);
+        let finished = self.server.drain();
+        wait(&process, clock, &finished)
+    }
+}
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry role.
 
 pub mod control;
+pub mod drain;
 pub mod reports;
 pub mod service;
 pub mod watch;
@@ -8,11 +9,13 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::thread;
 use std::time::Duration;
 
 use anyhow::Context;
 use flume::Sender;
+use sardinepath_adapters::admin::AdminServer;
 use sardinepath_adapters::caller::CallerServer;
 use sardinepath_adapters::caller::limits::CallerLimits;
 use sardinepath_adapters::clock::HostClock;
@@ -24,7 +27,9 @@
 use crate::config::EntrySettings;
 use crate::entry::control::Control;
 use crate::entry::control::Message;
+use crate::entry::drain::EntryAdmin;
 use crate::entry::service::EntryService;
+use crate::metrics::Metrics;
 
 /// Messages that may wait for the control thread. At 2,000 requests a second it takes them in
 /// well under a second; a longer queue would only hide an overload.
@@ -38,9 +43,13 @@
 pub struct Entry {
     /// Address for callers.
     pub address: SocketAddr,
+    /// Address for administration.
+    pub admin: SocketAddr,
+    draining: Arc<AtomicBool>,
     control: Sender<Message>,
     runtime: Option<Runtime>,
-    _server: CallerServer,
+    server: CallerServer,
+    _admin: AdminServer,
 }
 
 impl Entry {
@@ -58,7 +67,15 @@
             .name("control".to_owned())
             .spawn(move || state.run(&queue))?;
         watch::start(objects, control.clone())?;
-        let service = EntryService::new(spawner.clone(), clock, snapshot, control.clone(), peers);
+        let metrics = Arc::new(Metrics::new()?);
+        let service = EntryService::new(
+            spawner.clone(),
+            clock,
+            snapshot.clone(),
+            control.clone(),
+            peers,
+            metrics.clone(),
+        );
         let listener = TcpListener::bind(settings.listen)
             .with_context(|| format!("could not listen on {}", settings.listen))?;
         let server = CallerServer::start(
@@ -67,11 +84,22 @@
             CallerLimits::default(),
             Arc::new(service),
         )?;
+        let draining = Arc::new(AtomicBool::new(false));
+        let front = EntryAdmin {
+            metrics,
+            snapshot,
+            control: control.clone(),
+            draining: draining.clone(),
+        };
+        let admin = AdminServer::start(settings.admin, Arc::new(front))?;
         Ok(Self {
             address: server.address,
+            admin: admin.address,
+            draining,
             control,
             runtime: Some(runtime),
-            _server: server,
+            server,
+            _admin: admin,
         })
     }
 }
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -26,6 +26,7 @@
 use sardinepath_core::domain::call::CallEvent;
 use sardinepath_core::domain::error::ErrorKind;
 use sardinepath_core::domain::error::Failure;
+use sardinepath_core::domain::error::RunState;
 use sardinepath_core::domain::ids::RequestId;
 use sardinepath_core::domain::time::Time;
 use sardinepath_core::port::agent::AgentPort;
@@ -36,6 +37,7 @@
 use crate::entry::control::Message;
 use crate::entry::control::Published;
 use crate::entry::control::Verdict;
+use crate::metrics::Metrics;
 
 /// Verdicts that may wait for one request: a grant and a revocation.
 const VERDICT_ROOM: usize = 4;
@@ -59,6 +61,7 @@
     snapshot: Published,
     control: Sender<Message>,
     agents: Arc<Peers>,
+    metrics: Arc<Metrics>,
 }
 
 /// One authorized request.
@@ -102,6 +105,7 @@
         snapshot: Published,
         control: Sender<Message>,
         agents: Arc<Peers>,
+        metrics: Arc<Metrics>,
     ) -> Self {
         let shared = Shared {
             spawner,
@@ -109,6 +113,7 @@
             snapshot,
             control,
             agents,
+            metrics,
         };
         Self {
             shared: Arc::new(shared),
@@ -122,16 +127,22 @@
         let work = async move { shared.serve(inbound, events).await };
         Box::new(self.shared.spawner.spawn(work))
     }
+
+    fn note_refusal(&self, kind: ErrorKind) {
+        self.shared.metrics.refuse(kind);
+    }
 }
 
 impl Shared {
     /// Serves a request and passes a failure on to the caller.
     async fn serve(&self, inbound: Inbound, events: Sender<CallEvent>) {
+        let _running = self.metrics.start();
         let failure = match self.admit(inbound, events.clone()) {
             Ok(job) => self.run(&job).await,
             Err(kind) => Some(Failure::from(kind)),
         };
         if let Some(failure) = failure {
+            self.metrics.refuse(failure.kind);
             // A closed channel means that the caller has gone.
             let _ = events.send_async(CallEvent::Failed(failure)).await;
         }
@@ -194,10 +205,12 @@
             sleep(delay).await;
             match self.attempt(job, request.dispatch(), &choice).await {
                 Step::Retry(next, failure) => {
+                    self.metrics.retry(failure.kind);
                     ticket.retry(failure);
                     request = next;
                 }
                 Step::Done(answered, tokens) => {
+                    self.metrics.finish(tokens);
                     ticket.done(&answered, tokens);
                     return answered.failure();
                 }
@@ -263,9 +276,11 @@
             Either::Left((Either::Right((Ok(Verdict::Revoked(failure)), _)), _)) => {
                 CallEvent::Failed(failure)
             }
-            Either::Left((Either::Right(_), _)) => {
-                CallEvent::Failed(Failure::from(ErrorKind::Draining))
-            }
+            // The control thread stopped while the target was running the request.
+            Either::Left((Either::Right(_), _)) => CallEvent::Failed(Failure {
+                run: RunState::MayHaveRun,
+                ..Failure::from(ErrorKind::Draining)
+            }),
             Either::Right(_) => CallEvent::Failed(Failure::from(ErrorKind::DeadlinePassed)),
         }
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,3 +3,5 @@
 pub mod agent;
 pub mod config;
 pub mod entry;
+pub mod metrics;
+mod process;
--- a/crates/node/tests/path.rs
+++ b/crates/node/tests/path.rs
@@ -13,6 +13,8 @@
 use sardinepath_node::agent::Agent;
 use sardinepath_node::config::AgentSettings;
 use sardinepath_node::config::EntrySettings;
+use sardinepath_node::config::role::AgentRole;
+use sardinepath_node::config::role::EntryRole;
 use sardinepath_node::entry::Entry;
 use sardinepath_standins::objects::MemoryObjects;
 use sardinepath_standins::plain::PlainService;
@@ -32,6 +34,7 @@
 
 fn agent_settings(target: SocketAddr) -> AgentSettings {
     AgentSettings {
+        role: AgentRole::Agent,
         host: "host-1".into(),
         centre: "cx1".into(),
         listen: loopback(),
@@ -39,11 +42,13 @@
         target: "orders-1".into(),
         address: target,
         threads: 2,
+        drain_limit: 60,
     }
 }
 
 fn entry_settings() -> EntrySettings {
     EntrySettings {
+        role: EntryRole::Entry,
         host: "host-2".into(),
         centre: "cx1".into(),
         listen: loopback(),
@@ -51,6 +56,7 @@
         admin: loopback(),
         objects: loopback(),
         threads: 2,
+        drain_limit: 60,
     }
 }
 
--- /dev/null
+++ b/crates/sardinepath/src/cli.rs
@@ -0,0 +1,83 @@
+//! Command line.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use bpaf::Args;
+use bpaf::Bpaf;
+use bpaf::ParseFailure;
+use log::LevelFilter;
+
+/// Width of help texts in characters.
+const WIDTH: usize = 100;
+
+/// How the program ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exit {
+    /// The command did its work.
+    Done,
+    /// The command failed while it was running.
+    Failed,
+    /// The command line or the settings are wrong.
+    Usage,
+}
+
+/// Rollout service for reinforcement learning.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(
+    options,
+    version,
+    footer("Exit codes: 0 done, 1 failed while running, 2 wrong command line or settings.")
+)]
+pub enum Command {
+    /// Serve callers
+    #[bpaf(command)]
+    Entry {
+        /// Settings file of an entry, JSON with comments
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+        /// Least severe log events: error, warn, info or debug
+        #[bpaf(argument("LEVEL"), fallback(LevelFilter::Info))]
+        log: LevelFilter,
+    },
+    /// Serve entries beside a target
+    #[bpaf(command)]
+    Agent {
+        /// Settings file of an agent, JSON with comments
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+        /// Least severe log events: error, warn, info or debug
+        #[bpaf(argument("LEVEL"), fallback(LevelFilter::Info))]
+        log: LevelFilter,
+    },
+    /// Check a settings file of either role
+    #[bpaf(command)]
+    Check {
+        /// Settings file with the field `role`
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        match exit {
+            Exit::Done => Self::from(0),
+            Exit::Failed => Self::from(1),
+            Exit::Usage => Self::from(2),
+        }
+    }
+}
+
+/// Parses the command line. Help, the version and faults are printed here.
+pub fn parse() -> Result<Command, Exit> {
+    command()
+        .run_inner(Args::current_args())
+        .map_err(|failure| {
+            failure.print_message(WIDTH);
+            match failure {
+                ParseFailure::Stderr(_) => Exit::Usage,
+                ParseFailure::Stdout(..) | ParseFailure::Completion(_) => Exit::Done,
+            }
+        })
+}
--- /dev/null
+++ b/crates/sardinepath/src/logging.rs
@@ -0,0 +1,75 @@
+//! Writes log records as one JSON object a line to standard error.
+
+use std::io;
+use std::io::Write;
+
+use anyhow::Context;
+use flexi_logger::DeferredNow;
+use flexi_logger::LogSpecification;
+use flexi_logger::Logger;
+use flexi_logger::LoggerHandle;
+use log::LevelFilter;
+use log::Record;
+use log::kv::Error;
+use log::kv::Key;
+use log::kv::Value;
+use log::kv::VisitSource;
+use sardinepath_adapters::event::NAME;
+use sardinepath_adapters::event::NUMBER;
+use sardinepath_adapters::event::TARGET;
+use sardinepath_core::domain::event::Event;
+use serde_json::Map;
+use serde_json::json;
+
+/// Form of the time: RFC 3339 in UTC with milliseconds.
+const TIME: &str = "%Y-%m-%dT%H:%M:%S%.3fZ";
+
+/// Collects the fields of a record.
+struct Fields(Map<String, serde_json::Value>);
+
+/// Starts logging. Events below `level` and messages of libraries below warnings are left out.
+pub fn start(level: LevelFilter) -> anyhow::Result<LoggerHandle> {
+    let spec = LogSpecification::builder()
+        .default(level.min(LevelFilter::Warn))
+        .module(TARGET, level)
+        .build();
+    Logger::with(spec)
+        .use_utc()
+        .format(write_line)
+        .log_to_stderr()
+        .start()
+        .context("could not start logging")
+}
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = match value.to_u64() {
+            Some(number) => json!(number),
+            None => json!(value.to_string()),
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+fn write_line(out: &mut dyn Write, now: &mut DeferredNow, record: &Record<'_>) -> io::Result<()> {
+    let mut fields = Fields(Map::new());
+    if record.target() == TARGET {
+        record
+            .key_values()
+            .visit(&mut fields)
+            .map_err(io::Error::other)?;
+    } else {
+        let info = Event::LibraryMessage.info();
+        fields.0.insert(NUMBER.to_owned(), json!(info.number));
+        fields.0.insert(NAME.to_owned(), json!(info.name));
+        fields.0.insert("source".to_owned(), json!(record.target()));
+    }
+    let level = record.level().as_str().to_ascii_lowercase();
+    let time = now.format(TIME).to_string();
+    fields.0.insert("time".to_owned(), json!(time));
+    fields.0.insert("level".to_owned(), json!(level));
+    let text = record.args().to_string();
+    fields.0.insert("text".to_owned(), json!(text));
+    serde_json::to_writer(out, &fields.0).map_err(io::Error::other)
+}
--- /dev/null
+++ b/crates/sardinepath/src/role.rs
@@ -0,0 +1,103 @@
+//! Runs a role until a signal ends it.
+
+use std::fmt::Display;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use anyhow::bail;
+use sardinepath_adapters::clock::HostClock;
+use sardinepath_adapters::event::emit;
+use sardinepath_core::decision::process::DrainEnd;
+use sardinepath_core::decision::process::Process;
+use sardinepath_core::decision::process::Serving;
+use sardinepath_core::decision::process::Starting;
+use sardinepath_core::domain::event::Event;
+use sardinepath_core::port::object::ObjectPort;
+use sardinepath_node::agent::Agent;
+use sardinepath_node::config::AgentSettings;
+use sardinepath_node::config::EntrySettings;
+use sardinepath_node::entry::Entry;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
+
+/// Runs an entry until a signal ends it.
+pub fn run_entry(settings: &EntrySettings) -> anyhow::Result<DrainEnd> {
+    let process = start(settings.drain_limit);
+    let signals = signals()?;
+    let entry = Entry::start(settings, objects(settings)?)?;
+    announce(&[
+        ("role", &"entry"),
+        ("host", &settings.host),
+        ("address", &entry.address),
+        ("admin", &entry.admin),
+    ]);
+    run(process.serve(), signals, |process| {
+        entry.drain(process, &HostClock)
+    })
+}
+
+/// Runs an agent until a signal ends it.
+pub fn run_agent(settings: &AgentSettings) -> anyhow::Result<DrainEnd> {
+    let process = start(settings.drain_limit);
+    let signals = signals()?;
+    let agent = Agent::start(settings)?;
+    announce(&[
+        ("role", &"agent"),
+        ("host", &settings.host),
+        ("address", &agent.address),
+        ("admin", &agent.admin),
+    ]);
+    run(process.serve(), signals, |process| {
+        agent.drain(process, &HostClock)
+    })
+}
+
+/// Opens the object API of an entry.
+fn objects(settings: &EntrySettings) -> anyhow::Result<Arc<dyn ObjectPort>> {
+    let address = settings.objects;
+    bail!("this version has no adapter for the object API at {address}")
+}
+
+fn start(limit: u64) -> Process<Starting> {
+    Process::new(Duration::from_secs(limit))
+}
+
+/// Registers the signals before the role starts, so that an early one starts the drain later.
+fn signals() -> std::io::Result<Signals> {
+    Signals::new([SIGTERM, SIGINT])
+}
+
+fn announce(fields: &[(&str, &dyn Display)]) {
+    emit(Event::Serving, fields);
+}
+
+/// Waits for the first signal and drains. Further signals are logged and change nothing.
+fn run(
+    process: Process<Serving>,
+    mut signals: Signals,
+    drain: impl FnOnce(Process<Serving>) -> DrainEnd,
+) -> anyhow::Result<DrainEnd> {
+    let limit = process.limit().as_secs();
+    let Some(signal) = signals.forever().next() else {
+        bail!("the signal handler was closed")
+    };
+    emit(
+        Event::DrainStarted,
+        &[("signal", &signal), ("limit", &limit)],
+    );
+    thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(move || {
+            for signal in signals.forever() {
+                emit(Event::SignalIgnored, &[("signal", &signal)]);
+            }
+        })?;
+    let end = drain(process);
+    match end {
+        DrainEnd::Finished => emit(Event::DrainFinished, &[]),
+        DrainEnd::LimitReached => emit(Event::DrainLimitReached, &[("limit", &limit)]),
+    }
+    Ok(end)
+}
