--- a/crates/adapters/examples/server_limits.rs
+++ b/crates/adapters/examples/server_limits.rs
@@ -27,6 +27,7 @@
 use sardinepath_core::decision::authorize::Inbound;
 use sardinepath_core::domain::call::CallEvent;
 use sardinepath_core::domain::call::Ending;
+use sardinepath_core::domain::error::ErrorKind as Refusal;
 use sardinepath_core::port::front::CallerFront;
 use sardinepath_core::port::target::CallGuard;
 
@@ -60,6 +61,8 @@
         let _ = events.try_send(CallEvent::End(Ending::default()));
         Box::new(Nothing)
     }
+
+    fn note_refusal(&self, _kind: Refusal) {}
 }
 
 fn main() -> anyhow::Result<()> {
--- a/crates/adapters/src/caller/mod.rs
+++ b/crates/adapters/src/caller/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP from callers.
 
 mod answer;
+mod connection;
 mod inbound;
 pub mod limits;
 mod refuse;
--- a/crates/adapters/src/caller/serve.rs
+++ b/crates/adapters/src/caller/serve.rs
@@ -1,66 +1,72 @@
 //! Accepts connections from callers.
 
 use std::convert::Infallible;
-use std::future::poll_fn;
+use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use anyhow::Context;
-use hyper::Request;
-use hyper::Response;
-use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
+use flume::Receiver;
+use flume::Sender;
+use futures_util::future::Either;
+use futures_util::future::select;
 use sardinepath_core::domain::error::ErrorKind;
-use sardinepath_core::domain::error::Failure;
+use sardinepath_core::domain::event::Event;
 use sardinepath_core::port::front::CallerFront;
 use tokio::net::TcpStream;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 
-use crate::caller::answer::Answering;
-use crate::caller::answer::Body;
-use crate::caller::answer::refusal;
-use crate::caller::answer::respond;
-use crate::caller::inbound::read;
+use crate::caller::connection::Connection;
 use crate::caller::limits::CallerLimits;
-use crate::caller::refuse::close;
 use crate::caller::refuse::refuse;
-use crate::caller::wire::Exchange;
-use crate::caller::wire::Wire;
+use crate::event::emit;
 use crate::runtime::Spawner;
 use crate::runtime::Task;
 use crate::runtime::sleep;
 
-/// Events of one request that may wait for a slow caller.
-const EVENT_ROOM: usize = 16;
-
 /// Pause after a failed accept, for example when the process has no file descriptor left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Callers above the limit of connections that are told so at once. Others are just closed.
 const REFUSALS: usize = 64;
 
+/// A draining server answers `draining` for this long before it closes its listener and idle
+/// connections. Closing them at once would reset requests that are on their way.
+const REFUSE_TIME: Duration = Duration::from_secs(3);
+
 /// A running server for callers. It stops when dropped.
 #[derive(Debug)]
 pub struct CallerServer {
     /// Address on which it listens.
     pub address: SocketAddr,
+    shared: Arc<Shared>,
+    stop: Sender<()>,
+    finished: Receiver<()>,
     _task: Task,
 }
 
-/// How a connection ends.
-enum LastWords {
-    /// With an error answer.
-    Refuse(ErrorKind),
-    /// After its last answer.
-    Close,
-    /// At once, in the middle of an answer or between requests.
-    Break,
+/// What all connections share.
+pub(super) struct Shared {
+    pub(super) limits: CallerLimits,
+    pub(super) front: Arc<dyn CallerFront>,
+    pub(super) draining: AtomicBool,
+}
+
+/// The accept loop and what it needs to start connections.
+struct Acceptor {
+    spawner: Spawner,
+    shared: Arc<Shared>,
+    room: Arc<Semaphore>,
+    refusals: Arc<Semaphore>,
+    /// Closed when open connections have to end after their running request.
+    closing: Receiver<Infallible>,
+    /// Closed when the last connection and the accept loop have ended.
+    ended: Sender<()>,
 }
 
 impl CallerServer {
@@ -75,115 +81,103 @@
         listener.set_nonblocking(true)?;
         let _context = spawner.enter();
         let listener = tokio::net::TcpListener::from_std(listener)?;
-        let accept = accept(spawner.clone(), listener, limits, front);
+        let (stop, stopped) = flume::bounded(1);
+        let (close, closing) = flume::bounded(0);
+        let (ended, finished) = flume::bounded(0);
+        let shared = Arc::new(Shared {
+            limits,
+            front,
+            draining: AtomicBool::new(false),
+        });
+        let acceptor = Acceptor {
+            spawner: spawner.clone(),
+            shared: shared.clone(),
+            room: Arc::new(Semaphore::new(limits.connections)),
+            refusals: Arc::new(Semaphore::new(REFUSALS)),
+            closing,
+            ended,
+        };
         Ok(Self {
             address,
-            _task: spawner.spawn(accept),
+            shared,
+            stop,
+            finished,
+            _task: spawner.spawn(acceptor.run(listener, stopped, close)),
         })
     }
-}
 
-/// Accepts connections. Callers above the limit are refused.
-async fn accept(
-    spawner: Spawner,
-    listener: tokio::net::TcpListener,
-    limits: CallerLimits,
-    front: Arc<dyn CallerFront>,
-) {
-    let room = Arc::new(Semaphore::new(limits.connections));
-    let refusals = Arc::new(Semaphore::new(REFUSALS));
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                log::warn!("could not accept a connection: {e}");
-                sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        if let Ok(permit) = room.clone().try_acquire_owned() {
-            let serve = connection(stream, limits, front.clone(), permit);
-            spawner.spawn(serve).detach();
-        } else if let Ok(permit) = refusals.clone().try_acquire_owned() {
-            spawner
-                .spawn(async move {
-                    refuse(stream, ErrorKind::Overloaded).await;
-                    drop(permit);
-                })
-                .detach();
-        }
+    /// Refuses new requests and then stops accepting. The returned channel closes once every running
+    /// request has its answer and all connections are closed.
+    pub fn drain(&self) -> Receiver<()> {
+        self.shared.draining.store(true, Ordering::Release);
+        // A full channel holds the same request already.
+        let _ = self.stop.try_send(());
+        self.finished.clone()
     }
 }
 
-/// Serves one connection.
-async fn connection(
-    stream: TcpStream,
-    limits: CallerLimits,
-    front: Arc<dyn CallerFront>,
-    _permit: OwnedSemaphorePermit,
-) {
-    // The option only affects latency.
-    let _ = stream.set_nodelay(true);
-    let exchange = Exchange::default();
-    let wire = Wire::new(stream, exchange.clone(), limits.write_time);
-    let service = service_fn(move |request| {
-        exchange.start();
-        let front = front.clone();
-        let exchange = exchange.clone();
-        Box::pin(async move {
-            let response = handle(request, &limits, front.as_ref()).await;
-            Ok::<_, Infallible>(response.map(|body| exchange.track(body)))
-        })
-    });
-    let mut served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(limits.head_time)
-        .max_buf_size(limits.head)
-        .serve_connection(TokioIo::new(wire), service);
-    let end = poll_fn(|cx| served.poll_without_shutdown(cx)).await;
-    let parts = served.into_parts();
-    let wire = parts.io.into_inner();
-    match last_words(&wire, !parts.read_buf.is_empty(), end) {
-        LastWords::Refuse(kind) => refuse(wire.into_inner(), kind).await,
-        LastWords::Close => close(wire.into_inner()).await,
-        LastWords::Break => {}
+impl fmt::Debug for Shared {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Shared")
+            .field("limits", &self.limits)
+            .field("draining", &self.draining)
+            .finish_non_exhaustive()
     }
 }
 
-/// Decides how a connection ends.
-fn last_words(wire: &Wire, begun: bool, end: hyper::Result<()>) -> LastWords {
-    let Err(e) = end else {
-        return LastWords::Close;
-    };
-    log::debug!("a caller's connection ended: {e}");
-    if !wire.is_clean() {
-        LastWords::Break
-    } else if e.is_parse_too_large() {
-        LastWords::Refuse(ErrorKind::HeadTooLarge)
-    } else if e.is_parse() {
-        LastWords::Refuse(ErrorKind::BadRequest)
-    } else if e.is_timeout() && begun {
-        LastWords::Refuse(ErrorKind::SlowCaller)
-    } else {
-        LastWords::Break
+impl Acceptor {
+    /// Accepts connections until the drain and for some time after, then closes idle ones.
+    async fn run(
+        self,
+        listener: tokio::net::TcpListener,
+        stop: Receiver<()>,
+        close: Sender<Infallible>,
+    ) {
+        self.accept_until(Box::pin(stop.recv_async()), &listener)
+            .await;
+        self.accept_until(Box::pin(sleep(REFUSE_TIME)), &listener)
+            .await;
+        drop(listener);
+        drop(close);
+    }
+
+    /// Accepts connections until `end` is ready.
+    async fn accept_until(&self, mut end: impl Future + Unpin, listener: &tokio::net::TcpListener) {
+        loop {
+            match select(end, Box::pin(listener.accept())).await {
+                Either::Left(_) => return,
+                Either::Right((accepted, rest)) => {
+                    self.take(accepted.map(|(stream, _)| stream)).await;
+                    end = rest;
+                }
+            }
+        }
     }
-}
 
-/// Serves one request.
-async fn handle(
-    request: Request<Incoming>,
-    limits: &CallerLimits,
-    front: &dyn CallerFront,
-) -> Response<Body> {
-    let inbound = match read(request, limits).await {
-        Ok(inbound) => inbound,
-        Err(kind) => return refusal(Failure::from(kind)),
-    };
-    let streamed = inbound.completion.as_ref().is_some_and(|c| c.streamed);
-    let (sender, events) = flume::bounded(EVENT_ROOM);
-    let answering = Answering {
-        _guard: front.submit(inbound, sender),
-        events,
-    };
-    respond(answering, streamed).await
+    /// Serves an accepted connection. Callers above the limit are refused.
+    async fn take(&self, accepted: io::Result<TcpStream>) {
+        let stream = match accepted {
+            Ok(stream) => stream,
+            Err(e) => {
+                emit(Event::AcceptFailed, &[("error", &e)]);
+                return sleep(ACCEPT_PAUSE).await;
+            }
+        };
+        if let Ok(permit) = self.room.clone().try_acquire_owned() {
+            let connection = Connection {
+                shared: self.shared.clone(),
+                closing: self.closing.clone(),
+                _ended: self.ended.clone(),
+                _permit: permit,
+            };
+            self.spawner.spawn(connection.serve(stream)).detach();
+        } else if let Ok(permit) = self.refusals.clone().try_acquire_owned() {
+            self.shared.front.note_refusal(ErrorKind::Overloaded);
+            let refusal = async move {
+                refuse(stream, ErrorKind::Overloaded).await;
+                drop(permit);
+            };
+            self.spawner.spawn(refusal).detach();
+        }
+    }
 }
--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -7,6 +7,7 @@
 pub mod lease;
 pub mod order;
 pub mod prefix;
+pub mod process;
 pub mod request;
 pub mod sample;
 pub mod traffic;
--- a/crates/core/src/port/front.rs
+++ b/crates/core/src/port/front.rs
@@ -10,6 +10,7 @@
 use crate::domain::call::Call;
 use crate::domain::call::CallEvent;
 use crate::domain::call::Counter;
+use crate::domain::error::ErrorKind;
 use crate::domain::ids::Incarnation;
 use crate::domain::ids::RequestId;
 use crate::domain::order::AgentOrder;
@@ -22,6 +23,9 @@
     /// Starts a request. Events arrive on `events`; the sender is dropped after the last one.
     /// Dropping the guard cancels the request.
     fn submit(&self, inbound: Inbound, events: Sender<CallEvent>) -> Box<dyn CallGuard>;
+
+    /// Notes a request that the adapter refused before it was submitted.
+    fn note_refusal(&self, kind: ErrorKind);
 }
 
 /// What an agent offers to entries.
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -1,5 +1,6 @@
 //! The control thread of an agent. It owns all mutable control state.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
@@ -75,6 +76,8 @@
     },
     /// The reporter asks for all counters.
     Counters(Sender<Vec<Counter>>),
+    /// The drain starts. The channel closes once no attempt is running.
+    Drain(Sender<()>),
     /// The process stops.
     Stop,
 }
@@ -89,6 +92,10 @@
     target: TargetName,
     status: Option<TargetStatus>,
     loads: Sender<Load>,
+    /// Dropped when the drain starts, which wakes the report streams.
+    leaving: Option<Sender<Infallible>>,
+    /// Dropped when the drain has started and no attempt is running.
+    idle: Option<Sender<()>>,
 }
 
 /// What the loop does next.
@@ -99,12 +106,19 @@
 
 impl Control {
     /// Creates the state of a new agent.
-    pub fn new(state: AgentState, target: TargetName, loads: Sender<Load>) -> Self {
+    pub fn new(
+        state: AgentState,
+        target: TargetName,
+        loads: Sender<Load>,
+        leaving: Sender<Infallible>,
+    ) -> Self {
         Self {
             state,
             target,
             status: None,
             loads,
+            leaving: Some(leaving),
+            idle: None,
         }
     }
 
@@ -114,6 +128,9 @@
             if let Step::Stop = self.handle(message) {
                 return;
             }
+            if self.state.running() == 0 {
+                self.idle = None;
+            }
         }
     }
 
@@ -146,6 +163,11 @@
             Message::Counters(reply) => {
                 let _ = reply.send(self.state.counters());
             }
+            Message::Drain(idle) => {
+                self.state.drain();
+                self.leaving = None;
+                self.idle = Some(idle);
+            }
             Message::Stop => return Step::Stop,
         }
         Step::Continue
@@ -196,6 +218,7 @@
         let status = self.status.clone().unwrap_or_default();
         let state = match &self.status {
             Some(_) => self.state.serving(),
+            None if self.leaving.is_none() => ServingState::Leaving,
             None => ServingState::Starting,
         };
         Report {
--- a/crates/node/src/agent/service.rs
+++ b/crates/node/src/agent/service.rs
@@ -5,7 +5,6 @@
 
 use flume::Sender;
 use sardinepath_adapters::runtime::Spawner;
-use sardinepath_adapters::runtime::sleep;
 use sardinepath_core::decision::agent::Known;
 use sardinepath_core::decision::agent::Label;
 use sardinepath_core::domain::call::Call;
@@ -27,8 +26,10 @@
 
 use crate::agent::control::Begun;
 use crate::agent::control::Message;
+use crate::agent::drain::Leaving;
 use crate::agent::running::Gathered;
 use crate::agent::running::Running;
+use crate::metrics::Metrics;
 
 /// Events of one attempt that may wait.
 const EVENT_ROOM: usize = 16;
@@ -39,24 +40,41 @@
     spawner: Spawner,
     control: Sender<Message>,
     target: Arc<dyn TargetPort>,
+    leaving: Leaving,
+    metrics: Arc<Metrics>,
 }
 
 impl AgentService {
     /// Creates the service.
-    pub fn new(spawner: Spawner, control: Sender<Message>, target: Arc<dyn TargetPort>) -> Self {
+    pub fn new(
+        spawner: Spawner,
+        control: Sender<Message>,
+        target: Arc<dyn TargetPort>,
+        leaving: Leaving,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         Self {
             spawner,
             control,
             target,
+            leaving,
+            metrics,
         }
     }
 
     /// Runs one attempt.
     async fn run(self, call: Call, events: Sender<CallEvent>) {
+        let metrics = self.metrics.clone();
+        let _running = metrics.start();
         let last = match self.begin(&call).await {
             Ok((running, labelled)) => self.forward(call, running, labelled, &events).await,
             Err(kind) => CallEvent::Failed(Failure::from(kind)),
         };
+        match &last {
+            CallEvent::End(ending) => metrics.finish(ending.tokens),
+            CallEvent::Failed(failure) => metrics.refuse(failure.kind),
+            _ => {}
+        }
         // A closed channel means that the entry gave the attempt up.
         let _ = events.send_async(last).await;
     }
@@ -141,6 +159,7 @@
 
     fn reports(&self, interval: Duration, reports: Sender<Report>) -> Box<dyn CallGuard> {
         let control = self.control.clone();
+        let leaving = self.leaving.clone();
         Box::new(self.spawner.spawn(async move {
             loop {
                 let (reply, report) = flume::bounded(1);
@@ -153,7 +172,7 @@
                 if reports.send_async(report).await.is_err() {
                     return;
                 }
-                sleep(interval).await;
+                leaving.pause(interval).await;
             }
         }))
     }
