Test foreign events on the wire, logs, dead entries and withdrawn keys

Cause: the check that an event belongs to its attempt, the claim that no log holds a key, and the revocation of a steady stream had no test.

Change: tests with an agent that sends events of other attempts, a collector of all log lines, doubled answers, an entry that dies and a key that is withdrawn under a stream without pauses. The generated messages are public (hidden in the documentation) so that a test can play an agent.

--- a/crates/adapters/src/rpc/mod.rs
+++ b/crates/adapters/src/rpc/mod.rs
@@ -4,9 +4,11 @@
 mod convert;
 pub mod server;
 
-/// Code generated from `proto/sardinepath.proto` by `sardinepath-codegen`.
+/// Code generated from `proto/sardinepath.proto` by `sardinepath-codegen`. Public for tests that
+/// play the other side.
+#[doc(hidden)]
 #[allow(missing_docs, clippy::all, clippy::too_many_lines)]
 #[rustfmt::skip]
-pub(crate) mod generated {
+pub mod generated {
     include!("generated/sardinepath.v1.rs");
 }
--- a/crates/node/tests/request_attempts.rs
+++ b/crates/node/tests/request_attempts.rs
@@ -208,6 +208,50 @@
     }
 }
 
+/// Guards against a second answer to one call that is taken for the answer to the next.
+#[test]
+fn doubled_answers_do_not_reach_the_next_call() {
+    let path = start_path(1);
+
+    let answers = ["doubled/1", "plain/2", "doubled/3"].map(|rest| path.post("again", rest));
+
+    let texts = answers.map(|answer| answer.1);
+    assert_eq!(
+        texts,
+        ["1 of /doubled/1", "ran /plain/2", "1 of /doubled/3"]
+    );
+}
+
+/// Guards against work that goes on at the target after its entry died.
+#[test]
+fn target_work_is_cancelled_when_the_entry_dies() {
+    let path = start_path(1);
+    let mut stream = path.open_stream("once", "endless/1");
+    read_until(&mut stream, "first");
+
+    drop(path.entry);
+
+    let log = &path.targets[0].log;
+    wait_until("the call is cancelled", || {
+        !log.cancelled.lock().unwrap().is_empty()
+    });
+}
+
+/// Guards against a stream without pauses that holds off the withdrawal of its key.
+#[test]
+fn withdrawn_key_ends_a_steady_stream() {
+    let path = start_path(1);
+    let mut stream = path.open_stream("again", "firehose/1");
+    read_until(&mut stream, "more");
+
+    path.withdraw_key();
+    let answer = read_until(&mut stream, "key_withdrawn");
+
+    assert!(answer.contains("event: error"));
+    assert_eq!(path.post("again", "plain/2").0, 401);
+    assert_eq!(path.runs("plain/2"), 0);
+}
+
 /// Guards against a deadline that starts again with each event, and against work that goes on
 /// after it.
 #[test]
--- a/crates/node/tests/request_support/mod.rs
+++ b/crates/node/tests/request_support/mod.rs
@@ -113,12 +113,25 @@
             "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart",
         ),
         "crash" => {}
+        "doubled" => {
+            let one = |n| {
+                let body = format!("{n} of {path}");
+                format!(
+                    "HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{body}",
+                    body.len()
+                )
+            };
+            write(&mut stream, &(one(1) + &one(2)));
+            wait_for_close(stream, path, log);
+        }
         "hang" => wait_for_close(stream, path, log),
         "late" => {
             thread::sleep(Duration::from_millis(1500));
             reply(&mut stream, "200 OK", "", &format!("late {path}"));
         }
-        "stream" | "swap" | "drop" | "endless" | "flood" => events(stream, kind, path, log),
+        "stream" | "swap" | "drop" | "endless" | "flood" | "firehose" => {
+            events(stream, kind, path, log)
+        }
         _ => reply(&mut stream, "200 OK", "", &format!("ran {path}")),
     }
 }
@@ -146,6 +159,10 @@
                 write(&mut stream, &event);
             }
         }
+        "firehose" => {
+            while stream.write_all(b"data: {\"text\":\"more\"}\n\n").is_ok() {}
+            return;
+        }
         _ => {}
     }
     write(
@@ -192,6 +209,7 @@
 /// Entry, relays, agents and targets of one pool.
 pub struct Path {
     pub entry: Entry,
+    pub objects: Arc<MemoryObjects>,
     pub relays: Vec<Relay>,
     pub agents: Vec<Agent>,
     pub targets: Vec<Target>,
@@ -267,7 +285,8 @@
         .put("config/print", &tree(&relays), Expect::Absent)
         .unwrap();
     let path = Path {
-        entry: start_entry(objects),
+        entry: start_entry(objects.clone()),
+        objects,
         relays,
         agents,
         targets,
@@ -311,6 +330,28 @@
         stream
     }
 
+    /// Sends bytes on a new connection and returns everything that comes back.
+    pub fn raw(&self, bytes: &str) -> String {
+        let mut stream = TcpStream::connect(self.entry.address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(bytes.as_bytes()).unwrap();
+        stream.shutdown(std::net::Shutdown::Write).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        answer
+    }
+
+    /// Withdraws the key.
+    pub fn withdraw_key(&self) {
+        let object = self.objects.get("config/print").unwrap().unwrap();
+        let mut tree: serde_json::Value = serde_json::from_str(&object.value).unwrap();
+        tree["keys"]["app"]["withdrawn"] = true.into();
+        let expect = Expect::At(object.revision);
+        self.objects
+            .put("config/print", &tree.to_string(), expect)
+            .unwrap();
+    }
+
     /// Counts the runs at all targets whose request line contains a text.
     pub fn runs(&self, text: &str) -> usize {
         self.targets.iter().map(|target| target.runs(text)).sum()
