Wait for the submission before the caller of a test hangs up

The caller hung up at once, so the request was at times dropped before it was submitted; then there was no guard whose drop the test could see.

Change: the test waits until the request is submitted and then hangs up, so it checks the same cancellation each time.

--- a/crates/adapters/tests/caller.rs
+++ b/crates/adapters/tests/caller.rs
@@ -48,6 +48,7 @@
 struct TestFront {
     kind: Front,
     spawner: Spawner,
+    submitted: Sender<()>,
     dropped: Sender<()>,
 }
 
@@ -67,6 +68,7 @@
 
 impl CallerFront for TestFront {
     fn submit(&self, inbound: Inbound, events: Sender<CallEvent>) -> Box<dyn CallGuard> {
+        let _ = self.submitted.send(());
         let task = self.spawner.spawn(play(self.kind, inbound, events));
         Box::new(Guard {
             _task: Box::new(task),
@@ -110,6 +112,7 @@
 
 struct Served {
     server: CallerServer,
+    submitted: Receiver<()>,
     dropped: Receiver<()>,
     _runtime: Runtime,
 }
@@ -117,9 +120,11 @@
 fn serve(kind: Front, limits: CallerLimits) -> Served {
     let runtime = Runtime::start(2).unwrap();
     let (sender, dropped) = flume::unbounded();
+    let (submit, submitted) = flume::unbounded();
     let front = TestFront {
         kind,
         spawner: runtime.spawner(),
+        submitted: submit,
         dropped: sender,
     };
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -127,6 +132,7 @@
     let server = CallerServer::start(&runtime.spawner(), listener, limits, front).unwrap();
     Served {
         server,
+        submitted,
         dropped,
         _runtime: runtime,
     }
@@ -366,6 +372,8 @@
         let served = serve(kind, CallerLimits::default());
         let mut stream = connect(&served);
         stream.write_all(streamed("/part").as_bytes()).unwrap();
+        // A request that has not been submitted yet has nothing to cancel.
+        assert_eq!(served.submitted.recv_timeout(PATIENCE), Ok(()));
         if matches!(kind, Front::OnePart) {
             read_until(&mut stream, "/part");
         }
