Find any valid key on its way to a target by its digest

Cause: on an open route a caller could send a key in the query or the body without a key header, and a keyed request could carry another key; both reached the target.

Change: words and values of path, body and forwarded headers are looked up by digest under the same layers of encoding.

The new test of valid keys fails without the search, and the test of ordinary requests fails with a search that takes every word for a key. The time that the search takes for a large body was not measured.

--- a/crates/core/src/decision/authorize.rs
+++ b/crates/core/src/decision/authorize.rs
@@ -5,6 +5,7 @@
 
 use crate::decision::config::Config;
 use crate::decision::expose::exposes;
+use crate::decision::expose::holds_known;
 use crate::domain::call::Field;
 use crate::domain::declare::Access;
 use crate::domain::declare::Priority;
@@ -93,9 +94,7 @@
     }
     refuse_encoded(&inbound.fields)?;
     let key = presented_key(&inbound.fields)?;
-    if let Some(key) = key {
-        refuse_exposed(key, rest, inbound)?;
-    }
+    refuse_exposed(config, key, rest, inbound)?;
     let (workspace, digest) = match &spec.access {
         Access::Open(payer) => (in_team(&route.team, payer), None),
         Access::Workspaces(allowed) => {
@@ -192,13 +191,21 @@
     config.workspace_of(digest).ok_or(ErrorKind::BadKey)
 }
 
-/// Refuses a request that holds its key where a target could see it.
-fn refuse_exposed(key: &[u8], rest: &str, inbound: &Inbound) -> Result<(), ErrorKind> {
-    let forwarded = forwarded(&inbound.fields);
-    let exposed = exposes(rest.as_bytes(), key)
-        || exposes(&inbound.body, key)
-        || forwarded.iter().any(|field| exposes(&field.value, key))
-        || inbound.texts.iter().any(|t| exposes(t.as_bytes(), key));
+/// Refuses a request that holds its key, or any other valid key, where a target could see it.
+fn refuse_exposed(
+    config: &Config,
+    key: Option<&[u8]>,
+    rest: &str,
+    inbound: &Inbound,
+) -> Result<(), ErrorKind> {
+    let known = |digest: &KeyDigest| config.workspace_of(digest).is_some();
+    let seen = |text: &[u8]| key.is_some_and(|key| exposes(text, key)) || holds_known(text, known);
+    let exposed = seen(rest.as_bytes())
+        || seen(&inbound.body)
+        || inbound.texts.iter().any(|text| seen(text.as_bytes()))
+        || forwarded(&inbound.fields)
+            .iter()
+            .any(|field| seen(&field.value));
     if exposed {
         return Err(ErrorKind::KeyExposed);
     }
--- a/crates/core/src/decision/expose.rs
+++ b/crates/core/src/decision/expose.rs
@@ -2,16 +2,49 @@
 
 use percent_encoding::percent_decode;
 
+use crate::domain::key::KeyDigest;
+
 /// Layers of encoding that are undone. A target decodes a path or a body at most once or twice.
 const LAYERS: usize = 3;
 
+/// Shortest and longest text in bytes that is looked up as a key. The bounds limit the digests
+/// that are computed for a large body.
+const KEY_SIZES: std::ops::RangeInclusive<usize> = 16..=256;
+
 /// Returns true if the key occurs in the text as it is, percent-encoded or JSON-escaped.
 ///
 /// Works on bytes, since a parsed JSON value lacks the fields that a later duplicate replaced.
 pub(super) fn exposes(text: &[u8], key: &[u8]) -> bool {
+    any_layer(text, |plain| contains(plain, key))
+}
+
+/// Returns true if a word of the text, under the same encodings, is a key that `known` knows.
+///
+/// Only digests of keys are kept, so a key is found only where it stands as a word of its own or
+/// as the value behind an equals sign, a colon or a slash.
+pub(super) fn holds_known(text: &[u8], known: impl Fn(&KeyDigest) -> bool) -> bool {
+    let is_key = |word: &[u8]| KEY_SIZES.contains(&word.len()) && known(&KeyDigest::of(word));
+    any_layer(text, |plain| {
+        plain
+            .split(|byte| b" \t\r\n&?\"'<>,;{}[]()".contains(byte))
+            .filter(|word| word.len() >= *KEY_SIZES.start())
+            .any(|word| candidates(word).any(&is_key))
+    })
+}
+
+/// Returns the word, the value behind its first equals sign, and its pieces.
+fn candidates(word: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let value = word.iter().position(|byte| *byte == b'=');
+    let value = value.map(|at| &word[at + 1..]);
+    let pieces = word.split(|byte| b"=:/".contains(byte));
+    std::iter::once(word).chain(value).chain(pieces)
+}
+
+/// Returns true if the text holds something as it is or under one of the layers of encoding.
+fn any_layer(text: &[u8], holds: impl Fn(&[u8]) -> bool) -> bool {
     let mut open = vec![text.to_vec()];
     for _ in 0..LAYERS {
-        if open.iter().any(|text| contains(text, key)) {
+        if open.iter().any(|text| holds(text)) {
             return true;
         }
         open = open.iter().flat_map(|text| decode(text)).collect();
@@ -19,7 +52,7 @@
             return false;
         }
     }
-    open.iter().any(|text| contains(text, key))
+    open.iter().any(|text| holds(text))
 }
 
 /// Undoes one layer of each encoding that changes the text.
--- a/crates/core/tests/request_keys.rs
+++ b/crates/core/tests/request_keys.rs
@@ -130,6 +130,49 @@
     }
 }
 
+/// Guards against a valid key that no header carries, or another one than the header's, on its
+/// way to a target.
+#[test]
+fn any_valid_key_outside_the_key_header_is_refused() {
+    let places = [
+        inbound(&format!("/print/open/a?api_key={OTHER}"), vec![], ""),
+        inbound(
+            &format!("/print/open/a?k={}&b=1", percent(KEY, true)),
+            vec![],
+            "",
+        ),
+        inbound(
+            "/print/open/a",
+            vec![],
+            &format!("{{\"key\":\"{}\"}}", escaped(KEY)),
+        ),
+        inbound("/print/open/a", vec![], &format!("k=1&key={KEY}&b=2")),
+        inbound(
+            "/print/open/a",
+            vec![field("x-request-tag", &format!("Bearer {KEY}"))],
+            "",
+        ),
+        inbound(
+            "/print/orders/a",
+            vec![keyed(KEY)],
+            &format!("[\"{OTHER}\"]"),
+        ),
+    ];
+
+    let results = places.map(|place| check(&place).unwrap_err());
+
+    assert_eq!(results, [ErrorKind::KeyExposed; 6]);
+}
+
+/// Guards against a search for keys that refuses ordinary requests.
+#[test]
+fn request_without_a_key_in_sight_is_not_refused() {
+    let text = "{\"prompt\":\"A dream of %41 sardines \\u0041 and tokens=like:this/one\"}";
+    let call = inbound("/print/orders/a?next=/b/c%2Fd", vec![keyed(KEY)], text);
+
+    assert!(check(&call).is_ok());
+}
+
 /// Guards against a header with the key on the way to the target, also with the key in both
 /// headers.
 #[test]
