Search for the first byte of a key before comparing the rest

Cause: the search for keys compared at every byte of the body.

Change: it looks for the first byte of the key and compares there.

All tests of core and node pass.

--- a/crates/core/src/decision/expose.rs
+++ b/crates/core/src/decision/expose.rs
@@ -116,5 +116,16 @@
 
 /// Returns true if `needle` occurs in `place`.
 fn contains(place: &[u8], needle: &[u8]) -> bool {
-    place.windows(needle.len()).any(|window| window == needle)
+    let Some((first, after)) = needle.split_first() else {
+        return true;
+    };
+    let mut rest = place;
+    // Looking for the first byte alone is faster than comparing at each place.
+    while let Some(at) = rest.iter().position(|byte| byte == first) {
+        rest = &rest[at + 1..];
+        if rest.starts_with(after) {
+            return true;
+        }
+    }
+    false
 }
