--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -6,6 +6,7 @@
 pub mod lease;
 pub mod order;
 pub mod request;
+pub mod rollout;
 pub mod sample;
 pub mod traffic;
 pub mod usage;
