--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -9,6 +9,7 @@
 pub mod prefix;
 pub mod process;
 pub mod request;
+pub mod rollout;
 pub mod sample;
 pub mod traffic;
 pub mod usage;
