Read JSON with comments and name the position of faults

Settings of the roles and declarations of operators are both JSON with comments, and a fault has to be found in the file. read() works for any serde type, returns path, line, column and reason, and refuses a field that occurs twice, since the last one would win unnoticed.

With the duplicate check and the search for the position taken out, duplicate_field_is_a_fault, fault_names_path_and_position and unknown_field_is_a_fault_at_the_field were seen failing.

--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod agent;
 pub mod entry;
+pub mod read;
 
 pub use agent::AgentSettings;
 pub use entry::EntrySettings;
