Decide when a node may trust its keys

Freshness is a state machine over contact with the platform, heartbeats of other entries and the revisions they hold. Contact counts from the moment before the question, so a delayed answer or a message over a one-way cut does not count. A lone entry does not count as its own majority, because it cannot tell an outage of the platform from its own loss of contact.

--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -3,5 +3,6 @@
 pub mod agent;
 pub mod authorize;
 pub mod config;
+pub mod freshness;
 pub mod request;
 pub mod traffic;
--- a/crates/core/src/port/mod.rs
+++ b/crates/core/src/port/mod.rs
@@ -6,6 +6,7 @@
 pub mod host;
 pub mod object;
 pub mod order;
+pub mod peer;
 pub mod score;
 pub mod target;
 pub mod usage;
--- /dev/null
+++ b/crates/core/tests/config_freshness.rs
@@ -0,0 +1,293 @@
+//! Freshness of keys in virtual time: cuts, delays, restarts and outages.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use proptest::prelude::Strategy;
+use proptest::prop_assert;
+use proptest::prop_oneof;
+use proptest::proptest;
+use sardinepath_core::decision::freshness::CATCH_UP_LIMIT;
+use sardinepath_core::decision::freshness::CONTACT_LIMIT;
+use sardinepath_core::decision::freshness::Freshness;
+use sardinepath_core::decision::freshness::Source;
+use sardinepath_core::decision::freshness::Standing;
+use sardinepath_core::domain::ids::Incarnation;
+use sardinepath_core::domain::ids::Revision;
+use sardinepath_core::domain::name::HostName;
+use sardinepath_core::domain::time::Time;
+use sardinepath_core::port::peer::Pulse;
+
+const START: Time = Time(1_000_000);
+const SERVING: Standing = Standing {
+    ready: true,
+    keys: true,
+};
+
+fn host(n: usize) -> HostName {
+    HostName::from(format!("host-{n}"))
+}
+
+fn pulse(n: usize, revision: u64, platform: bool) -> Pulse {
+    Pulse {
+        host: host(n),
+        incarnation: Incarnation(1),
+        revision: Revision(revision),
+        platform,
+    }
+}
+
+/// A node that knows this many other entries, holds revision 5 and just heard the platform.
+fn serving_node(others: usize) -> Freshness {
+    let mut node = Freshness::default();
+    node.know((0..others).map(host));
+    node.platform_answered(START);
+    node.applied(Revision(5));
+    node
+}
+
+fn after(millis: u64) -> Time {
+    START + Duration::from_millis(millis)
+}
+
+/// Guards against a node without contact that goes on accepting withdrawn keys.
+#[test]
+fn keys_are_stale_after_the_contact_limit() {
+    let node = serving_node(2);
+
+    assert_eq!(node.standing(after(4_999)), SERVING);
+    assert!(!node.standing(after(5_000)).keys);
+}
+
+/// Guards against keyed requests refused in an outage on which a majority agrees.
+#[test]
+fn majority_without_platform_keeps_keys_valid() {
+    let mut node = serving_node(4);
+    node.peer_answered(after(9_000), after(9_001), &pulse(0, 5, false));
+    assert!(!node.standing(after(9_100)).keys);
+
+    node.peer_answered(after(9_050), after(9_051), &pulse(1, 5, false));
+
+    assert!(node.standing(after(9_100)).keys);
+}
+
+/// Guards against a withdrawal that is lost when the platform fails just after accepting it.
+#[test]
+fn higher_revision_of_a_peer_must_be_reached_in_an_outage() {
+    let mut node = serving_node(2);
+    node.peer_answered(after(9_000), after(9_000), &pulse(0, 6, false));
+
+    assert_eq!(node.source(after(9_100)), Source::Peer(host(0)));
+    assert!(!node.standing(after(11_000)).keys);
+    node.applied(Revision(6));
+
+    assert!(node.standing(after(11_000)).keys);
+}
+
+/// Guards against a one-way cut in which only messages to this node arrive.
+#[test]
+fn messages_without_an_answer_prove_no_contact() {
+    let mut node = serving_node(2);
+
+    for millis in (0..9_000).step_by(500) {
+        node.told(after(millis), Revision(5));
+    }
+
+    assert!(!node.standing(after(9_000)).keys);
+}
+
+/// Guards against answers that were held up on the way and count as recent contact.
+#[test]
+fn delayed_answer_counts_from_its_question() {
+    let mut node = serving_node(1);
+
+    node.platform_answered(after(2_000));
+    node.peer_answered(after(2_000), after(8_000), &pulse(0, 5, true));
+
+    assert!(!node.standing(after(8_000)).keys);
+}
+
+/// Guards against restarted entries, which know nothing, that confirm each other's old keys.
+#[test]
+fn peer_without_configuration_does_not_count() {
+    let mut node = serving_node(2);
+
+    node.peer_answered(after(9_000), after(9_000), &pulse(0, 0, false));
+
+    assert!(!node.standing(after(9_000)).keys);
+}
+
+/// Guards against a restarted node that serves from an older configuration than its peers.
+#[test]
+fn restarted_node_is_ready_only_at_the_floor() {
+    let mut node = Freshness::default();
+    node.know([host(0)]);
+    node.peer_answered(START, START, &pulse(0, 7, true));
+
+    node.applied(Revision(6));
+    assert_eq!(node.standing(START), Standing::default());
+    node.applied(Revision(7));
+
+    assert_eq!(node.standing(START), SERVING);
+}
+
+/// Guards against a lone node that takes its own loss of contact for an outage.
+#[test]
+fn lone_node_needs_the_platform() {
+    let node = serving_node(0);
+
+    assert!(!node.standing(after(6_000)).keys);
+}
+
+/// Guards against heartbeats that cost more than the control budget, or skip some entries.
+#[test]
+fn contact_asks_a_few_in_turn_and_silence_asks_all() {
+    let mut node = serving_node(10);
+
+    let rounds = (0..4).flat_map(|_| node.to_ask(after(1_000)));
+    let mut asked: Vec<_> = rounds.collect();
+    let calls = asked.len();
+    asked.sort();
+    asked.dedup();
+
+    assert_eq!((calls, asked.len()), (12, 10));
+    assert_eq!(node.to_ask(after(4_000)).len(), 10);
+}
+
+/// What happens to a node next.
+#[derive(Clone, Debug)]
+enum Event {
+    Wait(u64),
+    Platform {
+        delay: u64,
+    },
+    Peer {
+        peer: usize,
+        delay: u64,
+        ahead: u64,
+        platform: bool,
+    },
+    Told {
+        ahead: u64,
+    },
+    Applied,
+    Restart,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let peer = (0..4_usize, 0..7_000_u64, 0..3_u64, proptest::bool::ANY);
+    prop_oneof![
+        4 => (1..2_500_u64).prop_map(Event::Wait),
+        1 => (0..7_000_u64).prop_map(|delay| Event::Platform { delay }),
+        4 => peer.prop_map(|(peer, delay, ahead, platform)| {
+            Event::Peer { peer, delay, ahead, platform }
+        }),
+        1 => (0..3_u64).prop_map(|ahead| Event::Told { ahead }),
+        2 => proptest::strategy::Just(Event::Applied),
+        1 => proptest::strategy::Just(Event::Restart),
+    ]
+}
+
+/// What truly happened, kept apart from the node's own state.
+#[derive(Debug, Default)]
+struct Truth {
+    now: u64,
+    highest: u64,
+    applied: u64,
+    told: Vec<(u64, u64)>,
+    platform: Option<u64>,
+    peers: HashMap<usize, (u64, bool)>,
+}
+
+impl Truth {
+    fn recent(&self, asked: u64) -> bool {
+        self.now - asked < u64::try_from(CONTACT_LIMIT.as_millis()).unwrap()
+    }
+
+    fn in_contact(&self) -> bool {
+        let heard = self.peers.values().filter(|(asked, _)| self.recent(*asked));
+        let heard: Vec<_> = heard.collect();
+        self.platform.is_some_and(|asked| self.recent(asked))
+            || heard.iter().any(|(_, platform)| *platform)
+            || heard.len() >= 2
+    }
+
+    fn caught_up(&self) -> bool {
+        let limit = u64::try_from(CATCH_UP_LIMIT.as_millis()).unwrap();
+        let due = self.told.iter().filter(|(at, _)| self.now - at >= limit);
+        due.max_by_key(|(_, revision)| *revision)
+            .is_none_or(|(_, revision)| *revision <= self.applied)
+    }
+}
+
+fn step(node: &mut Freshness, truth: &mut Truth, event: &Event) {
+    let now = Time(truth.now);
+    match *event {
+        Event::Wait(millis) => truth.now += millis,
+        Event::Platform { delay } => {
+            let asked = truth.now - delay;
+            node.platform_answered(Time(asked));
+            truth.platform = truth.platform.max(Some(asked));
+        }
+        Event::Peer {
+            peer,
+            delay,
+            ahead,
+            platform,
+        } => {
+            let asked = truth.now - delay;
+            truth.highest += ahead;
+            node.peer_answered(Time(asked), now, &pulse(peer, truth.highest, platform));
+            truth.told.push((truth.now, truth.highest));
+            let known = truth.peers.entry(peer).or_insert((asked, platform));
+            if known.0 <= asked {
+                *known = (asked, platform);
+            }
+        }
+        Event::Told { ahead } => {
+            truth.highest += ahead;
+            node.told(now, Revision(truth.highest));
+            truth.told.push((truth.now, truth.highest));
+        }
+        Event::Applied => {
+            node.applied(Revision(truth.highest));
+            truth.applied = truth.highest;
+        }
+        Event::Restart => {
+            *node = Freshness::default();
+            node.know((0..4).map(host));
+            let (now, highest) = (truth.now, truth.highest);
+            *truth = Truth {
+                now,
+                highest,
+                ..Truth::default()
+            };
+        }
+    }
+}
+
+proptest! {
+    /// Guards against any order of cuts, delays, replays and restarts after which a node checks
+    /// keys without recent contact or below a revision that it was told of.
+    #[test]
+    fn keys_are_checked_only_in_contact_and_caught_up(
+        events in proptest::collection::vec(event(), 1..80),
+    ) {
+        let mut node = Freshness::default();
+        node.know((0..4).map(host));
+        let mut truth = Truth { now: START.0, highest: 1, ..Truth::default() };
+        for event in &events {
+            let floor = node.floor();
+
+            step(&mut node, &mut truth, event);
+
+            let standing = node.standing(Time(truth.now));
+            prop_assert!(matches!(event, Event::Restart) || node.floor() >= floor);
+            let allowed = truth.applied > 0 && truth.in_contact() && truth.caught_up();
+            prop_assert!(!standing.keys || allowed, "{:?} {:?}", truth, standing);
+            prop_assert!(!standing.ready || truth.applied > 0);
+        }
+    }
+}
