Check declaration sets and plan their apply

A whole set is checked at once: naming schemes, references, limits, and digests and targets across all teams. Each fault has a path and a typed reason. An accepted key must stay declared, so an older file cannot put a withdrawn one back into force.

On a node, a digest that is withdrawn anywhere or claimed by two workspaces is in no force, because two teams are updated separately. The property test found that an older listing could bring back a removed team that the node had not known; a listing now covers every older state.

--- /dev/null
+++ b/crates/core/src/decision/config/check.rs
@@ -0,0 +1,268 @@
+//! Checks a whole declaration set before any part of it is accepted.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use crate::decision::config::fault::Fault;
+use crate::decision::config::fault::Reason;
+use crate::decision::config::naming;
+use crate::domain::declare::Access;
+use crate::domain::declare::PoolSpec;
+use crate::domain::declare::RouteSpec;
+use crate::domain::declare::Scheme;
+use crate::domain::declare::TargetKind;
+use crate::domain::declare::TargetSpec;
+use crate::domain::declare::TeamTree;
+use crate::domain::declare::WorkspaceSpec;
+use crate::domain::key::KeyDigest;
+use crate::domain::name::KeyName;
+use crate::domain::name::TargetName;
+use crate::domain::name::TeamName;
+use crate::domain::name::WorkspaceName;
+
+/// Highest weight in the fair queue. A larger ratio would starve the other workspaces.
+const SHARE_MOST: u32 = 1_000;
+
+/// Most requests of a workspace that may run or wait at one entry.
+const REQUESTS_MOST: u32 = 100_000;
+
+/// Longest deadline of a route in seconds. The drain limit of a process must exceed it.
+const DEADLINE_MOST: u32 = 600;
+
+/// Largest body in bytes, the limit of the caller interface.
+const BODY_MOST: u32 = 1 << 20;
+
+/// The trees of teams by name.
+pub type Trees = BTreeMap<TeamName, TeamTree>;
+
+/// Checks a set against itself and against the stored trees of all teams.
+///
+/// Returns every fault, in the order of the set.
+pub fn check(set: &Trees, stored: &Trees) -> Vec<Fault> {
+    let mut check = Check::default();
+    for (team, tree) in set {
+        check.tree(team, tree);
+    }
+    check.owners(set, stored);
+    for (team, tree) in set {
+        if let Some(old) = stored.get(team) {
+            check.kept_keys(team, tree, old);
+        }
+    }
+    check.faults
+}
+
+/// Faults found so far.
+#[derive(Default)]
+struct Check {
+    faults: Vec<Fault>,
+}
+
+/// Owner of a digest or target: team, name, and whether it is part of the set.
+type Owner<'a> = (&'a TeamName, &'a str);
+
+impl Check {
+    fn add(&mut self, path: &[&str], reason: Reason) {
+        let path = ["teams"].iter().chain(path);
+        self.faults.push(Fault {
+            path: path.map(ToString::to_string).collect(),
+            reason,
+        });
+    }
+
+    fn tree(&mut self, team: &TeamName, tree: &TeamTree) {
+        let name = team.as_str();
+        if !naming::is_team_name(name) {
+            self.add(&[name], Reason::TeamName);
+        }
+        self.names(name, tree);
+        for (workspace, spec) in &tree.workspaces {
+            self.workspace(&[name, "workspaces", workspace.as_str()], spec);
+        }
+        for (key, spec) in &tree.keys {
+            let path = [name, "keys", key.as_str(), "workspace"];
+            self.known_workspace(&path, tree, &spec.workspace);
+        }
+        for (pool, spec) in &tree.pools {
+            self.pool(&[name, "pools", pool.as_str()], spec);
+        }
+        for (route, spec) in &tree.routes {
+            self.route(&[name, "routes", route.as_str()], tree, spec);
+        }
+    }
+
+    fn names(&mut self, team: &str, tree: &TeamTree) {
+        let workspaces = tree.workspaces.keys().map(|n| ("workspaces", n.as_str()));
+        let keys = tree.keys.keys().map(|n| ("keys", n.as_str()));
+        let pools = tree.pools.keys().map(|n| ("pools", n.as_str()));
+        let routes = tree.routes.keys().map(|n| ("routes", n.as_str()));
+        for (kind, name) in workspaces.chain(keys).chain(pools).chain(routes) {
+            self.name(tree.scheme, &[team, kind, name], name);
+        }
+    }
+
+    fn name(&mut self, scheme: Scheme, path: &[&str], name: &str) {
+        if !naming::follows(scheme, name) {
+            self.add(path, Reason::NameScheme(scheme));
+        }
+    }
+
+    fn workspace(&mut self, path: &[&str], spec: &WorkspaceSpec) {
+        self.range(path, "share", spec.share, 1, SHARE_MOST);
+        self.range(path, "concurrency", spec.concurrency, 1, REQUESTS_MOST);
+        self.range(path, "queue", spec.queue, 0, REQUESTS_MOST);
+    }
+
+    fn range(&mut self, path: &[&str], field: &str, value: u32, least: u32, most: u32) {
+        if !(least..=most).contains(&value) {
+            let path = [path, &[field]].concat();
+            let (least, most) = (least.into(), most.into());
+            self.add(&path, Reason::Range { least, most });
+        }
+    }
+
+    fn known_workspace(&mut self, path: &[&str], tree: &TeamTree, name: &WorkspaceName) {
+        if !tree.workspaces.contains_key(name) {
+            let reason = Reason::Missing {
+                kind: "workspace",
+                name: name.to_string(),
+            };
+            self.add(path, reason);
+        }
+    }
+
+    fn pool(&mut self, path: &[&str], spec: &PoolSpec) {
+        match (spec.kind, &spec.model) {
+            (TargetKind::Model, None) => self.add(path, Reason::ModelMissing),
+            (TargetKind::Plain, Some(_)) => {
+                self.add(&[path, &["model"]].concat(), Reason::ModelUnused);
+            }
+            (TargetKind::Model, Some(model)) if !naming::is_plain_name(model.as_str()) => {
+                self.add(&[path, &["model"]].concat(), Reason::PlainName);
+            }
+            _ => {}
+        }
+        let most = u32::try_from(spec.targets.len()).unwrap_or(u32::MAX);
+        self.range(path, "floor", spec.floor, 0, most);
+        for (target, target_spec) in &spec.targets {
+            let path = [path, &["targets", target.as_str()]].concat();
+            self.target(&path, target, target_spec);
+        }
+    }
+
+    fn target(&mut self, path: &[&str], name: &TargetName, spec: &TargetSpec) {
+        if !naming::is_plain_name(name.as_str()) {
+            self.add(path, Reason::PlainName);
+        }
+        if !naming::is_plain_name(spec.centre.as_str()) {
+            self.add(&[path, &["centre"]].concat(), Reason::PlainName);
+        }
+        if spec.agent.port() == 0 || spec.agent.ip().is_unspecified() {
+            self.add(&[path, &["agent"]].concat(), Reason::Address);
+        }
+    }
+
+    fn route(&mut self, path: &[&str], tree: &TeamTree, spec: &RouteSpec) {
+        if !tree.pools.contains_key(&spec.pool) {
+            let reason = Reason::Missing {
+                kind: "pool",
+                name: spec.pool.to_string(),
+            };
+            self.add(&[path, &["pool"]].concat(), reason);
+        }
+        self.range(path, "deadline", spec.deadline, 1, DEADLINE_MOST);
+        self.range(path, "body", spec.body, 0, BODY_MOST);
+        match &spec.access {
+            Access::Open(payer) => {
+                let path = [path, &["access", "open"]].concat();
+                self.known_workspace(&path, tree, payer);
+            }
+            Access::Workspaces(names) => {
+                let path = [path, &["access", "workspaces"]].concat();
+                self.access(&path, tree, names);
+            }
+        }
+    }
+
+    fn access(&mut self, path: &[&str], tree: &TeamTree, names: &[WorkspaceName]) {
+        if names.is_empty() {
+            self.add(path, Reason::Empty);
+        }
+        let mut seen = HashSet::new();
+        for (i, name) in names.iter().enumerate() {
+            let index = i.to_string();
+            let path = [path, &[index.as_str()]].concat();
+            self.known_workspace(&path, tree, name);
+            if !seen.insert(name) {
+                self.add(&path, Reason::Twice);
+            }
+        }
+    }
+
+    /// Checks that each digest has one key and each target one agent, across all teams. Stored
+    /// trees of teams in the set are replaced by it and do not count.
+    fn owners(&mut self, set: &Trees, stored: &Trees) {
+        let others = stored.iter().filter(|(team, _)| !set.contains_key(*team));
+        let mut digests: HashMap<KeyDigest, Owner<'_>> = HashMap::new();
+        let mut names: HashMap<&TargetName, (Owner<'_>, SocketAddr)> = HashMap::new();
+        let mut agents: HashMap<SocketAddr, Owner<'_>> = HashMap::new();
+        for (team, tree) in others.chain(set) {
+            for (key, spec) in &tree.keys {
+                if let Some(owner) = digests.get(&spec.digest) {
+                    let path = [team.as_str(), "keys", key.as_str(), "digest"];
+                    let reason = Reason::SharedDigest {
+                        team: owner.0.clone(),
+                        key: owner.1.to_owned(),
+                    };
+                    self.add(&path, reason);
+                }
+                digests.entry(spec.digest).or_insert((team, key.as_str()));
+            }
+            for (pool, name, spec) in targets(tree) {
+                let owner = (team, name.as_str());
+                let by_name = names.entry(name).or_insert((owner, spec.agent));
+                let by_agent = agents.entry(spec.agent).or_insert(owner);
+                let other = match (by_name.1 == spec.agent, by_agent.1 == name.as_str()) {
+                    (true, true) => continue,
+                    (false, _) => by_name.0,
+                    (true, false) => *by_agent,
+                };
+                let path = [team.as_str(), "pools", pool, "targets", name.as_str()];
+                let reason = Reason::SharedTarget {
+                    team: other.0.clone(),
+                    target: other.1.to_owned(),
+                };
+                self.add(&path, reason);
+            }
+        }
+    }
+
+    /// Checks that accepted keys stay declared with their digest, and withdrawn keys withdrawn.
+    ///
+    /// Without this rule, an older file could put a withdrawn key back into force.
+    fn kept_keys(&mut self, team: &TeamName, tree: &TeamTree, old: &TeamTree) {
+        for (key, was) in &old.keys {
+            let path = [team.as_str(), "keys", key.as_str()];
+            match tree.keys.get::<KeyName>(key) {
+                None => self.add(&path, Reason::KeyDropped),
+                Some(spec) if spec.digest != was.digest => {
+                    self.add(&[&path[..], &["digest"]].concat(), Reason::DigestChanged);
+                }
+                Some(spec) if was.withdrawn && !spec.withdrawn => {
+                    self.add(&path, Reason::Withdrawn);
+                }
+                Some(_) => {}
+            }
+        }
+    }
+}
+
+/// Returns the targets of all pools of a tree, with their pools.
+fn targets(tree: &TeamTree) -> impl Iterator<Item = (&str, &TargetName, &TargetSpec)> {
+    tree.pools.iter().flat_map(|(pool, spec)| {
+        let targets = spec.targets.iter();
+        targets.map(move |(name, target)| (pool.as_str(), name, target))
+    })
+}
--- a/crates/core/src/decision/config/mod.rs
+++ b/crates/core/src/decision/config/mod.rs
@@ -1,7 +1,14 @@
 //! The configuration in force on a node.
 
+pub mod apply;
+pub mod check;
+pub mod diff;
+pub mod fault;
+mod naming;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use crate::domain::declare::PoolSpec;
@@ -28,6 +35,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Config {
     revision: Revision,
+    /// Revision of the newest listing. It covers every older state, also of teams not known.
+    listed: Revision,
     teams: BTreeMap<TeamName, TeamState>,
     keys: HashMap<KeyDigest, WorkspaceId>,
 }
@@ -54,14 +63,30 @@
 
     /// Puts a team's state in force if it is newer than what is known of the team.
     pub fn merge(&mut self, team: TeamName, state: TeamState) -> Merge {
-        let known = self.teams.get(&team);
-        if known.is_some_and(|old| old.revision >= state.revision) {
-            return Merge::Old;
+        let merge = self.store(team, state);
+        if merge == Merge::Applied {
+            self.keys = index_keys(&self.teams);
+        }
+        merge
+    }
+
+    /// Merges a complete listing of the teams at a revision. A team that is known from an older
+    /// revision and not listed was removed.
+    pub fn merge_listing(&mut self, teams: Vec<(TeamName, TeamState)>, revision: Revision) {
+        let listed: HashSet<TeamName> = teams.iter().map(|(team, _)| team.clone()).collect();
+        let known = self.teams.keys();
+        let gone: Vec<_> = known.filter(|team| !listed.contains(*team)).collect();
+        let gone = gone.into_iter().cloned().collect::<Vec<_>>();
+        for team in gone {
+            let tree = None;
+            self.store(team, TeamState { revision, tree });
+        }
+        for (team, state) in teams {
+            self.store(team, state);
         }
-        self.revision = self.revision.max(state.revision);
-        self.teams.insert(team, state);
         self.keys = index_keys(&self.teams);
-        Merge::Applied
+        self.listed = self.listed.max(revision);
+        self.advance(revision);
     }
 
     /// Notes that nothing changed up to this revision.
@@ -93,22 +118,48 @@
     pub fn tree(&self, team: &TeamName) -> Option<&TeamTree> {
         self.teams.get(team)?.tree.as_deref()
     }
+
+    /// Stores a team's state if it is newer than what is known of the team.
+    fn store(&mut self, team: TeamName, state: TeamState) -> Merge {
+        let known = self.teams.get(&team);
+        let covered = state.revision <= self.listed;
+        if covered || known.is_some_and(|old| old.revision >= state.revision) {
+            return Merge::Old;
+        }
+        self.revision = self.revision.max(state.revision);
+        self.teams.insert(team, state);
+        Merge::Applied
+    }
 }
 
-/// Builds the index from key digest to workspace, without withdrawn keys.
+/// Builds the index from key digest to workspace.
+///
+/// A digest that is withdrawn in any declaration, or claimed by two workspaces, is in no force.
+/// The check of an apply refuses both, but it cannot exclude two applies to different teams at
+/// the same time, since each team is updated by itself.
 fn index_keys(teams: &BTreeMap<TeamName, TeamState>) -> HashMap<KeyDigest, WorkspaceId> {
     let trees = teams
         .iter()
         .filter_map(|(team, state)| Some((team, state.tree.as_deref()?)));
-    let mut keys = HashMap::new();
+    let mut keys: HashMap<KeyDigest, Option<WorkspaceId>> = HashMap::new();
     for (team, tree) in trees {
-        for spec in tree.keys.values().filter(|spec| !spec.withdrawn) {
+        for spec in tree.keys.values() {
             let id = WorkspaceId {
                 team: team.clone(),
                 name: spec.workspace.clone(),
             };
-            keys.insert(spec.digest, id);
+            let claim = (!spec.withdrawn).then_some(id);
+            keys.entry(spec.digest)
+                .and_modify(|known| {
+                    if *known != claim {
+                        *known = None;
+                    }
+                })
+                .or_insert(claim);
         }
     }
-    keys
+    let valid = keys.into_iter();
+    valid
+        .filter_map(|(digest, id)| Some((digest, id?)))
+        .collect()
 }
