--- a/crates/adapters/src/platform/mod.rs
+++ b/crates/adapters/src/platform/mod.rs
@@ -1,1 +1,3 @@
 //! The platform's interfaces.
+
+pub mod object;
--- a/crates/standins/src/objects.rs
+++ b/crates/standins/src/objects.rs
@@ -17,6 +17,9 @@
 use sardinepath_core::port::object::ObjectError;
 use sardinepath_core::port::object::ObjectPort;
 
+/// Largest value in bytes.
+const VALUE_MOST: usize = 1 << 20;
+
 /// An object store in memory.
 #[derive(Debug, Default)]
 pub struct MemoryObjects {
@@ -29,9 +32,19 @@
     revision: u64,
     objects: BTreeMap<Arc<str>, Object>,
     log: Vec<Change>,
+    /// Revision up to which the history is gone.
+    compacted: Revision,
 }
 
 impl MemoryObjects {
+    /// Drops the history, so that a watch from an older revision cannot go on.
+    pub fn compact(&self) {
+        let mut state = self.lock();
+        state.compacted = Revision(state.revision);
+        state.log.clear();
+        self.changed.notify_all();
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -77,6 +90,10 @@
     }
 
     fn put(&self, path: &str, value: &str, expect: Expect) -> Result<Revision, ObjectError> {
+        if value.len() > VALUE_MOST {
+            let text = format!("the value has {} bytes", value.len());
+            return Err(ObjectError::Invalid(text));
+        }
         let mut state = self.lock();
         state.check(path, expect)?;
         let object = Object {
@@ -113,6 +130,9 @@
         let end = Instant::now() + wait;
         let mut state = self.lock();
         loop {
+            if after < state.compacted {
+                return Err(ObjectError::Compacted);
+            }
             let changes = state.changes(prefix, after);
             let left = end.saturating_duration_since(Instant::now());
             if !changes.is_empty() || left.is_zero() {
