Add the operator commands

check, apply, get, list and diff work on a file of JSON with comments and report each fault with path, line, column and reason. An apply sends one conditional update per team. A file may name the revisions on which it is based; if a team is newer, nothing is changed and the newer revision is reported. Several teams in one file are not atomic together: updates go in the order of names and the first that fails ends the apply.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod agent;
 pub mod config;
 pub mod entry;
+pub mod operate;
--- /dev/null
+++ b/crates/node/src/operate/mod.rs
@@ -0,0 +1,142 @@
+//! The operator commands. They read and write only the object API.
+
+pub mod file;
+pub mod report;
+mod stored;
+
+use std::path::Path;
+
+use sardinepath_core::decision::config::apply::Apply;
+use sardinepath_core::decision::config::apply::Checked;
+use sardinepath_core::decision::config::apply::Planned;
+use sardinepath_core::decision::config::apply::Ready;
+use sardinepath_core::decision::config::apply::Settled;
+use sardinepath_core::decision::config::apply::Step;
+use sardinepath_core::decision::config::apply::Stored;
+use sardinepath_core::decision::config::apply::Update;
+use sardinepath_core::domain::name::TeamName;
+use sardinepath_core::port::object::ObjectPort;
+use serde_json::Value;
+
+use crate::operate::file::DeclarationFile;
+use crate::operate::report::Applied;
+use crate::operate::report::Found;
+use crate::operate::report::Listed;
+use crate::operate::report::OperateError;
+use crate::operate::report::Planned as PlannedReport;
+use crate::operate::report::TeamOutcome;
+
+/// Checks a file against itself and, with an object API, against all stored declarations.
+pub fn check(file: &Path, objects: Option<&dyn ObjectPort>) -> Result<(), OperateError> {
+    let file = DeclarationFile::open(file)?;
+    let stored = match objects {
+        Some(objects) => stored::read_all(objects)?,
+        None => Stored::new(),
+    };
+    checked(&file, &stored).map(drop)
+}
+
+/// Applies a file by one conditional update for each team that changes.
+///
+/// A set with a fault or a conflict that is known before the first update changes nothing. The
+/// updates follow the order of the teams' names, and the first that is not applied ends the apply.
+pub fn apply(file: &Path, objects: &dyn ObjectPort) -> Result<Applied, OperateError> {
+    let planned = planned(file, objects)?;
+    let mut teams = Vec::new();
+    let mut is_open = true;
+    for update in planned.updates() {
+        let settled = is_open.then(|| settle(update.clone(), objects));
+        is_open = matches!(settled, Some(Settled::Applied(_)));
+        teams.push(TeamOutcome {
+            team: update.team().clone(),
+            differences: update.differences().to_vec(),
+            settled,
+        });
+    }
+    Ok(Applied { teams })
+}
+
+/// Returns what an apply of a file would change now.
+pub fn diff(file: &Path, objects: &dyn ObjectPort) -> Result<PlannedReport, OperateError> {
+    let planned = planned(file, objects)?;
+    let updates = planned.updates().iter();
+    let differences = updates.flat_map(|update| update.differences().to_vec());
+    Ok(PlannedReport {
+        differences: differences.collect(),
+    })
+}
+
+/// Reads a team (`teams/{team}`) or one declaration (`teams/{team}/{kind}/{name}`).
+pub fn get(path: &str, objects: &dyn ObjectPort) -> Result<Found, OperateError> {
+    let missing = || OperateError::NoPath(path.to_owned());
+    let mut steps = path.split('/');
+    let (Some("teams"), Some(team)) = (steps.next(), steps.next()) else {
+        return Err(missing());
+    };
+    let team = TeamName::from(team);
+    let (revision, tree) = stored::read(&team, objects)?.ok_or_else(missing)?;
+    let root = serde_json::to_value(tree).map_err(OperateError::encode)?;
+    let value = steps.try_fold(&root, |value: &Value, step| value.get(step));
+    let value = value.ok_or_else(missing)?.clone();
+    Ok(Found { revision, value })
+}
+
+/// Lists the paths of all declarations that start with a prefix.
+pub fn list(prefix: &str, objects: &dyn ObjectPort) -> Result<Listed, OperateError> {
+    let mut entries = Vec::new();
+    for (team, (revision, tree)) in stored::read_all(objects)? {
+        let root = format!("teams/{team}");
+        let path = |kind, name: &str| format!("{root}/{kind}/{name}");
+        let mut paths = vec![root.clone()];
+        paths.extend(tree.keys.keys().map(|n| path("keys", n.as_str())));
+        paths.extend(tree.pools.keys().map(|n| path("pools", n.as_str())));
+        paths.extend(tree.routes.keys().map(|n| path("routes", n.as_str())));
+        let workspaces = tree.workspaces.keys();
+        paths.extend(workspaces.map(|n| path("workspaces", n.as_str())));
+        paths.retain(|path| path.starts_with(prefix));
+        entries.extend(paths.into_iter().map(|path| (path, revision)));
+    }
+    Ok(Listed { entries })
+}
+
+fn planned(file: &Path, objects: &dyn ObjectPort) -> Result<Apply<Planned>, OperateError> {
+    let file = DeclarationFile::open(file)?;
+    let stored = stored::read_all(objects)?;
+    let checked = checked(&file, &stored)?;
+    checked.plan(&stored).map_err(OperateError::Conflict)
+}
+
+fn checked(file: &DeclarationFile, stored: &Stored) -> Result<Apply<Checked>, OperateError> {
+    let mut faults = file.oversized();
+    let draft = Apply::new(file.teams().clone(), file.base().clone());
+    match draft.check(stored) {
+        Ok(checked) if faults.is_empty() => return Ok(checked),
+        Ok(_) => {}
+        Err(found) => faults.extend(found.into_iter().map(|fault| file.placed(fault))),
+    }
+    Err(OperateError::Faults(faults))
+}
+
+/// Sends one update until its outcome is known.
+fn settle(update: Update<Ready>, objects: &dyn ObjectPort) -> Settled {
+    let mut update = update;
+    loop {
+        let answer = stored::write(&update, objects);
+        let unsure = match update.answered(answer) {
+            Step::Settled(settled) => return settled,
+            Step::SendAgain(again) => {
+                update = again;
+                continue;
+            }
+            Step::ReadBack(unsure) => unsure,
+        };
+        let found = stored::read_back(unsure.team(), objects);
+        match unsure.read_back(found) {
+            Step::Settled(settled) => return settled,
+            Step::SendAgain(again) => update = again,
+            Step::ReadBack(_) => {
+                return Settled::Unknown("the stored declarations are not known".to_owned());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/config_operate.rs
@@ -0,0 +1,235 @@
+//! Operator commands against the object API's stand-in.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use sardinepath_adapters::platform::object::HttpObjects;
+use sardinepath_core::decision::config::apply::Settled;
+use sardinepath_core::domain::ids::Revision;
+use sardinepath_core::domain::key::KeyDigest;
+use sardinepath_core::port::object::Expect;
+use sardinepath_core::port::object::ObjectPort;
+use sardinepath_node::operate;
+use sardinepath_node::operate::report::Applied;
+use sardinepath_node::operate::report::OperateError;
+use sardinepath_standins::object_api::ObjectApi;
+use sardinepath_standins::object_api::Service;
+use sardinepath_standins::objects::MemoryObjects;
+
+const PATH: &str = "config/print";
+
+/// A declaration file that is removed after the test.
+struct TempFile(PathBuf);
+
+impl Drop for TempFile {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.0);
+    }
+}
+
+fn file(text: &str) -> TempFile {
+    let name = format!(
+        "sardinepath-{}-{}.json",
+        std::process::id(),
+        rand::random::<u64>()
+    );
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, text).unwrap();
+    TempFile(path)
+}
+
+fn start() -> (ObjectApi, HttpObjects) {
+    let api = ObjectApi::start(Arc::new(MemoryObjects::default())).unwrap();
+    let client = HttpObjects::new(api.address);
+    (api, client)
+}
+
+/// A file of one team with a key, a workspace, and what else the team's tree has.
+fn team(base: &str, key: &str, more: &str) -> TempFile {
+    let digest = String::from(KeyDigest::of(b"app"));
+    file(&format!(
+        "{{{base}\n\"teams\": {{\"print\": {{\n\"scheme\": \"slug\", // words\n\
+         \"workspaces\": {{\"dream-diary\": {{}}}},\n\
+         \"keys\": {{\"app\": {{\"workspace\": \"dream-diary\", \"digest\": \"{digest}\"{key}}}}}\n\
+         {more}}}}}}}"
+    ))
+}
+
+fn valid() -> TempFile {
+    team("", "", "")
+}
+
+fn outcome(applied: &Applied) -> &Settled {
+    applied.teams[0].settled.as_ref().unwrap()
+}
+
+fn revision(client: &HttpObjects) -> Option<Revision> {
+    client.get(PATH).unwrap().map(|object| object.revision)
+}
+
+/// Guards against a set that is accepted in part, and faults that cannot be found in the file.
+#[test]
+fn every_fault_is_reported_and_nothing_is_stored() {
+    let (api, client) = start();
+    let routes =
+        ", \"routes\": {\n\"a.b\": {\"pool\": \"none\", \"access\": {\"open\": \"dream-diary\"}}}";
+    let file = team("", "", routes);
+
+    let error = operate::apply(&file.0, &client).unwrap_err();
+
+    let text = error.to_string();
+    assert!(
+        text.contains("teams/print/routes/a.b: line 7, column 8: the name must"),
+        "{text}"
+    );
+    assert!(
+        text.contains("teams/print/routes/a.b/pool: line 7, column 17: the pool"),
+        "{text}"
+    );
+    assert_eq!(api.calls().put, 0);
+}
+
+/// Guards against commands that do not show what was applied, or apply it again.
+#[test]
+fn applied_file_is_read_listed_and_needs_no_second_update() {
+    let (api, client) = start();
+    let file = valid();
+    let before = operate::diff(&file.0, &client).unwrap();
+
+    let first = operate::apply(&file.0, &client).unwrap();
+    let second = operate::apply(&file.0, &client).unwrap();
+
+    assert_eq!(before.differences, first.teams[0].differences);
+    assert_eq!(outcome(&first), &Settled::Applied(Revision(1)));
+    assert!(second.teams.is_empty() && api.calls().put == 1);
+    let found = operate::get("teams/print/keys/app/workspace", &client).unwrap();
+    assert_eq!(
+        (found.revision, found.value),
+        (Revision(1), "dream-diary".into())
+    );
+    let listed = operate::list("teams/print/k", &client).unwrap();
+    assert_eq!(
+        listed.entries,
+        vec![("teams/print/keys/app".to_owned(), Revision(1))]
+    );
+    assert!(operate::get("teams/pumps", &client).is_err());
+}
+
+/// Guards against two operators who both believe that their change is in force.
+#[test]
+fn loser_of_a_race_gets_the_newer_revision_and_changes_nothing() {
+    let (_api, client) = start();
+    operate::apply(&valid().0, &client).unwrap();
+    let winner = team("\"base\": {\"print\": 1},", ", \"withdrawn\": true", "");
+    let loser = team(
+        "\"base\": {\"print\": 1},",
+        ", \"withdrawn\": true",
+        ", \"pools\": {}",
+    );
+
+    operate::apply(&winner.0, &client).unwrap();
+    let error = operate::apply(&loser.0, &client).unwrap_err();
+
+    let OperateError::Conflict(conflict) = error else {
+        panic!("expected a conflict, got {error}");
+    };
+    assert_eq!(
+        (conflict.base, conflict.found),
+        (Revision(1), Some(Revision(2)))
+    );
+    assert_eq!(revision(&client), Some(Revision(2)));
+}
+
+/// An object API in which another writer is first after the apply has read.
+struct Raced(HttpObjects);
+
+impl ObjectPort for Raced {
+    fn get(&self, path: &str) -> GetResult {
+        self.0.get(path)
+    }
+
+    fn list(&self, prefix: &str) -> ListResult {
+        let listing = self.0.list(prefix)?;
+        let expect = listing
+            .objects
+            .first()
+            .map_or(Expect::Absent, |o| Expect::At(o.revision));
+        self.0.put(PATH, "{\"scheme\": \"slug\"}", expect)?;
+        Ok(listing)
+    }
+
+    fn put(&self, path: &str, value: &str, expect: Expect) -> WriteResult {
+        self.0.put(path, value, expect)
+    }
+
+    fn delete(&self, path: &str, at: Revision) -> WriteResult {
+        self.0.delete(path, at)
+    }
+
+    fn watch(&self, prefix: &str, after: Revision, wait: std::time::Duration) -> WatchResult {
+        self.0.watch(prefix, after, wait)
+    }
+}
+
+type Result<T> = std::result::Result<T, sardinepath_core::port::object::ObjectError>;
+type GetResult = Result<Option<sardinepath_core::port::object::Object>>;
+type ListResult = Result<sardinepath_core::port::object::Listing>;
+type WriteResult = Result<Revision>;
+type WatchResult = Result<(Revision, Vec<sardinepath_core::port::object::Change>)>;
+
+/// Guards against an update that overwrites a change made between its read and its write.
+#[test]
+fn write_between_read_and_update_is_a_conflict() {
+    let (_api, client) = start();
+    let raced = Raced(client.clone());
+
+    let applied = operate::apply(&valid().0, &raced).unwrap();
+
+    assert_eq!(outcome(&applied), &Settled::Conflict(Some(Revision(1))));
+    assert!(!applied.is_complete());
+    assert_eq!(
+        &*client.get(PATH).unwrap().unwrap().value,
+        "{\"scheme\": \"slug\"}"
+    );
+}
+
+/// Guards against an apply that reports a failure, or applies twice, after a lost answer.
+#[test]
+fn lost_answer_is_reported_as_applied_once() {
+    let (api, client) = start();
+    api.set(|faults| faults.lost = 1);
+
+    let applied = operate::apply(&valid().0, &client).unwrap();
+
+    assert_eq!(outcome(&applied), &Settled::Applied(Revision(1)));
+    assert_eq!((api.calls().put, api.faults().lost), (1, 0));
+}
+
+/// Guards against an apply that claims an outcome while the platform is down.
+#[test]
+fn apply_without_platform_fails_and_changes_nothing() {
+    let (api, client) = start();
+    api.set(|faults| faults.service = Service::Refusing);
+
+    let error = operate::apply(&valid().0, &client).unwrap_err();
+
+    assert!(matches!(error, OperateError::Platform(_)), "{error}");
+    api.set(|faults| faults.service = Service::Up);
+    assert_eq!(revision(&client), None);
+}
+
+/// Guards against an older file that puts a withdrawn key back into force (P6).
+#[test]
+fn older_file_does_not_revive_a_withdrawn_key() {
+    let (_api, client) = start();
+    operate::apply(&valid().0, &client).unwrap();
+    let withdrawn = team("", ", \"withdrawn\": true", "");
+    operate::apply(&withdrawn.0, &client).unwrap();
+
+    let error = operate::apply(&valid().0, &client).unwrap_err();
+
+    assert!(error.to_string().contains("withdrawn key"), "{error}");
+    assert_eq!(revision(&client), Some(Revision(2)));
+}
