Distribute the configuration between entries

A listing brings contact and configuration into force together: when they were separate, path::keyed_call_runs_once_and_hides_the_key failed with 503, because an entry was ready before its keys were. Listings are repeated every 10 s, since a watch that skips a change cannot be noticed otherwise.

--- a/crates/adapters/src/rpc/client.rs
+++ b/crates/adapters/src/rpc/client.rs
@@ -42,7 +42,7 @@
 /// Connections to other processes by address.
 #[derive(Debug)]
 pub struct Peers {
-    spawner: Spawner,
+    pub(crate) spawner: Spawner,
     channels: Mutex<HashMap<SocketAddr, Channel>>,
 }
 
@@ -73,7 +73,7 @@
     }
 
     /// Returns the connection to an address. It is opened at first use.
-    fn channel(&self, address: SocketAddr) -> Channel {
+    pub(crate) fn channel(&self, address: SocketAddr) -> Channel {
         let _context = self.spawner.enter();
         let mut channels = self.channels.lock().unwrap_or_else(PoisonError::into_inner);
         channels
--- a/crates/adapters/src/rpc/mod.rs
+++ b/crates/adapters/src/rpc/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 mod convert;
+pub mod peer;
 pub mod server;
 
 /// Code generated from `proto/sardinepath.proto` by `sardinepath-codegen`.
--- /dev/null
+++ b/crates/adapters/src/rpc/peer.rs
@@ -0,0 +1,243 @@
+//! Messages between entries: configuration and heartbeats.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use anyhow::Context as _;
+use flume::Sender;
+use futures_util::Stream;
+use futures_util::stream::unfold;
+use sardinepath_core::decision::config::TeamState;
+use sardinepath_core::domain::ids::Incarnation;
+use sardinepath_core::domain::ids::Revision;
+use sardinepath_core::domain::name::HostName;
+use sardinepath_core::domain::name::TeamName;
+use sardinepath_core::port::peer::PeerFront;
+use sardinepath_core::port::peer::PeerPort;
+use sardinepath_core::port::peer::PeerUpdate;
+use sardinepath_core::port::peer::Pulse;
+use sardinepath_core::port::target::CallGuard;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::Request;
+use tonic::Response;
+use tonic::Status;
+use tonic::transport::Channel;
+use tonic::transport::Server;
+
+use crate::rpc::client::Peers;
+use crate::rpc::generated as wire;
+use crate::rpc::generated::peer_client::PeerClient;
+use crate::rpc::generated::peer_server::Peer;
+use crate::rpc::generated::peer_server::PeerServer;
+use crate::runtime::Spawner;
+use crate::runtime::Task;
+use crate::runtime::within;
+
+/// Time for a heartbeat. It is below the interval of two rounds.
+const HEARTBEAT_LIMIT: Duration = Duration::from_secs(2);
+
+/// Longest silence of a followed entry, which sends an update every second.
+const SILENCE_LIMIT: Duration = Duration::from_secs(4);
+
+/// Updates that may wait for a slow reader. Each can hold a tree of one megabyte.
+const UPDATE_ROOM: usize = 4;
+
+/// Interval of pings to clients, and time for the answer.
+const PING: Duration = Duration::from_secs(2);
+
+/// Largest message. A tree of one megabyte takes a little more with its names.
+const MESSAGE_MOST: usize = 4 << 20;
+
+type Updates = Pin<Box<dyn Stream<Item = Result<wire::ConfigUpdate, Status>> + Send>>;
+
+/// A running server for other entries. It stops when dropped.
+#[derive(Debug)]
+pub struct PeerRpcServer {
+    /// Address on which it listens.
+    pub address: SocketAddr,
+    _task: Task,
+}
+
+/// Translates between messages and the entry's port.
+struct PeerAdapter {
+    front: Arc<dyn PeerFront>,
+}
+
+impl PeerRpcServer {
+    /// Serves an entry's port on a listener.
+    pub fn start(
+        spawner: &Spawner,
+        listener: TcpListener,
+        front: Arc<dyn PeerFront>,
+    ) -> anyhow::Result<Self> {
+        let address = listener.local_addr().context("listener has no address")?;
+        listener.set_nonblocking(true)?;
+        let _context = spawner.enter();
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        let serve = Server::builder()
+            .http2_keepalive_interval(Some(PING))
+            .http2_keepalive_timeout(Some(PING))
+            .tcp_nodelay(true)
+            .add_service(PeerServer::new(PeerAdapter { front }))
+            .serve_with_incoming(TcpListenerStream::new(listener));
+        let task = spawner.spawn(async move {
+            if let Err(e) = serve.await {
+                log::error!("the server for entries on {address} ended: {e}");
+            }
+        });
+        Ok(Self {
+            address,
+            _task: task,
+        })
+    }
+}
+
+#[tonic::async_trait]
+impl Peer for PeerAdapter {
+    type FollowStream = Updates;
+
+    async fn follow(
+        &self,
+        request: Request<wire::FollowRequest>,
+    ) -> Result<Response<Updates>, Status> {
+        let after = Revision(request.into_inner().after);
+        let (sender, updates) = flume::bounded(UPDATE_ROOM);
+        let guard = self.front.follow(after, sender);
+        let stream = unfold((updates, guard), |(updates, guard)| async move {
+            let update = updates.recv_async().await.ok()?;
+            Some((update_to_wire(update), (updates, guard)))
+        });
+        Ok(Response::new(Box::pin(stream)))
+    }
+
+    async fn counters(
+        &self,
+        _request: Request<wire::CountersRequest>,
+    ) -> Result<Response<wire::CountersReply>, Status> {
+        Err(Status::unimplemented("entries do not serve counters"))
+    }
+
+    async fn heartbeat(
+        &self,
+        request: Request<wire::HeartbeatRequest>,
+    ) -> Result<Response<wire::HeartbeatReply>, Status> {
+        let told = request.into_inner();
+        let pulse = self.front.heartbeat(Pulse {
+            host: HostName::from(told.host),
+            incarnation: Incarnation(told.incarnation),
+            revision: Revision(told.revision),
+            platform: told.platform,
+        });
+        Ok(Response::new(wire::HeartbeatReply {
+            host: pulse.host.to_string(),
+            incarnation: pulse.incarnation.0,
+            revision: pulse.revision.0,
+            platform: pulse.platform,
+        }))
+    }
+}
+
+impl PeerPort for Peers {
+    fn follow(
+        &self,
+        peer: SocketAddr,
+        after: Revision,
+        updates: Sender<PeerUpdate>,
+    ) -> Box<dyn CallGuard> {
+        let channel = self.channel(peer);
+        Box::new(self.spawner.spawn(follow(channel, after, updates)))
+    }
+
+    fn heartbeat(
+        &self,
+        peer: SocketAddr,
+        pulse: Pulse,
+        reply: Sender<Pulse>,
+    ) -> Box<dyn CallGuard> {
+        let channel = self.channel(peer);
+        Box::new(self.spawner.spawn(heartbeat(channel, pulse, reply)))
+    }
+}
+
+/// Passes updates on until the stream ends, falls silent or cannot be read.
+async fn follow(channel: Channel, after: Revision, updates: Sender<PeerUpdate>) {
+    let mut client = PeerClient::new(channel).max_decoding_message_size(MESSAGE_MOST);
+    let request = wire::FollowRequest { after: after.0 };
+    let Some(Ok(answer)) = within(SILENCE_LIMIT, client.follow(request)).await else {
+        return;
+    };
+    let mut stream = answer.into_inner();
+    while let Some(Ok(Some(update))) = within(SILENCE_LIMIT, stream.message()).await {
+        let update = match update_from_wire(update) {
+            Ok(update) => update,
+            Err(e) => {
+                log::error!("the configuration of a peer cannot be read: {e}");
+                return;
+            }
+        };
+        if updates.send_async(update).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn heartbeat(channel: Channel, pulse: Pulse, reply: Sender<Pulse>) {
+    let mut client = PeerClient::new(channel);
+    let request = wire::HeartbeatRequest {
+        host: pulse.host.to_string(),
+        incarnation: pulse.incarnation.0,
+        revision: pulse.revision.0,
+        platform: pulse.platform,
+    };
+    let Some(Ok(answer)) = within(HEARTBEAT_LIMIT, client.heartbeat(request)).await else {
+        return;
+    };
+    let told = answer.into_inner();
+    let pulse = Pulse {
+        host: HostName::from(told.host),
+        incarnation: Incarnation(told.incarnation),
+        revision: Revision(told.revision),
+        platform: told.platform,
+    };
+    // A closed channel means that the entry is stopping.
+    let _ = reply.send_async(pulse).await;
+}
+
+fn update_to_wire(update: PeerUpdate) -> Result<wire::ConfigUpdate, Status> {
+    let teams = update.teams.into_iter().map(|(team, state)| {
+        let tree = state.tree.map(|tree| serde_json::to_string(&*tree));
+        let tree = tree
+            .transpose()
+            .map_err(|e| Status::internal(e.to_string()))?;
+        Ok(wire::TeamUpdate {
+            team: team.to_string(),
+            revision: state.revision.0,
+            tree: tree.unwrap_or_default(),
+        })
+    });
+    Ok(wire::ConfigUpdate {
+        teams: teams.collect::<Result<_, Status>>()?,
+        revision: update.complete.map_or(0, |revision| revision.0),
+    })
+}
+
+fn update_from_wire(update: wire::ConfigUpdate) -> Result<PeerUpdate, serde_json::Error> {
+    let teams = update.teams.into_iter().map(|team| {
+        let tree = match team.tree.as_str() {
+            "" => None,
+            text => Some(Arc::new(serde_json::from_str(text)?)),
+        };
+        let state = TeamState {
+            revision: Revision(team.revision),
+            tree,
+        };
+        Ok((TeamName::from(team.team), state))
+    });
+    Ok(PeerUpdate {
+        teams: teams.collect::<Result<_, serde_json::Error>>()?,
+        complete: (update.revision > 0).then_some(Revision(update.revision)),
+    })
+}
--- a/crates/core/src/decision/config/mod.rs
+++ b/crates/core/src/decision/config/mod.rs
@@ -71,9 +71,15 @@
     }
 
     /// Merges a complete listing of the teams at a revision. A team that is known from an older
-    /// revision and not listed was removed.
-    pub fn merge_listing(&mut self, teams: Vec<(TeamName, TeamState)>, revision: Revision) {
-        let listed: HashSet<TeamName> = teams.iter().map(|(team, _)| team.clone()).collect();
+    /// revision and not listed was removed. Teams whose tree could not be read keep their state.
+    pub fn merge_listing(
+        &mut self,
+        teams: Vec<(TeamName, TeamState)>,
+        unreadable: &[TeamName],
+        revision: Revision,
+    ) {
+        let readable = teams.iter().map(|(team, _)| team);
+        let listed: HashSet<TeamName> = readable.chain(unreadable).cloned().collect();
         let known = self.teams.keys();
         let gone: Vec<_> = known.filter(|team| !listed.contains(*team)).collect();
         let gone = gone.into_iter().cloned().collect::<Vec<_>>();
--- a/crates/core/src/decision/freshness.rs
+++ b/crates/core/src/decision/freshness.rs
@@ -133,10 +133,19 @@
     pub fn standing(&self, now: Time) -> Standing {
         Standing {
             ready: self.ready,
-            keys: self.ready && self.caught_up(now) && self.in_contact(now),
+            keys: self.keys_until().is_some_and(|until| now < until),
         }
     }
 
+    /// Returns the time until which keys may be checked if nothing more is heard. A process that
+    /// was paused compares it with the clock before it trusts what it knew before the pause.
+    pub fn keys_until(&self) -> Option<Time> {
+        let contact = self.last_contact().filter(|_| self.ready)? + CONTACT_LIMIT;
+        let unmet = self.unmet.front();
+        let behind = unmet.map(|(_, told)| *told + CATCH_UP_LIMIT);
+        Some(behind.map_or(contact, |behind| contact.min(behind)))
+    }
+
     /// Returns the pulse for other entries.
     pub fn pulse(&self, now: Time, host: HostName, incarnation: Incarnation) -> Pulse {
         Pulse {
@@ -187,26 +196,22 @@
         self.floor
     }
 
-    fn caught_up(&self, now: Time) -> bool {
-        let oldest = self.unmet.front();
-        oldest.is_none_or(|(_, told)| now.since(*told) < CATCH_UP_LIMIT)
-    }
-
-    fn in_contact(&self, now: Time) -> bool {
-        let mut heard = 0;
-        for peer in self.peers.values().filter(|peer| is_heard(peer, now)) {
-            if peer.platform {
-                return true;
-            }
-            heard += 1;
-        }
-        self.platform_within(now, CONTACT_LIMIT) || self.is_majority(heard)
+    /// Returns the latest time at which the node was in contact: with the platform, with an
+    /// entry in contact, or with enough entries for a majority.
+    fn last_contact(&self) -> Option<Time> {
+        let heard = self.peers.values().filter(|p| p.revision > Revision(0));
+        let direct = heard.clone().filter(|p| p.platform);
+        let through = direct.filter_map(|p| p.heard).max();
+        let mut times: Vec<Time> = heard.filter_map(|p| p.heard).collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        let majority = times.get(self.majority() - 1).copied();
+        self.platform.max(through).max(majority)
     }
 
-    /// Tells whether this node and the entries heard are a majority. A node that knows no other
-    /// entry cannot tell an outage of the platform from its own loss of contact.
-    fn is_majority(&self, heard: usize) -> bool {
-        heard > 0 && 2 * (heard + 1) > self.peers.len() + 1
+    /// Returns the number of other entries that form a majority with this node. It is at least
+    /// one: a node that knows no other cannot tell an outage from its own loss of contact.
+    fn majority(&self) -> usize {
+        self.peers.len().div_ceil(2).max(1)
     }
 
     fn platform_within(&self, now: Time, limit: Duration) -> bool {
--- a/crates/core/tests/config_merge.rs
+++ b/crates/core/tests/config_merge.rs
@@ -102,9 +102,9 @@
         }
         let all = states.len();
 
-        config.merge_listing(listing(&states, all), Revision(all as u64));
+        config.merge_listing(listing(&states, all), &[], Revision(all as u64));
         let upto = late % (all + 1);
-        config.merge_listing(listing(&states, upto), Revision(upto as u64));
+        config.merge_listing(listing(&states, upto), &[], Revision(upto as u64));
 
         let present: BTreeMap<_, _> = listing(&states, all).into_iter().collect();
         for team in TEAMS {
@@ -149,9 +149,21 @@
     let mut config = Config::default();
     let created = state("print", &Event::Keep, 1);
 
-    config.merge_listing(Vec::new(), Revision(2));
-    config.merge_listing(vec![created.clone()], Revision(1));
+    config.merge_listing(Vec::new(), &[], Revision(2));
+    config.merge_listing(vec![created.clone()], &[], Revision(1));
     config.merge(created.0, created.1);
 
     assert!(config.tree(&"print".into()).is_none());
 }
+
+/// Guards against a team that is taken for removed because its new tree cannot be read.
+#[test]
+fn unreadable_team_keeps_its_last_accepted_state() {
+    let mut config = Config::default();
+    let (team, created) = state("print", &Event::Keep, 1);
+    config.merge(team.clone(), created);
+
+    config.merge_listing(Vec::new(), std::slice::from_ref(&team), Revision(2));
+
+    assert!(config.tree(&team).is_some());
+}
--- a/crates/node/src/entry/control.rs
+++ b/crates/node/src/entry/control.rs
@@ -20,9 +20,13 @@
 use sardinepath_core::domain::ids::Revision;
 use sardinepath_core::domain::name::TeamName;
 use sardinepath_core::domain::target::Report;
+use sardinepath_core::domain::time::Time;
 use sardinepath_core::port::clock::Clock;
+use sardinepath_core::port::peer::Pulse;
 use slotmap::SecondaryMap;
 
+use crate::entry::peer::Distribution;
+use crate::entry::peer::PeerMessage;
 use crate::entry::reports::Follow;
 
 /// Interval of the timers of the control state.
@@ -61,6 +65,19 @@
         /// Revision up to which the changes are complete.
         revision: Revision,
     },
+    /// All teams were listed at a revision.
+    Listed {
+        /// The teams whose trees were read.
+        teams: Vec<(TeamName, TeamState)>,
+        /// Teams whose trees could not be read.
+        unreadable: Vec<TeamName>,
+        /// Revision of the listing.
+        revision: Revision,
+        /// Time before the platform was asked.
+        asked: Time,
+    },
+    /// Another entry or the platform answered.
+    Peer(PeerMessage),
     /// The process stops.
     Stop,
 }
@@ -84,20 +101,36 @@
 }
 
 /// What traffic threads read without asking.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Snapshot {
     /// The configuration in force.
     pub config: Arc<Config>,
-    /// True once a configuration was read.
+    /// True once a configuration at or above the floor of the other entries was read.
     pub ready: bool,
+    /// Time until which keys may be checked.
+    pub keys: Option<Time>,
+    /// What this entry tells other entries.
+    pub pulse: Pulse,
 }
 
 /// The published snapshot.
 pub type Published = Arc<ArcSwap<Snapshot>>;
 
-/// Creates an empty snapshot.
-pub fn new_snapshot() -> Published {
-    Arc::new(ArcSwap::from_pointee(Snapshot::default()))
+/// Creates the snapshot of an entry that has read nothing.
+pub fn new_snapshot(pulse: Pulse) -> Published {
+    Arc::new(ArcSwap::from_pointee(Snapshot {
+        config: Arc::default(),
+        ready: false,
+        keys: None,
+        pulse,
+    }))
+}
+
+impl Snapshot {
+    /// Tells whether keys may be checked at this time.
+    pub fn is_fresh(&self, now: Time) -> bool {
+        self.keys.is_some_and(|until| now < until)
+    }
 }
 
 /// State of the control thread.
@@ -108,6 +141,8 @@
     traffic: Traffic,
     verdicts: SecondaryMap<TicketKey, Sender<Verdict>>,
     follow: Follow,
+    distribution: Distribution,
+    ticked: Time,
 }
 
 /// What the loop does next.
@@ -118,7 +153,12 @@
 
 impl Control {
     /// Creates the state of a new entry.
-    pub fn new(clock: Arc<dyn Clock>, snapshot: Published, follow: Follow) -> Self {
+    pub fn new(
+        clock: Arc<dyn Clock>,
+        snapshot: Published,
+        follow: Follow,
+        distribution: Distribution,
+    ) -> Self {
         Self {
             clock,
             snapshot,
@@ -126,6 +166,8 @@
             traffic: Traffic::default(),
             verdicts: SecondaryMap::new(),
             follow,
+            distribution,
+            ticked: Time(0),
         }
     }
 
@@ -138,6 +180,7 @@
                 Err(RecvTimeoutError::Disconnected) => Step::Stop,
             };
             self.carry_out();
+            self.tick();
             if let Step::Stop = step {
                 return;
             }
@@ -158,6 +201,26 @@
             }
             Message::Report(report) => self.traffic.report(report),
             Message::Changed { teams, revision } => self.configure(teams, revision),
+            Message::Listed {
+                teams,
+                unreadable,
+                revision,
+                asked,
+            } => {
+                // Contact and configuration come into force together, so that an entry is never
+                // ready without its keys, and never trusts old keys because of a new contact.
+                let answered = PeerMessage::PlatformAnswered(asked);
+                self.distribution.handle(now, answered);
+                let mut config = Config::clone(&self.config);
+                config.merge_listing(teams, &unreadable, revision);
+                self.put_in_force(config, Some(revision));
+            }
+            Message::Peer(message) => {
+                if let Some(update) = self.distribution.handle(now, message) {
+                    self.merge(update.teams, update.complete);
+                }
+                self.ticked = Time(0);
+            }
             Message::Stop => return Step::Stop,
         }
         Step::Continue
@@ -165,19 +228,64 @@
 
     /// Puts newer team states in force and publishes them.
     fn configure(&mut self, teams: Vec<(TeamName, TeamState)>, revision: Revision) {
+        self.merge(teams, Some(revision));
+    }
+
+    /// Merges newer team states. `complete` is the revision up to which nothing is missing.
+    fn merge(&mut self, teams: Vec<(TeamName, TeamState)>, complete: Option<Revision>) {
+        if teams.is_empty() && complete.is_some_and(|r| r <= self.config.revision()) {
+            // A node that holds newer parts already is complete up to the older revision too.
+            self.distribution.applied(complete.unwrap_or_default());
+            return;
+        }
         let mut config = Config::clone(&self.config);
         for (team, state) in teams {
             if config.merge(team.clone(), state) == Merge::Old {
                 log::debug!("team {team} is known at this revision already");
             }
         }
-        config.advance(revision);
+        self.put_in_force(config, complete);
+    }
+
+    /// Puts a configuration in force and publishes it.
+    fn put_in_force(&mut self, mut config: Config, complete: Option<Revision>) {
+        if let Some(revision) = complete {
+            config.advance(revision);
+        }
         self.config = Arc::new(config);
         self.follow.configure(&self.config);
         self.traffic.configure(self.config.clone());
+        if let Some(revision) = complete {
+            self.distribution.applied(revision);
+        }
+        self.publish(self.clock.now());
+    }
+
+    /// Runs the timers of the distribution and publishes what they changed.
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        // Without this limit, each request would pay for a look at every entry.
+        if now.since(self.ticked) < TICK {
+            return;
+        }
+        self.ticked = now;
+        let pulse = self.distribution.pulse(now);
+        self.distribution.tick(now, pulse.revision);
+        let old = self.snapshot.load();
+        let ready = self.distribution.is_ready(now);
+        let keys = self.distribution.keys_until();
+        if (old.ready, old.keys, &old.pulse) != (ready, keys, &pulse) {
+            drop(old);
+            self.publish(now);
+        }
+    }
+
+    fn publish(&self, now: Time) {
         self.snapshot.store(Arc::new(Snapshot {
             config: self.config.clone(),
-            ready: true,
+            ready: self.distribution.is_ready(now),
+            keys: self.distribution.keys_until(),
+            pulse: self.distribution.pulse(now),
         }));
     }
 
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -1,6 +1,7 @@
 //! The entry role.
 
 pub mod control;
+pub mod peer;
 pub mod reports;
 pub mod service;
 pub mod watch;
@@ -17,13 +18,20 @@
 use sardinepath_adapters::caller::limits::CallerLimits;
 use sardinepath_adapters::clock::HostClock;
 use sardinepath_adapters::rpc::client::Peers;
+use sardinepath_adapters::rpc::peer::PeerRpcServer;
 use sardinepath_adapters::runtime::Runtime;
+use sardinepath_core::domain::ids::Incarnation;
+use sardinepath_core::domain::name::HostName;
 use sardinepath_core::port::clock::Clock;
 use sardinepath_core::port::object::ObjectPort;
 
 use crate::config::EntrySettings;
 use crate::entry::control::Control;
 use crate::entry::control::Message;
+use crate::entry::peer::Distribution;
+use crate::entry::peer::Identity;
+use crate::entry::peer::PeerMessage;
+use crate::entry::peer::PeerService;
 use crate::entry::service::EntryService;
 
 /// Messages that may wait for the control thread. At 2,000 requests a second it takes them in
@@ -38,9 +46,12 @@
 pub struct Entry {
     /// Address for callers.
     pub address: SocketAddr,
+    /// Address for other entries.
+    pub peer: SocketAddr,
     control: Sender<Message>,
     runtime: Option<Runtime>,
     _server: CallerServer,
+    _peer_server: PeerRpcServer,
 }
 
 impl Entry {
@@ -51,13 +62,23 @@
         let spawner = runtime.spawner();
         let peers = Arc::new(Peers::new(spawner.clone()));
         let (control, queue) = flume::bounded(CONTROL_ROOM);
-        let snapshot = control::new_snapshot();
+        let identity = Identity {
+            host: settings.host.clone(),
+            incarnation: Incarnation(rand::random()),
+        };
+        let distribution =
+            Distribution::new(identity, spawner.clone(), peers.clone(), control.clone());
+        let snapshot = control::new_snapshot(distribution.pulse(clock.now()));
         let follow = reports::Follow::new(spawner.clone(), peers.clone(), control.clone());
-        let state = Control::new(clock.clone(), snapshot.clone(), follow);
+        let state = Control::new(clock.clone(), snapshot.clone(), follow, distribution);
         thread::Builder::new()
             .name("control".to_owned())
             .spawn(move || state.run(&queue))?;
-        watch::start(objects, control.clone())?;
+        watch::start(objects, clock.clone(), control.clone())?;
+        let front = PeerService::new(spawner.clone(), snapshot.clone(), control.clone());
+        let peer_listener = TcpListener::bind(settings.peer)
+            .with_context(|| format!("could not listen on {}", settings.peer))?;
+        let peer_server = PeerRpcServer::start(&spawner, peer_listener, Arc::new(front))?;
         let service = EntryService::new(spawner.clone(), clock, snapshot, control.clone(), peers);
         let listener = TcpListener::bind(settings.listen)
             .with_context(|| format!("could not listen on {}", settings.listen))?;
@@ -69,11 +90,19 @@
         )?;
         Ok(Self {
             address: server.address,
+            peer: peer_server.address,
             control,
             runtime: Some(runtime),
             _server: server,
+            _peer_server: peer_server,
         })
     }
+
+    /// Tells the entry which other entries there are. Its own host is left out.
+    pub fn meet(&self, entries: Vec<(HostName, SocketAddr)>) {
+        // A stopped entry has no use for them.
+        let _ = self.control.send(Message::Peer(PeerMessage::Know(entries)));
+    }
 }
 
 impl Drop for Entry {
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -139,9 +139,13 @@
 
     /// Authorizes a request and asks the control thread for admission.
     fn admit(&self, inbound: Inbound, events: Sender<CallEvent>) -> Result<Job, ErrorKind> {
+        let now = self.clock.now();
         let snapshot = self.snapshot.load();
-        let authorized = authorize(&snapshot.config, true, &inbound)?;
-        let deadline = self.clock.now() + authorized.deadline;
+        if !snapshot.ready {
+            return Err(ErrorKind::KeysStale);
+        }
+        let authorized = authorize(&snapshot.config, snapshot.is_fresh(now), &inbound)?;
+        let deadline = now + authorized.deadline;
         let completion = inbound.completion.clone().unwrap_or_default();
         let ask = Ask {
             route: authorized.route.clone(),
--- a/crates/node/src/entry/watch.rs
+++ b/crates/node/src/entry/watch.rs
@@ -3,49 +3,69 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use anyhow::Context;
 use flume::Sender;
 use sardinepath_core::decision::config::TeamState;
 use sardinepath_core::domain::ids::Revision;
 use sardinepath_core::domain::name::TeamName;
+use sardinepath_core::domain::time::Time;
+use sardinepath_core::port::clock::Clock;
 use sardinepath_core::port::object::Change;
 use sardinepath_core::port::object::Object;
 use sardinepath_core::port::object::ObjectError;
 use sardinepath_core::port::object::ObjectPort;
 
 use crate::entry::control::Message;
+use crate::entry::peer::PeerMessage;
 
 /// Prefix of the objects that hold the teams' trees.
 const PREFIX: &str = "config/";
 
-/// Longest wait of one watch call.
-const WAIT: Duration = Duration::from_secs(30);
+/// Longest wait of one watch call. Contact counts from before the call, so with a longer one the
+/// contact limit of 5 s would pass while nothing changes.
+const WAIT: Duration = Duration::from_secs(2);
 
-/// Pause after a failed call.
-const PAUSE: Duration = Duration::from_millis(500);
+/// Shortest pause after a failed call. A random part of the same length is added, so that the
+/// entries do not all return to the platform at once.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Interval of listings, which make up for changes that a watch skipped. With the time of a call
+/// it keeps such a change within the 15 s for a configuration at target size.
+const RELIST: Duration = Duration::from_secs(10);
 
 /// Starts the thread that follows the configuration.
-pub fn start(objects: Arc<dyn ObjectPort>, control: Sender<Message>) -> anyhow::Result<()> {
+pub fn start(
+    objects: Arc<dyn ObjectPort>,
+    clock: Arc<dyn Clock>,
+    control: Sender<Message>,
+) -> anyhow::Result<()> {
     thread::Builder::new()
         .name("watch".to_owned())
-        .spawn(move || follow(objects.as_ref(), &control))
+        .spawn(move || follow(objects.as_ref(), clock.as_ref(), &control))
         .context("could not start the watch thread")?;
     Ok(())
 }
 
 /// Lists and then watches, until the control thread is gone.
-fn follow(objects: &dyn ObjectPort, control: &Sender<Message>) {
+fn follow(objects: &dyn ObjectPort, clock: &dyn Clock, control: &Sender<Message>) {
     let mut after = None;
+    let mut listed = Instant::now();
     while !control.is_disconnected() {
+        let asked = clock.now();
         let read = match after {
-            None => list(objects),
-            Some(revision) => watch(objects, revision),
+            Some(revision) if listed.elapsed() < RELIST => watch(objects, revision),
+            _ => {
+                listed = Instant::now();
+                list(objects, asked)
+            }
         };
         match read {
-            Ok((revision, teams)) => {
-                after = Some(revision);
-                if control.send(Message::Changed { teams, revision }).is_err() {
+            Ok((revision, message)) => {
+                after = after.max(Some(revision));
+                let answered = Message::Peer(PeerMessage::PlatformAnswered(asked));
+                if control.send(message).is_err() || control.send(answered).is_err() {
                     return;
                 }
             }
@@ -53,18 +73,31 @@
                 if e == ObjectError::Compacted {
                     after = None;
                 }
-                thread::sleep(PAUSE);
+                thread::sleep(PAUSE + PAUSE.mul_f64(rand::random()));
             }
         }
     }
 }
 
-type Read = Result<(Revision, Vec<(TeamName, TeamState)>), ObjectError>;
+type Read = Result<(Revision, Message), ObjectError>;
 
-fn list(objects: &dyn ObjectPort) -> Read {
+fn list(objects: &dyn ObjectPort, asked: Time) -> Read {
     let listing = objects.list(PREFIX)?;
-    let teams = listing.objects.iter().filter_map(put_state).collect();
-    Ok((listing.revision, teams))
+    let revision = listing.revision;
+    let names = listing.objects.iter().filter_map(|object| {
+        let team = object.path.strip_prefix(PREFIX)?;
+        Some(TeamName::from(team))
+    });
+    let teams: Vec<_> = listing.objects.iter().filter_map(put_state).collect();
+    let is_read = |name: &TeamName| teams.iter().any(|(team, _)| team == name);
+    let unreadable = names.filter(|name| !is_read(name)).collect();
+    let message = Message::Listed {
+        teams,
+        unreadable,
+        revision,
+        asked,
+    };
+    Ok((revision, message))
 }
 
 fn watch(objects: &dyn ObjectPort, after: Revision) -> Read {
@@ -80,7 +113,8 @@
             Some((TeamName::from(team), state))
         }
     });
-    Ok((revision, teams.collect()))
+    let teams = teams.collect();
+    Ok((revision, Message::Changed { teams, revision }))
 }
 
 /// Decodes a team's tree. A tree that cannot be read leaves the last accepted one in force.
--- a/crates/standins/src/object_api.rs
+++ b/crates/standins/src/object_api.rs
@@ -195,8 +195,11 @@
             state.faults.lost -= 1;
             return Delivery::Lose;
         }
-        if state.faults.service == Service::Silent {
-            return Delivery::Withhold;
+        // A read that waited while the API went down gives nothing away.
+        match state.faults.service {
+            Service::Silent => return Delivery::Withhold,
+            Service::Refusing if !is_write => return Delivery::Send(failure(503, "down")),
+            Service::Refusing | Service::Up => {}
         }
         Delivery::Send(reply)
     }
