--- a/crates/adapters/src/platform/mod.rs
+++ b/crates/adapters/src/platform/mod.rs
@@ -2,6 +2,7 @@
 
 mod connection;
 pub mod hosts;
+pub mod object;
 pub mod orders;
 pub mod scoring;
 pub mod usage;
--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -4,6 +4,7 @@
 pub mod authorize;
 pub mod config;
 mod expose;
+pub mod freshness;
 pub mod lease;
 pub mod order;
 pub mod prefix;
--- a/crates/node/src/config/entry.rs
+++ b/crates/node/src/config/entry.rs
@@ -1,5 +1,6 @@
 //! Settings of an entry.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use sardinepath_core::domain::name::CentreName;
@@ -27,6 +28,10 @@
     pub admin: SocketAddr,
     /// Address of the platform's object API.
     pub objects: SocketAddr,
+    /// Entries to ask for the configuration, by host with their addresses for other entries. A
+    /// restart during an outage of the object API needs one of them.
+    #[serde(default)]
+    pub entries: BTreeMap<HostName, SocketAddr>,
     /// Number of traffic threads, from 1 to 64.
     #[serde(default = "default_threads", deserialize_with = "range::threads")]
     pub threads: usize,
--- a/crates/node/src/config/mod.rs
+++ b/crates/node/src/config/mod.rs
@@ -3,6 +3,7 @@
 pub mod agent;
 pub mod entry;
 mod range;
+pub mod read;
 pub mod role;
 
 pub use agent::AgentSettings;
--- a/crates/node/src/entry/control.rs
+++ b/crates/node/src/entry/control.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::time::Duration;
-use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use flume::Receiver;
@@ -25,8 +24,11 @@
 use sardinepath_core::domain::target::Report;
 use sardinepath_core::domain::time::Time;
 use sardinepath_core::port::clock::Clock;
+use sardinepath_core::port::peer::Pulse;
 use slotmap::SecondaryMap;
 
+use crate::entry::peer::Distribution;
+use crate::entry::peer::PeerMessage;
 use crate::entry::reports::Follow;
 
 /// Interval of the timers of the control state.
@@ -65,6 +67,19 @@
         /// Revision up to which the changes are complete.
         revision: Revision,
     },
+    /// All teams were listed at a revision.
+    Listed {
+        /// The teams whose trees were read.
+        teams: Vec<(TeamName, TeamState)>,
+        /// Teams whose trees could not be read.
+        unreadable: Vec<TeamName>,
+        /// Revision of the listing.
+        revision: Revision,
+        /// Time before the platform was asked.
+        asked: Time,
+    },
+    /// Another entry or the platform answered.
+    Peer(PeerMessage),
     /// The process stops.
     Stop,
 }
@@ -88,20 +103,36 @@
 }
 
 /// What traffic threads read without asking.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Snapshot {
     /// The configuration in force.
     pub config: Arc<Config>,
-    /// True once a configuration was read.
+    /// True once a configuration at or above the floor of the other entries was read.
     pub ready: bool,
+    /// Time until which keys may be checked.
+    pub keys: Option<Time>,
+    /// What this entry tells other entries.
+    pub pulse: Pulse,
 }
 
 /// The published snapshot.
 pub type Published = Arc<ArcSwap<Snapshot>>;
 
-/// Creates an empty snapshot.
-pub fn new_snapshot() -> Published {
-    Arc::new(ArcSwap::from_pointee(Snapshot::default()))
+/// Creates the snapshot of an entry that has read nothing.
+pub fn new_snapshot(pulse: Pulse) -> Published {
+    Arc::new(ArcSwap::from_pointee(Snapshot {
+        config: Arc::default(),
+        ready: false,
+        keys: None,
+        pulse,
+    }))
+}
+
+impl Snapshot {
+    /// Tells whether keys may be checked at this time.
+    pub fn is_fresh(&self, now: Time) -> bool {
+        self.keys.is_some_and(|until| now < until)
+    }
 }
 
 /// State of the control thread.
@@ -112,6 +143,8 @@
     traffic: Traffic,
     verdicts: SecondaryMap<TicketKey, Sender<Verdict>>,
     follow: Follow,
+    distribution: Distribution,
+    ticked: Time,
 }
 
 /// What the loop does next.
@@ -127,6 +160,7 @@
         snapshot: Published,
         follow: Follow,
         traffic: Traffic,
+        distribution: Distribution,
     ) -> Self {
         Self {
             clock,
@@ -135,23 +169,20 @@
             traffic,
             verdicts: SecondaryMap::new(),
             follow,
+            distribution,
+            ticked: Time(0),
         }
     }
 
     /// Handles messages and timers until the process stops.
     pub fn run(mut self, queue: &Receiver<Message>) {
-        let mut next_tick = Instant::now() + TICK;
         loop {
-            // A queue that is never empty must not hold up the timers.
-            if Instant::now() >= next_tick {
-                self.traffic.tick(self.clock.now());
-                next_tick = Instant::now() + TICK;
-            }
-            let step = match queue.recv_deadline(next_tick) {
+            let step = match queue.recv_timeout(TICK) {
                 Ok(message) => self.handle(message),
                 Err(RecvTimeoutError::Timeout) => Step::Continue,
                 Err(RecvTimeoutError::Disconnected) => Step::Stop,
             };
+            self.tick();
             self.carry_out();
             if let Step::Stop = step {
                 return;
@@ -172,27 +203,91 @@
                 self.verdicts.remove(ticket);
             }
             Message::Report(report) => self.traffic.report(now, report),
-            Message::Changed { teams, revision } => self.configure(now, teams, revision),
+            Message::Changed { teams, revision } => self.merge(teams, Some(revision)),
+            Message::Listed {
+                teams,
+                unreadable,
+                revision,
+                asked,
+            } => {
+                // Contact and configuration come into force together, so that an entry is never
+                // ready without its keys, and never trusts old keys because of a new contact.
+                let answered = PeerMessage::PlatformAnswered(asked);
+                self.distribution.handle(now, answered);
+                let mut config = Config::clone(&self.config);
+                config.merge_listing(teams, &unreadable, revision);
+                self.put_in_force(config, Some(revision));
+            }
+            Message::Peer(message) => {
+                if let Some(update) = self.distribution.handle(now, message) {
+                    self.merge(update.teams, update.complete);
+                }
+                self.ticked = Time(0);
+            }
             Message::Stop => return Step::Stop,
         }
         Step::Continue
     }
 
     /// Puts newer team states in force and publishes them.
-    fn configure(&mut self, now: Time, teams: Vec<(TeamName, TeamState)>, revision: Revision) {
+    /// Merges newer team states. `complete` is the revision up to which nothing is missing.
+    fn merge(&mut self, teams: Vec<(TeamName, TeamState)>, complete: Option<Revision>) {
+        if teams.is_empty() && complete.is_some_and(|r| r <= self.config.revision()) {
+            // A node that holds newer parts already is complete up to the older revision too.
+            self.distribution.applied(complete.unwrap_or_default());
+            return;
+        }
         let mut config = Config::clone(&self.config);
         for (team, state) in teams {
             if config.merge(team.clone(), state) == Merge::Old {
                 emit(Event::TreeKnown, &[("team", &team)]);
             }
         }
-        config.advance(revision);
+        self.put_in_force(config, complete);
+    }
+
+    /// Puts a configuration in force and publishes it.
+    fn put_in_force(&mut self, mut config: Config, complete: Option<Revision>) {
+        if let Some(revision) = complete {
+            config.advance(revision);
+        }
         self.config = Arc::new(config);
         self.follow.configure(&self.config);
-        self.traffic.configure(now, self.config.clone());
+        self.traffic
+            .configure(self.clock.now(), self.config.clone());
+        if let Some(revision) = complete {
+            self.distribution.applied(revision);
+        }
+        self.publish(self.clock.now());
+    }
+
+    /// Runs the timers and publishes what they changed. Called after each message, since under
+    /// steady traffic no wait for a message ends by itself.
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        // Without this limit, each request would pay for a look at every entry.
+        if now.since(self.ticked) < TICK {
+            return;
+        }
+        self.ticked = now;
+        self.traffic.tick(now);
+        let pulse = self.distribution.pulse(now);
+        self.distribution.tick(now, pulse.revision);
+        let old = self.snapshot.load();
+        let ready = self.distribution.is_ready(now);
+        let keys = self.distribution.keys_until();
+        if (old.ready, old.keys, &old.pulse) != (ready, keys, &pulse) {
+            drop(old);
+            self.publish(now);
+        }
+    }
+
+    fn publish(&self, now: Time) {
         self.snapshot.store(Arc::new(Snapshot {
             config: self.config.clone(),
-            ready: true,
+            ready: self.distribution.is_ready(now),
+            keys: self.distribution.keys_until(),
+            pulse: self.distribution.pulse(now),
         }));
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -4,4 +4,5 @@
 pub mod config;
 pub mod entry;
 pub mod metrics;
+pub mod operate;
 mod process;
--- a/crates/node/tests/drain_agent.rs
+++ b/crates/node/tests/drain_agent.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod common;
 mod fixture;
 
 use std::sync::Arc;
@@ -23,11 +24,11 @@
 use sardinepath_node::agent::service::AgentService;
 use sardinepath_node::metrics::Metrics;
 
+use crate::common::loopback;
 use crate::fixture::PATIENCE;
 use crate::fixture::await_slow;
 use crate::fixture::end_agent;
 use crate::fixture::get;
-use crate::fixture::loopback;
 use crate::fixture::set_delay;
 use crate::fixture::start_fleet;
 
--- a/crates/node/tests/request_attempts.rs
+++ b/crates/node/tests/request_attempts.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod common;
 mod request_support;
 
 use std::io::Write;
--- a/crates/sardinepath/src/config/mod.rs
+++ b/crates/sardinepath/src/config/mod.rs
@@ -1,7 +1,5 @@
 //! Reads settings files.
 
-mod read;
-
 use std::fmt;
 use std::fs;
 use std::path::Path;
@@ -9,19 +7,19 @@
 
 use sardinepath_node::config::AgentSettings;
 use sardinepath_node::config::EntrySettings;
+use sardinepath_node::config::read::ReadFault;
+use sardinepath_node::config::read::read;
 use sardinepath_node::config::role::Role;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 
-use crate::config::read::Fault;
-
 /// Why a settings file cannot be used.
 #[derive(Debug)]
 pub enum SettingsError {
     /// The file cannot be read.
     File(PathBuf, std::io::Error),
     /// The text has a fault.
-    Text(PathBuf, Fault),
+    Text(PathBuf, ReadFault),
 }
 
 /// The part of a settings file that tells the roles apart.
@@ -44,7 +42,8 @@
 /// Loads the settings of one role.
 pub fn load<T: DeserializeOwned>(file: &Path) -> Result<T, SettingsError> {
     let text = fs::read_to_string(file).map_err(|e| SettingsError::File(file.to_owned(), e))?;
-    read::read(&text).map_err(|fault| SettingsError::Text(file.to_owned(), fault))
+    let document = read(&text).map_err(|fault| SettingsError::Text(file.to_owned(), fault))?;
+    Ok(document.value)
 }
 
 /// Checks a settings file of either role and returns the role.
--- a/crates/sardinepath/src/role.rs
+++ b/crates/sardinepath/src/role.rs
@@ -8,12 +8,12 @@
 use anyhow::bail;
 use sardinepath_adapters::clock::HostClock;
 use sardinepath_adapters::event::emit;
+use sardinepath_adapters::platform::object::HttpObjects;
 use sardinepath_core::decision::process::DrainEnd;
 use sardinepath_core::decision::process::Process;
 use sardinepath_core::decision::process::Serving;
 use sardinepath_core::decision::process::Starting;
 use sardinepath_core::domain::event::Event;
-use sardinepath_core::port::object::ObjectPort;
 use sardinepath_node::agent::Agent;
 use sardinepath_node::config::AgentSettings;
 use sardinepath_node::config::EntrySettings;
@@ -26,7 +26,8 @@
 pub fn run_entry(settings: &EntrySettings) -> anyhow::Result<DrainEnd> {
     let process = start(settings.drain_limit);
     let signals = signals()?;
-    let entry = Entry::start(settings, objects(settings)?)?;
+    let objects = Arc::new(HttpObjects::new(settings.objects));
+    let entry = Entry::start(settings, objects)?;
     announce(&[
         ("role", &"entry"),
         ("host", &settings.host),
@@ -54,12 +55,6 @@
     })
 }
 
-/// Opens the object API of an entry.
-fn objects(settings: &EntrySettings) -> anyhow::Result<Arc<dyn ObjectPort>> {
-    let address = settings.objects;
-    bail!("this version has no adapter for the object API at {address}")
-}
-
 fn start(limit: u64) -> Process<Starting> {
     Process::new(Duration::from_secs(limit))
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod engine;
 pub mod hosts;
 pub mod http;
+pub mod object_api;
 pub mod objects;
 pub mod orders;
 pub mod plain;
