--- /dev/null
+++ b/crates/node/src/entry/duty/mod.rs
@@ -0,0 +1,3 @@
+//! Duties of an entry: work that at most one process does at a time.
+
+pub mod lease;
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod control;
 pub mod drain;
+pub mod duty;
 pub mod peer;
+pub mod platform;
 pub mod reports;
 pub mod service;
 pub mod watch;
--- /dev/null
+++ b/crates/node/src/entry/platform.rs
@@ -0,0 +1,61 @@
+//! The threads of an entry that make blocking calls to the platform.
+
+use std::thread;
+
+use anyhow::Context;
+use flume::Receiver;
+use flume::Sender;
+
+use crate::entry::control::Message;
+
+/// Calls that may wait for a thread. A platform that does not answer fills the queue; then duties
+/// wait and try again at their next tick.
+const ROOM: usize = 256;
+
+/// A call and what the control thread is told of its result.
+pub type Job = Box<dyn FnOnce() -> Option<Message> + Send>;
+
+/// Passes calls to the platform threads. The control thread never waits for them.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    jobs: Sender<Job>,
+}
+
+/// The queue of calls is full.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlatformBusy;
+
+impl Platform {
+    /// Starts this many threads. They end when the last `Platform` is dropped.
+    pub fn start(threads: usize, control: &Sender<Message>) -> anyhow::Result<Self> {
+        let (jobs, queue) = flume::bounded(ROOM);
+        for _ in 0..threads {
+            let queue = queue.clone();
+            let control = control.clone();
+            thread::Builder::new()
+                .name("platform".to_owned())
+                .spawn(move || run(&queue, &control))
+                .context("could not start a platform thread")?;
+        }
+        Ok(Self { jobs })
+    }
+
+    /// Queues a call.
+    pub fn call(
+        &self,
+        job: impl FnOnce() -> Option<Message> + Send + 'static,
+    ) -> Result<(), PlatformBusy> {
+        self.jobs.try_send(Box::new(job)).map_err(|_| PlatformBusy)
+    }
+}
+
+fn run(queue: &Receiver<Job>, control: &Sender<Message>) {
+    while let Ok(job) = queue.recv() {
+        let Some(message) = job() else {
+            continue;
+        };
+        if control.send(message).is_err() {
+            return;
+        }
+    }
+}
