--- a/crates/sardinepath/src/cli.rs
+++ b/crates/sardinepath/src/cli.rs
@@ -1,5 +1,6 @@
 //! Command line.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -50,13 +51,56 @@
         #[bpaf(argument("LEVEL"), fallback(LevelFilter::Info))]
         log: LevelFilter,
     },
-    /// Check a settings file of either role
+    /// Check a file of settings or of declarations without starting or changing anything
     #[bpaf(command)]
     Check {
-        /// Settings file with the field `role`
+        /// Object API against whose declarations a file of declarations is checked too
+        #[bpaf(argument("ADDRESS"), optional)]
+        objects: Option<SocketAddr>,
+        /// Settings, which have the field `role`, or declarations
         #[bpaf(positional("FILE"))]
         file: PathBuf,
     },
+    /// Put a file of declarations in force, each team wholly or not at all
+    #[bpaf(command)]
+    Apply {
+        /// Address of the object API
+        #[bpaf(argument("ADDRESS"))]
+        objects: SocketAddr,
+        /// Declarations, JSON with comments
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Show what an apply of a file of declarations would change
+    #[bpaf(command)]
+    Diff {
+        /// Address of the object API
+        #[bpaf(argument("ADDRESS"))]
+        objects: SocketAddr,
+        /// Declarations, JSON with comments
+        #[bpaf(positional("FILE"))]
+        file: PathBuf,
+    },
+    /// Show a team or one declaration
+    #[bpaf(command)]
+    Get {
+        /// Address of the object API
+        #[bpaf(argument("ADDRESS"))]
+        objects: SocketAddr,
+        /// `teams/TEAM` or `teams/TEAM/KIND/NAME`
+        #[bpaf(positional("PATH"))]
+        path: String,
+    },
+    /// List the paths of all declarations
+    #[bpaf(command)]
+    List {
+        /// Address of the object API
+        #[bpaf(argument("ADDRESS"))]
+        objects: SocketAddr,
+        /// Only paths that start with this prefix
+        #[bpaf(positional("PREFIX"), fallback(String::new()))]
+        prefix: String,
+    },
 }
 
 impl From<Exit> for ExitCode {
--- a/crates/sardinepath/src/config/mod.rs
+++ b/crates/sardinepath/src/config/mod.rs
@@ -12,6 +12,7 @@
 use sardinepath_node::config::role::Role;
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde::de::IgnoredAny;
 
 /// Why a settings file cannot be used.
 #[derive(Debug)]
@@ -22,6 +23,21 @@
     Text(PathBuf, ReadFault),
 }
 
+/// What a checked file is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Checked {
+    /// Correct settings of a role.
+    Settings(Role),
+    /// Declarations, which are not checked yet.
+    Declarations,
+}
+
+/// The field that tells declarations from settings.
+#[derive(Deserialize)]
+struct Kind {
+    teams: Option<IgnoredAny>,
+}
+
 /// The part of a settings file that tells the roles apart.
 #[derive(Deserialize)]
 struct RoleOnly {
@@ -46,11 +62,16 @@
     Ok(document.value)
 }
 
-/// Checks a settings file of either role and returns the role.
-pub fn check(file: &Path) -> Result<Role, SettingsError> {
+/// Checks a settings file of either role. Declarations are only recognised.
+pub fn check(file: &Path) -> Result<Checked, SettingsError> {
+    let kind: Kind = load(file)?;
+    if kind.teams.is_some() {
+        return Ok(Checked::Declarations);
+    }
     let RoleOnly { role } = load(file)?;
     match role {
-        Role::Entry => load::<EntrySettings>(file).map(|_| role),
-        Role::Agent => load::<AgentSettings>(file).map(|_| role),
+        Role::Entry => drop(load::<EntrySettings>(file)?),
+        Role::Agent => drop(load::<AgentSettings>(file)?),
     }
+    Ok(Checked::Settings(role))
 }
--- a/crates/sardinepath/src/main.rs
+++ b/crates/sardinepath/src/main.rs
@@ -3,8 +3,10 @@
 mod cli;
 mod config;
 mod logging;
+mod operate;
 mod role;
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -16,12 +18,17 @@
 
 use crate::cli::Command;
 use crate::cli::Exit;
+use crate::config::Checked;
 
 fn main() -> ExitCode {
     let exit = match cli::parse() {
         Ok(Command::Entry { settings, log }) => run(&settings, log, role::run_entry),
         Ok(Command::Agent { settings, log }) => run(&settings, log, role::run_agent),
-        Ok(Command::Check { file }) => check(&file),
+        Ok(Command::Check { objects, file }) => check(&file, objects),
+        Ok(Command::Apply { objects, file }) => operate::apply(&file, objects),
+        Ok(Command::Diff { objects, file }) => operate::diff(&file, objects),
+        Ok(Command::Get { objects, path }) => operate::get(&path, objects),
+        Ok(Command::List { objects, prefix }) => operate::list(&prefix, objects),
         Err(exit) => exit,
     };
     exit.into()
@@ -51,19 +58,20 @@
     }
 }
 
-/// Checks a settings file.
-fn check(file: &Path) -> Exit {
+/// Checks a file of settings or of declarations.
+fn check(file: &Path, objects: Option<SocketAddr>) -> Exit {
     match config::check(file) {
-        Ok(role) => {
+        Ok(Checked::Settings(role)) => {
             println!("{}: correct settings of {}", file.display(), role.article());
             Exit::Done
         }
+        Ok(Checked::Declarations) => operate::check(file, objects),
         Err(e) => report(&e, Exit::Usage),
     }
 }
 
 /// Prints an error that occurred before logging was started.
-fn report(error: &dyn std::fmt::Display, exit: Exit) -> Exit {
+pub(crate) fn report(error: &dyn std::fmt::Display, exit: Exit) -> Exit {
     eprintln!("sardinepath: {error}");
     exit
 }
