Label answers with exactly the versions that produced them, and keep engine orders from callers

Cause: a label also named the version read before a call, which produced nothing if it was replaced before the first token; a whole answer that went through two swaps hid the middle one; and a caller could reach an engine's order interface through a model route. Ruled out: naming only the last version, since a swap in mid-stream then goes unnoticed. Change: parts say whether they name all their versions; only then the readings before and after are left out. Model routes reach paths below /v1/ only, without escapes or dot steps.

--- a/crates/adapters/src/target/body.rs
+++ b/crates/adapters/src/target/body.rs
@@ -1,12 +1,13 @@
 //! Reads what a completions answer says of itself.
 
 use sardinepath_core::domain::ids::WeightVersion;
+use sardinepath_core::domain::target::Naming;
 use serde_json::Value;
 
 /// What a part of an answer says of tokens and versions.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub(super) struct Facts {
-    pub(super) version: Option<WeightVersion>,
+    pub(super) naming: Naming,
     pub(super) tokens: Option<u64>,
 }
 
@@ -52,23 +53,56 @@
             self.done = true;
             return Facts::default();
         }
-        facts(&data)
+        facts_of_event(&data)
     }
 }
 
-/// Reads version and tokens from a JSON text.
-pub(super) fn facts(json: &[u8]) -> Facts {
+/// Reads versions and tokens from a server-sent event. Its one version produced all of its text.
+fn facts_of_event(json: &[u8]) -> Facts {
+    facts(json, |version| Naming::All(vec![version]))
+}
+
+/// Reads versions and tokens from a whole answer. Its one version is that of the last token, so
+/// only a list names all versions.
+pub(super) fn facts_of_whole(json: &[u8]) -> Facts {
+    facts(json, |version| Naming::Some(vec![version]))
+}
+
+fn facts(json: &[u8], single: impl Fn(WeightVersion) -> Naming) -> Facts {
     let Ok(value) = serde_json::from_slice::<Value>(json) else {
-        return Facts::default();
+        return Facts {
+            naming: Naming::Some(Vec::new()),
+            tokens: None,
+        };
     };
+    let list = value.get("weight_versions").and_then(Value::as_array);
     let version = value.get("weight_version").and_then(Value::as_u64);
+    let naming = match (list, version) {
+        (Some(list), _) => Naming::All(numbers(list)),
+        (None, Some(version)) => single(WeightVersion(version)),
+        (None, None) if holds_text(&value) => Naming::Some(Vec::new()),
+        (None, None) => Naming::Nothing,
+    };
     let usage = value.get("usage").and_then(|u| u.get("completion_tokens"));
     Facts {
-        version: version.map(WeightVersion),
+        naming,
         tokens: usage.and_then(Value::as_u64),
     }
 }
 
+fn numbers(list: &[Value]) -> Vec<WeightVersion> {
+    let numbers = list.iter().filter_map(Value::as_u64);
+    numbers.map(WeightVersion).collect()
+}
+
+/// Tells whether an event can hold generated text. One with only the usage cannot.
+fn holds_text(value: &Value) -> bool {
+    match value.get("choices").and_then(Value::as_array) {
+        Some(choices) => !choices.is_empty(),
+        None => value.get("usage").is_none(),
+    }
+}
+
 /// Returns the index behind the first blank line.
 fn find_end(bytes: &[u8]) -> Option<usize> {
     let ends = [&b"\n\n"[..], b"\r\n\r\n"];
--- a/crates/adapters/src/target/http.rs
+++ b/crates/adapters/src/target/http.rs
@@ -36,7 +36,7 @@
 use crate::runtime::Spawner;
 use crate::runtime::within;
 use crate::target::body::EventSplitter;
-use crate::target::body::facts;
+use crate::target::body::facts_of_whole;
 
 /// Longest silence of a target during an answer.
 const PROGRESS_LIMIT: Duration = Duration::from_secs(30);
@@ -241,7 +241,7 @@
         for (bytes, facts) in splitter.push(&part) {
             let event = TargetEvent::Chunk {
                 bytes,
-                version: facts.version,
+                naming: facts.naming,
                 tokens: facts.tokens,
             };
             send(sink, event).await?;
@@ -265,10 +265,10 @@
             return Err(Failure::from(ErrorKind::AnswerTooLarge));
         }
     }
-    let facts = facts(&bytes);
+    let facts = facts_of_whole(&bytes);
     let event = TargetEvent::Chunk {
         bytes,
-        version: facts.version,
+        naming: facts.naming,
         tokens: facts.tokens,
     };
     send(sink, event).await?;
--- a/crates/core/src/decision/agent.rs
+++ b/crates/core/src/decision/agent.rs
@@ -11,6 +11,7 @@
 use crate::domain::ids::RequestId;
 use crate::domain::ids::WeightVersion;
 use crate::domain::name::WorkspaceId;
+use crate::domain::target::Naming;
 use crate::domain::target::ServingState;
 
 /// Ids of non-idempotent requests that an agent remembers. At 100 such requests a second this
@@ -32,6 +33,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Label {
     named: BTreeSet<WeightVersion>,
+    /// True if a part did not name all of its versions.
+    open: bool,
     before: Option<WeightVersion>,
 }
 
@@ -52,22 +55,35 @@
     pub fn new(before: Option<WeightVersion>) -> Self {
         Self {
             named: BTreeSet::new(),
+            open: false,
             before,
         }
     }
 
-    /// Notes a version that a part of the answer names.
-    pub fn name(&mut self, version: WeightVersion) {
-        self.named.insert(version);
+    /// Takes in what a part of the answer names.
+    pub fn take(&mut self, naming: Naming) {
+        match naming {
+            Naming::Nothing => {}
+            Naming::All(versions) => self.named.extend(versions),
+            Naming::Some(versions) => {
+                self.named.extend(versions);
+                self.open = true;
+            }
+        }
     }
 
-    /// Returns all versions that may have produced the answer, ascending.
+    /// Returns the versions that produced the answer, ascending.
     ///
-    /// The list is empty if the parts name none and one of the two readings is missing, because a
-    /// swap could then go unnoticed.
+    /// Where every part named its versions, the readings before and after the call add nothing: a
+    /// version that was replaced before the first token produced none of it. Where a part did not,
+    /// both readings are added, and the list is empty if one of them is missing, because a swap
+    /// could then go unnoticed.
     pub fn versions(self, after: Option<WeightVersion>) -> Vec<WeightVersion> {
-        let blind = self.before.is_none() || after.is_none();
-        if self.named.is_empty() && blind {
+        let complete = !self.open && !self.named.is_empty();
+        if complete {
+            return self.named.into_iter().collect();
+        }
+        if self.before.is_none() || after.is_none() {
             return Vec::new();
         }
         let mut versions = self.named;
--- a/crates/core/src/decision/authorize.rs
+++ b/crates/core/src/decision/authorize.rs
@@ -30,6 +30,9 @@
     "x-request-tag",
 ];
 
+/// Start of the paths that callers may reach on a model engine.
+const MODEL_PATHS: &str = "/v1/";
+
 const METHODS_IDEMPOTENT: [&str; 5] = ["GET", "HEAD", "OPTIONS", "PUT", "DELETE"];
 
 /// A request as a front end received it, free of any wire format.
@@ -113,7 +116,7 @@
         team: route.team.clone(),
         name: spec.pool.clone(),
     };
-    refuse_unread(config, &pool, inbound)?;
+    refuse_unfit(config, &pool, rest, inbound)?;
     Ok(Authorized {
         pool,
         idempotent: idempotent(spec, &inbound.method),
@@ -212,15 +215,39 @@
     Ok(())
 }
 
-/// Refuses a body for a model that the front end could not read as a completions request.
-fn refuse_unread(config: &Config, pool: &PoolId, inbound: &Inbound) -> Result<(), ErrorKind> {
-    let model = config.pool(pool).ok_or(ErrorKind::NoRoute)?.kind == TargetKind::Model;
-    if model && inbound.completion.is_none() && !inbound.body.is_empty() {
+/// Refuses what is no request for a model: a path outside the completions interface, where engines
+/// take orders too, and a body that the front end could not read.
+fn refuse_unfit(
+    config: &Config,
+    pool: &PoolId,
+    rest: &str,
+    inbound: &Inbound,
+) -> Result<(), ErrorKind> {
+    if config.pool(pool).ok_or(ErrorKind::NoRoute)?.kind != TargetKind::Model {
+        return Ok(());
+    }
+    if !is_model_path(rest) {
+        return Err(ErrorKind::NoRoute);
+    }
+    if inbound.completion.is_none() && !inbound.body.is_empty() {
         return Err(ErrorKind::BadRequest);
     }
     Ok(())
 }
 
+/// Tells whether a path stays below the completions interface however an engine resolves it.
+fn is_model_path(rest: &str) -> bool {
+    let path = rest.split('?').next().unwrap_or_default();
+    let plain = !path.contains(['%', '\\', ';']);
+    let steps = path.split('/').skip(1);
+    plain && path.starts_with(MODEL_PATHS) && steps.clone().all(|step| !is_dots(step))
+}
+
+/// Tells whether a step of a path would be dropped or go up when the path is resolved.
+fn is_dots(step: &str) -> bool {
+    matches!(step, "" | "." | "..")
+}
+
 /// Keeps the header fields that targets may see.
 fn forwarded(fields: &[Field]) -> Arc<[Field]> {
     fields
--- a/crates/core/src/domain/target.rs
+++ b/crates/core/src/domain/target.rs
@@ -15,6 +15,18 @@
     Leaving,
 }
 
+/// Which weight versions a part of an answer names.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Naming {
+    /// The part holds no generated text.
+    #[default]
+    Nothing,
+    /// The part names every version that produced its text.
+    All(Vec<WeightVersion>),
+    /// The part names some or none of the versions that produced its text.
+    Some(Vec<WeightVersion>),
+}
+
 /// A target's state as its agent reports it. Source: `TargetReport` messages.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
--- a/crates/core/src/port/target.rs
+++ b/crates/core/src/port/target.rs
@@ -7,6 +7,7 @@
 use crate::domain::ids::Fence;
 use crate::domain::ids::WeightVersion;
 use crate::domain::name::ModelName;
+use crate::domain::target::Naming;
 
 /// What a target yields for one call.
 #[derive(Clone, Debug)]
@@ -18,12 +19,12 @@
         /// Header fields on the allow-list.
         fields: Vec<crate::domain::call::Field>,
     },
-    /// A part of the body, with the tokens and the weight version that it names, if it does.
+    /// A part of the body, with the tokens and the weight versions that it names, if it does.
     Chunk {
         /// Body bytes.
         bytes: Vec<u8>,
-        /// Weight version named in this part.
-        version: Option<WeightVersion>,
+        /// Weight versions named in this part.
+        naming: Naming,
         /// Total tokens of the answer, in the part that carries the usage.
         tokens: Option<u64>,
     },
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -11,6 +11,7 @@
 use proptest::proptest;
 use sardinepath_core::decision::agent::AgentState;
 use sardinepath_core::decision::agent::Known;
+use sardinepath_core::decision::agent::Label;
 use sardinepath_core::decision::request::AfterFailure;
 use sardinepath_core::decision::request::Request;
 use sardinepath_core::domain::error::ErrorKind;
@@ -19,7 +20,9 @@
 use sardinepath_core::domain::ids::Fence;
 use sardinepath_core::domain::ids::Incarnation;
 use sardinepath_core::domain::ids::RequestId;
+use sardinepath_core::domain::ids::WeightVersion;
 use sardinepath_core::domain::name::WorkspaceId;
+use sardinepath_core::domain::target::Naming;
 
 /// What happens to one attempt.
 #[derive(Clone, Copy, Debug)]
@@ -193,3 +196,42 @@
         prop_assert!(accepted.is_sorted());
     }
 }
+
+/// Guards against a label with a version that produced nothing, and against one that hides a
+/// version because a part named only some.
+#[test]
+fn label_names_exactly_what_is_known() {
+    let version = |n| WeightVersion(n);
+    let cases = [
+        (
+            vec![Naming::All(vec![version(8)])],
+            Some(7),
+            Some(9),
+            vec![8],
+        ),
+        (
+            vec![Naming::All(vec![version(8)]), Naming::Nothing],
+            None,
+            None,
+            vec![8],
+        ),
+        (
+            vec![Naming::Some(vec![version(8)])],
+            Some(7),
+            Some(8),
+            vec![7, 8],
+        ),
+        (vec![Naming::Some(vec![version(8)])], None, Some(8), vec![]),
+        (vec![Naming::Some(vec![])], Some(7), Some(7), vec![7]),
+        (vec![], Some(7), None, vec![]),
+    ];
+    for (parts, before, after, expected) in cases {
+        let mut label = Label::new(before.map(WeightVersion));
+        parts.iter().cloned().for_each(|part| label.take(part));
+
+        let versions = label.versions(after.map(WeightVersion));
+
+        let expected: Vec<_> = expected.into_iter().map(WeightVersion).collect();
+        assert_eq!(versions, expected, "{parts:?}");
+    }
+}
--- a/crates/core/tests/request_keys.rs
+++ b/crates/core/tests/request_keys.rs
@@ -254,3 +254,25 @@
         prop_assert_eq!(check(&call).unwrap_err(), ErrorKind::KeyExposed);
     }
 }
+
+/// Guards against a caller that gives orders to an engine or reads its state through a route.
+#[test]
+fn only_completions_paths_reach_an_engine() {
+    let outside = [
+        "/orders/load",
+        "/status",
+        "/v1/../orders/load",
+        "/v1/%2e%2e/orders/load",
+        "/v1//../orders/load",
+        "/v1\\..\\orders",
+        "/v1",
+    ];
+
+    for path in outside {
+        let call = inbound(&format!("/print/model{path}"), vec![keyed(KEY)], "");
+        assert_eq!(check(&call).unwrap_err(), ErrorKind::NoRoute, "{path}");
+    }
+
+    let inside = inbound("/print/model/v1/completions?n=1", vec![keyed(KEY)], "");
+    assert_eq!(&*check(&inside).unwrap().path, "/v1/completions?n=1");
+}
--- a/crates/node/src/agent/service.rs
+++ b/crates/node/src/agent/service.rs
@@ -114,12 +114,10 @@
                 TargetEvent::Head { status, fields } => CallEvent::Head { status, fields },
                 TargetEvent::Chunk {
                     bytes,
-                    version,
+                    naming,
                     tokens,
                 } => {
-                    if let Some(version) = version {
-                        gathered.label.name(version);
-                    }
+                    gathered.label.take(naming);
                     gathered.tokens = tokens.unwrap_or(gathered.tokens);
                     CallEvent::Chunk(bytes)
                 }
