Choose the targets that an entry follows

Cause: each entry holds a report stream to every agent. At 350 entries and 5,100 targets that is 5,100 reports a second for each entry, against 6 KB/s that control may use. Ruled out: a random subset (with 2 followers on average, one target in ten has none) and a subset by position in the list of entries (each restart moves most targets). Entries do not use it yet.

--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -12,5 +12,6 @@
 pub mod request;
 pub mod rollout;
 pub mod sample;
+pub mod subset;
 pub mod traffic;
 pub mod usage;
