Hold the usage duties and report frozen windows from running entries

Leases, windows and counters had decisions but nothing called them. The control thread now owns Duties, which keeps the leases of the 16 usage shards, collects counters from agents and entries, freezes windows by conditional create and reports the frozen figures. Lease calls have threads of their own, so a silent interface does not delay renewals. The permit is checked after the connection is open, before the write.

--- a/crates/adapters/src/platform/usage.rs
+++ b/crates/adapters/src/platform/usage.rs
@@ -26,10 +26,17 @@
 }
 
 impl UsagePort for HttpUsage {
-    fn report(&self, report: &UsageReport) -> Result<(), UsageError> {
+    fn report_if(
+        &self,
+        report: &UsageReport,
+        allowed: &dyn Fn() -> bool,
+    ) -> Result<(), UsageError> {
         let body = serde_json::to_string(report)
             .map_err(|e| UsageError::Unavailable(format!("the report can't be encoded: {e}")))?;
         let connection = Connection::open(&self.spawner, self.address)?;
+        if !allowed() {
+            return Err(UsageError::Unavailable("the lease has ended".to_owned()));
+        }
         let answer = connection.post(&self.spawner, "/reports", body)?;
         check(&answer)
     }
--- a/crates/adapters/src/rpc/client.rs
+++ b/crates/adapters/src/rpc/client.rs
@@ -36,6 +36,7 @@
 use crate::rpc::convert::report_from_wire;
 use crate::rpc::generated as wire;
 use crate::rpc::generated::agent_client::AgentClient;
+use crate::rpc::generated::peer_client::PeerClient;
 use crate::runtime::Spawner;
 use crate::runtime::within;
 
@@ -128,6 +129,14 @@
         Ok(reply.counters.into_iter().map(counter_from_wire).collect())
     }
 
+    /// Reads the usage counters that an entry has seen.
+    pub async fn entry_counters(&self, entry: SocketAddr) -> Result<Vec<Counter>, Failure> {
+        let mut client = PeerClient::new(self.channel(entry)).max_decoding_message_size(8 << 20);
+        let answer = within(SILENCE_LIMIT, client.counters(wire::CountersRequest {})).await;
+        let reply = unary(answer)?;
+        Ok(reply.counters.into_iter().map(counter_from_wire).collect())
+    }
+
     /// Returns the connection to an address. It is opened at first use.
     pub(crate) fn channel(&self, address: SocketAddr) -> Channel {
         let _context = self.spawner.enter();
--- a/crates/adapters/src/rpc/peer.rs
+++ b/crates/adapters/src/rpc/peer.rs
@@ -28,6 +28,7 @@
 use tonic::transport::Server;
 
 use crate::rpc::client::Peers;
+use crate::rpc::convert::counter_to_wire;
 use crate::rpc::generated as wire;
 use crate::rpc::generated::peer_client::PeerClient;
 use crate::rpc::generated::peer_server::Peer;
@@ -117,7 +118,14 @@
         &self,
         _request: Request<wire::CountersRequest>,
     ) -> Result<Response<wire::CountersReply>, Status> {
-        Err(Status::unimplemented("entries do not serve counters"))
+        let (sender, reply) = flume::bounded(1);
+        self.front.counters(sender);
+        let counters = reply.recv_async().await;
+        let counters =
+            counters.map_err(|_| Status::unavailable("the entry is stopping or overloaded"))?;
+        Ok(Response::new(wire::CountersReply {
+            counters: counters.iter().map(counter_to_wire).collect(),
+        }))
     }
 
     async fn heartbeat(
--- a/crates/adapters/tests/platform.rs
+++ b/crates/adapters/tests/platform.rs
@@ -267,6 +267,25 @@
     assert_eq!(billed, [40]);
 }
 
+/// Guards against a report that is written after the lease of its sender has ended.
+#[test]
+fn usage_report_is_not_written_without_permission() {
+    let fixture = usage();
+
+    let refused = fixture.adapter.report_if(&report(40), &|| false);
+    let allowed = fixture.adapter.report_if(&report(41), &|| true);
+
+    assert!(
+        matches!(refused, Err(UsageError::Unavailable(_))),
+        "{refused:?}"
+    );
+    assert_eq!(allowed, Ok(()));
+    let billed: Vec<_> = fixture
+        .platform
+        .ask(|state| state.billed().into_values().collect());
+    assert_eq!(billed, [41]);
+}
+
 /// Guards against a wrong run state of a report that was refused, late or found nobody.
 #[test]
 fn usage_report_tells_no_effect_from_unknown() {
--- a/crates/core/src/decision/usage/mod.rs
+++ b/crates/core/src/decision/usage/mod.rs
@@ -46,6 +46,7 @@
 //!   Nothing here deletes them.
 
 mod clock;
+mod shard;
 mod tally;
 mod window;
 
@@ -56,6 +57,8 @@
 use serde::Serialize;
 
 pub use crate::decision::usage::clock::WindowClock;
+pub use crate::decision::usage::shard::SHARDS;
+pub use crate::decision::usage::shard::shard;
 pub use crate::decision::usage::tally::Tally;
 pub use crate::decision::usage::window::Closing;
 pub use crate::decision::usage::window::Frozen;
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -80,4 +80,28 @@
     RpcServerEnded = (302, Error, "rpc_server_ended", "the server for other processes ended"),
     /// An answer of the administration server could not be written. Fields: `error`.
     AdminAnswerLost = (303, Debug, "admin_answer_lost", "an answer of the administration server could not be written"),
+    /// The process holds a duty from now on. Fields: `duty`, `fence`.
+    DutyAcquired = (400, Info, "duty_acquired", "the process holds the duty"),
+    /// The process holds a duty no more. Fields: `duty`.
+    DutyLost = (401, Warn, "duty_lost", "the lease of the duty ended without a release"),
+    /// The process gave a duty up. Fields: `duty`.
+    DutyReleased = (402, Info, "duty_released", "the process released the duty"),
+    /// A usage report was not accepted and is sent again. Fields: `report`, `error`.
+    ReportWaits = (403, Warn, "report_waits", "the usage report was not accepted and is sent again"),
+    /// The usage interface holds another figure. Fields: `report`, `tokens`.
+    ReportContradicted = (404, Error, "report_contradicted", "the usage interface holds another figure for the window"),
+    /// A stored window cannot be read. Fields: `workspace`, `error`.
+    WindowUnreadable = (405, Error, "window_unreadable", "the stored usage windows of the workspace cannot be read"),
+    /// The order interface carried out an order. Fields: `target`, `intent`.
+    OrderApplied = (406, Info, "order_applied", "the order interface carried out an order"),
+    /// An order was not accepted and is tried again. Fields: `target`, `intent`, `error`.
+    OrderWaits = (407, Warn, "order_waits", "the order was not accepted and is tried again"),
+    /// An order carried an old fencing token. Fields: `duty`.
+    OrderFenced = (408, Error, "order_fenced", "the order carries an old fencing token, so another process holds the duty"),
+    /// A target was ordered to load a version. Fields: `target`, `version`.
+    LoadOrdered = (409, Info, "load_ordered", "the target was ordered to load a version"),
+    /// A load did not succeed and is tried again. Fields: `target`, `version`, `error`.
+    LoadFailed = (410, Warn, "load_failed", "the load failed and is tried again"),
+    /// The weight store did not tell the latest version. Fields: `model`, `error`.
+    WeightsUnknown = (411, Warn, "weights_unknown", "the weight store did not tell the latest version"),
 }
--- a/crates/core/src/port/peer.rs
+++ b/crates/core/src/port/peer.rs
@@ -5,6 +5,7 @@
 use flume::Sender;
 
 use crate::decision::config::TeamState;
+use crate::domain::call::Counter;
 use crate::domain::ids::Incarnation;
 use crate::domain::ids::Revision;
 use crate::domain::name::HostName;
@@ -40,6 +41,9 @@
 
     /// Takes in a caller's pulse and returns the entry's own.
     fn heartbeat(&self, pulse: Pulse) -> Pulse;
+
+    /// Answers with the highest usage counters that the entry has seen.
+    fn counters(&self, reply: Sender<Vec<Counter>>);
 }
 
 /// Calls to other entries.
--- a/crates/core/src/port/usage.rs
+++ b/crates/core/src/port/usage.rs
@@ -32,6 +32,13 @@
 
 /// The interface for usage reports.
 pub trait UsagePort: Send + Sync {
+    /// Sends one report if it is allowed. `allowed` is asked once the connection is open, as the
+    /// last step before the write. A report that is not allowed counts as `Unavailable`.
+    fn report_if(&self, report: &UsageReport, allowed: &dyn Fn() -> bool)
+    -> Result<(), UsageError>;
+
     /// Sends one report.
-    fn report(&self, report: &UsageReport) -> Result<(), UsageError>;
+    fn report(&self, report: &UsageReport) -> Result<(), UsageError> {
+        self.report_if(report, &|| true)
+    }
 }
--- a/crates/node/src/config/entry.rs
+++ b/crates/node/src/config/entry.rs
@@ -32,6 +32,23 @@
     /// restart during an outage of the object API needs one of them.
     #[serde(default)]
     pub entries: BTreeMap<HostName, SocketAddr>,
+    /// Address of the platform's interface for usage reports. Without it the entry takes no
+    /// `usage` duty.
+    #[serde(default)]
+    pub usage: Option<SocketAddr>,
+    /// Address of the platform's interface that starts and stops targets. Without it and without
+    /// `weights` the entry takes no `orders` duty.
+    #[serde(default)]
+    pub orders: Option<SocketAddr>,
+    /// Address of the weight store.
+    #[serde(default)]
+    pub weights: Option<SocketAddr>,
+    /// Address of the platform's list of hosts.
+    #[serde(default)]
+    pub hosts: Option<SocketAddr>,
+    /// Length of a usage window in seconds, from 1 to 86,400. All entries need the same one.
+    #[serde(default = "range::default_window", deserialize_with = "range::window")]
+    pub window: u64,
     /// Number of traffic threads, from 1 to 64.
     #[serde(default = "default_threads", deserialize_with = "range::threads")]
     pub threads: usize,
--- a/crates/node/src/config/range.rs
+++ b/crates/node/src/config/range.rs
@@ -15,6 +15,12 @@
 /// Default drain limit in seconds. Above the longest request deadline of ten minutes.
 const DRAIN_LIMIT_DEFAULT: u64 = 900;
 
+/// Allowed lengths of a usage window in seconds, up to a day.
+const WINDOW: RangeInclusive<u64> = 1..=86_400;
+
+/// Default length of a usage window in seconds.
+const WINDOW_DEFAULT: u64 = 300;
+
 /// Reads a number of threads.
 pub(super) fn threads<'de, D: Deserializer<'de>>(from: D) -> Result<usize, D::Error> {
     let number = within(from, &THREADS)?;
@@ -31,6 +37,16 @@
     DRAIN_LIMIT_DEFAULT
 }
 
+/// Reads the length of a usage window in seconds.
+pub(super) fn window<'de, D: Deserializer<'de>>(from: D) -> Result<u64, D::Error> {
+    within(from, &WINDOW)
+}
+
+/// Returns the default length of a usage window in seconds.
+pub(super) fn default_window() -> u64 {
+    WINDOW_DEFAULT
+}
+
 fn within<'de, D: Deserializer<'de>>(
     from: D,
     range: &RangeInclusive<u64>,
--- a/crates/node/src/entry/control.rs
+++ b/crates/node/src/entry/control.rs
@@ -17,6 +17,7 @@
 use sardinepath_core::decision::traffic::Outcome;
 use sardinepath_core::decision::traffic::TicketKey;
 use sardinepath_core::decision::traffic::Traffic;
+use sardinepath_core::domain::call::Counter;
 use sardinepath_core::domain::error::Failure;
 use sardinepath_core::domain::event::Event;
 use sardinepath_core::domain::ids::Revision;
@@ -27,6 +28,8 @@
 use sardinepath_core::port::peer::Pulse;
 use slotmap::SecondaryMap;
 
+use crate::entry::duty::Duties;
+use crate::entry::duty::DutyMessage;
 use crate::entry::peer::Distribution;
 use crate::entry::peer::PeerMessage;
 use crate::entry::reports::Follow;
@@ -57,6 +60,8 @@
         ticket: TicketKey,
         /// How it ended.
         outcome: Outcome,
+        /// The agent's usage counter after a whole answer.
+        counter: Option<Counter>,
     },
     /// A target reported.
     Report(Report),
@@ -80,6 +85,8 @@
     },
     /// Another entry or the platform answered.
     Peer(PeerMessage),
+    /// A result for the duties, or a question to them.
+    Duty(DutyMessage),
     /// The process stops.
     Stop,
 }
@@ -144,6 +151,7 @@
     verdicts: SecondaryMap<TicketKey, Sender<Verdict>>,
     follow: Follow,
     distribution: Distribution,
+    duties: Duties,
     ticked: Time,
 }
 
@@ -161,6 +169,7 @@
         follow: Follow,
         traffic: Traffic,
         distribution: Distribution,
+        duties: Duties,
     ) -> Self {
         Self {
             clock,
@@ -170,6 +179,7 @@
             verdicts: SecondaryMap::new(),
             follow,
             distribution,
+            duties,
             ticked: Time(0),
         }
     }
@@ -198,11 +208,19 @@
                 self.verdicts.insert(ticket, verdicts);
             }
             Message::Retry { ticket, failure } => self.traffic.retry(now, ticket, failure),
-            Message::Ended { ticket, outcome } => {
+            Message::Ended {
+                ticket,
+                outcome,
+                counter,
+            } => {
+                self.duties.count(counter.as_ref());
                 self.traffic.ended(now, ticket, &outcome);
                 self.verdicts.remove(ticket);
             }
-            Message::Report(report) => self.traffic.report(now, report),
+            Message::Report(report) => {
+                self.duties.report(&report);
+                self.traffic.report(now, report);
+            }
             Message::Changed { teams, revision } => self.merge(teams, Some(revision)),
             Message::Listed {
                 teams,
@@ -218,7 +236,11 @@
                 config.merge_listing(teams, &unreadable, revision);
                 self.put_in_force(config, Some(revision));
             }
+            Message::Duty(message) => self.duties.handle(now, message),
             Message::Peer(message) => {
+                if let PeerMessage::Know(entries) = &message {
+                    self.duties.know(entries);
+                }
                 if let Some(update) = self.distribution.handle(now, message) {
                     self.merge(update.teams, update.complete);
                 }
@@ -271,6 +293,7 @@
         }
         self.ticked = now;
         self.traffic.tick(now);
+        self.duties.tick(now, &self.config);
         let pulse = self.distribution.pulse(now);
         self.distribution.tick(now, pulse.revision);
         let old = self.snapshot.load();
--- a/crates/node/src/entry/drain.rs
+++ b/crates/node/src/entry/drain.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use flume::Sender;
 use sardinepath_core::decision::process::DrainEnd;
@@ -15,9 +16,14 @@
 use crate::entry::Entry;
 use crate::entry::control::Message;
 use crate::entry::control::Published;
+use crate::entry::duty::DutyMessage;
 use crate::metrics::Metrics;
 use crate::process::wait;
 
+/// Longest time for the release of leases: a call that is under way takes up to 3 s, and so does
+/// the write that releases.
+const RELEASE_LIMIT: Duration = Duration::from_secs(7);
+
 /// What an entry shows at the administration address.
 pub(super) struct EntryAdmin {
     pub(super) metrics: Arc<Metrics>,
@@ -48,6 +54,18 @@
         let process = process.drain(clock.now());
         self.draining.store(true, Ordering::Relaxed);
         let finished = self.server.drain();
-        wait(&process, clock, &finished)
+        let end = wait(&process, clock, &finished);
+        self.release_leases();
+        end
+    }
+
+    /// Lets other entries take the duties over at once. Without the answer they wait out the
+    /// leases.
+    fn release_leases(&self) {
+        let (done, released) = flume::bounded(1);
+        let message = Message::Duty(DutyMessage::Release(done));
+        if self.control.send(message).is_ok() {
+            let _ = released.recv_timeout(RELEASE_LIMIT);
+        }
     }
 }
--- a/crates/node/src/entry/duty/lease.rs
+++ b/crates/node/src/entry/duty/lease.rs
@@ -90,6 +90,11 @@
         }
     }
 
+    /// Tells whether a call waits for its answer.
+    pub fn is_waiting(&self) -> bool {
+        self.waiting.is_some()
+    }
+
     /// Takes the next step. A returned call has to be made at once, and its result passed to
     /// `answer`.
     pub fn tick(&mut self, now: Time) -> (LeaseChange, Option<(CallId, LeaseCall)>) {
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -16,12 +16,15 @@
 use std::thread;
 use std::time::Duration;
 
-use anyhow::Context;
+use anyhow::Context as _;
 use flume::Sender;
 use sardinepath_adapters::admin::AdminServer;
 use sardinepath_adapters::caller::CallerServer;
 use sardinepath_adapters::caller::limits::CallerLimits;
 use sardinepath_adapters::clock::HostClock;
+use sardinepath_adapters::platform::HttpOrders;
+use sardinepath_adapters::platform::HttpUsage;
+use sardinepath_adapters::platform::HttpWeights;
 use sardinepath_adapters::rpc::client::Peers;
 use sardinepath_adapters::rpc::peer::PeerRpcServer;
 use sardinepath_adapters::runtime::Runtime;
@@ -31,16 +34,25 @@
 use sardinepath_core::domain::name::HostName;
 use sardinepath_core::port::clock::Clock;
 use sardinepath_core::port::object::ObjectPort;
+use sardinepath_core::port::order::OrderPort;
+use sardinepath_core::port::usage::UsagePort;
+use sardinepath_core::port::weight::WeightPort;
 
 use crate::config::EntrySettings;
 use crate::entry::control::Control;
 use crate::entry::control::Message;
 use crate::entry::control::Published;
 use crate::entry::drain::EntryAdmin;
+use crate::entry::duty::Duties;
+use crate::entry::duty::DutySettings;
+use crate::entry::duty::context::Context;
+use crate::entry::duty::context::Ports;
+use crate::entry::duty::metrics::DutyMetrics;
 use crate::entry::peer::Distribution;
 use crate::entry::peer::Identity;
 use crate::entry::peer::PeerMessage;
 use crate::entry::peer::PeerService;
+use crate::entry::platform::Platform;
 use crate::entry::service::EntryService;
 use crate::metrics::Metrics;
 
@@ -48,6 +60,10 @@
 /// well under a second; a longer queue would only hide an overload.
 const CONTROL_ROOM: usize = 1024;
 
+/// Threads for lease calls, and as many for the other calls of the duties. With 17 leases and
+/// calls of half a second, four threads renew each lease well within its validity of 8 s.
+const PLATFORM_THREADS: usize = 4;
+
 /// Time for tasks to stop after the last request.
 const STOP_LIMIT: Duration = Duration::from_secs(1);
 
@@ -82,7 +98,7 @@
     /// Starts an entry.
     pub fn start(settings: &EntrySettings, objects: Arc<dyn ObjectPort>) -> anyhow::Result<Self> {
         let runtime = Runtime::start(settings.threads).context("could not start threads")?;
-        let parts = start_control(settings, runtime.spawner())?;
+        let parts = start_control(settings, runtime.spawner(), objects.clone())?;
         watch::start(objects, parts.clock.clone(), parts.control.clone())?;
         let peer_server = parts.serve_peers(settings.peer)?;
         let server = parts.serve_callers(settings.listen)?;
@@ -153,7 +169,11 @@
 }
 
 /// Starts the control thread.
-fn start_control(settings: &EntrySettings, spawner: Spawner) -> anyhow::Result<Parts> {
+fn start_control(
+    settings: &EntrySettings,
+    spawner: Spawner,
+    objects: Arc<dyn ObjectPort>,
+) -> anyhow::Result<Parts> {
     let clock: Arc<dyn Clock> = Arc::new(HostClock);
     let peers = Arc::new(Peers::new(spawner.clone()));
     let (control, queue) = flume::bounded(CONTROL_ROOM);
@@ -161,6 +181,23 @@
         host: settings.host.clone(),
         incarnation: Incarnation(rand::random()),
     };
+    let metrics = Arc::new(Metrics::new()?);
+    let context = Context {
+        ports: ports(settings, &spawner, clock.clone(), objects),
+        spawner: spawner.clone(),
+        peers: peers.clone(),
+        control: control.clone(),
+        leases: Platform::start(PLATFORM_THREADS, &control)?,
+        calls: Platform::start(PLATFORM_THREADS, &control)?,
+        metrics: DutyMetrics::new(&metrics)?,
+        running: 0,
+    };
+    let duties = DutySettings {
+        incarnation: identity.incarnation,
+        host: settings.host.clone(),
+        centre: settings.centre.clone(),
+        window: Duration::from_secs(settings.window),
+    };
     let distribution = Distribution::new(identity, spawner.clone(), peers.clone(), control.clone());
     let snapshot = control::new_snapshot(distribution.pulse(clock.now()));
     let state = Control::new(
@@ -169,6 +206,7 @@
         reports::Follow::new(spawner.clone(), peers.clone(), control.clone()),
         Traffic::new(settings.centre.clone(), rand::random()),
         distribution,
+        Duties::new(duties, context),
     );
     thread::Builder::new()
         .name("control".to_owned())
@@ -179,10 +217,31 @@
         peers,
         control,
         snapshot,
-        metrics: Arc::new(Metrics::new()?),
+        metrics,
     })
 }
 
+/// Connects the ports of the duties with the interfaces that the settings name.
+fn ports(
+    settings: &EntrySettings,
+    spawner: &Spawner,
+    clock: Arc<dyn Clock>,
+    objects: Arc<dyn ObjectPort>,
+) -> Ports {
+    let usage =
+        |address| -> Arc<dyn UsagePort> { Arc::new(HttpUsage::new(spawner.clone(), address)) };
+    let orders =
+        |address| -> Arc<dyn OrderPort> { Arc::new(HttpOrders::new(spawner.clone(), address)) };
+    let weights = |address| -> Arc<dyn WeightPort> { Arc::new(HttpWeights::new(address)) };
+    Ports {
+        clock,
+        objects,
+        usage: settings.usage.map(usage),
+        orders: settings.orders.map(orders),
+        weights: settings.weights.map(weights),
+    }
+}
+
 /// Listens on an address.
 fn listen(address: SocketAddr) -> anyhow::Result<TcpListener> {
     TcpListener::bind(address).with_context(|| format!("could not listen on {address}"))
--- a/crates/node/src/entry/peer.rs
+++ b/crates/node/src/entry/peer.rs
@@ -18,6 +18,7 @@
 use sardinepath_core::decision::config::TeamState;
 use sardinepath_core::decision::freshness::Freshness;
 use sardinepath_core::decision::freshness::Source;
+use sardinepath_core::domain::call::Counter;
 use sardinepath_core::domain::ids::Incarnation;
 use sardinepath_core::domain::ids::Revision;
 use sardinepath_core::domain::name::HostName;
@@ -31,6 +32,7 @@
 
 use crate::entry::control::Message;
 use crate::entry::control::Published;
+use crate::entry::duty::DutyMessage;
 
 /// Interval of heartbeat rounds. Two rounds can fail before the contact limit of 5 s.
 const ROUND: Duration = Duration::from_secs(1);
@@ -287,6 +289,13 @@
         }
         snapshot.pulse.clone()
     }
+
+    fn counters(&self, reply: Sender<Vec<Counter>>) {
+        // If the queue is full, the reply is dropped and the collector asks again later.
+        let _ = self
+            .control
+            .try_send(Message::Duty(DutyMessage::Counters(reply)));
+    }
 }
 
 /// Sends the teams above a revision, and then each change, until the receiver is gone.
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -1,6 +1,7 @@
 //! Runs requests on the traffic threads of an entry.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use flume::Receiver;
@@ -25,6 +26,8 @@
 use sardinepath_core::decision::traffic::TicketKey;
 use sardinepath_core::domain::call::Call;
 use sardinepath_core::domain::call::CallEvent;
+use sardinepath_core::domain::call::Counter;
+use sardinepath_core::domain::call::Ending;
 use sardinepath_core::domain::error::ErrorKind;
 use sardinepath_core::domain::error::Failure;
 use sardinepath_core::domain::error::RunState;
@@ -76,12 +79,15 @@
     streamed: bool,
     verdicts: Receiver<Verdict>,
     events: Sender<CallEvent>,
+    /// The agent's usage counter that came with the end of the answer.
+    counter: OnceLock<Counter>,
 }
 
 /// Tells the control thread the end of a request, also if its task is stopped.
 struct Ticket<'a> {
     key: TicketKey,
     control: &'a Sender<Message>,
+    counter: &'a OnceLock<Counter>,
     outcome: Outcome,
     /// False once the control thread keeps the request for another attempt.
     open: bool,
@@ -189,6 +195,7 @@
             clock: self.clock.clone(),
             verdicts,
             events,
+            counter: OnceLock::new(),
         })
     }
 
@@ -210,7 +217,7 @@
                     return request.refuse(failure).failure();
                 }
             };
-            let mut ticket = Ticket::new(key, &self.control);
+            let mut ticket = Ticket::new(key, &self.control, job);
             sleep(delay).await;
             if job.left().is_zero() {
                 let failure = Failure::from(ErrorKind::DeadlineInQueue);
@@ -303,6 +310,14 @@
         Ok(event.unwrap_or(lost))
     }
 
+    /// Keeps the usage counter, also if the caller goes before it has read the answer.
+    fn count(&self, ending: &Ending) {
+        if let Some(counter) = &ending.counter {
+            // A request has one whole answer, so the cell is empty.
+            let _ = self.counter.set(counter.clone());
+        }
+    }
+
     /// Passes an event on to the caller.
     async fn pass(&self, event: CallEvent) -> Result<(), Failure> {
         let passed = self.until_stopped(self.events.send_async(event)).await?;
@@ -311,10 +326,11 @@
 }
 
 impl<'a> Ticket<'a> {
-    fn new(key: TicketKey, control: &'a Sender<Message>) -> Self {
+    fn new(key: TicketKey, control: &'a Sender<Message>, job: &'a Job) -> Self {
         Self {
             key,
             control,
+            counter: &job.counter,
             outcome: Outcome::Failed(Failure::from(ErrorKind::Cancelled)),
             open: true,
         }
@@ -350,6 +366,7 @@
         let _ = self.control.send(Message::Ended {
             ticket: self.key,
             outcome,
+            counter: self.counter.get().cloned(),
         });
     }
 }
@@ -375,6 +392,7 @@
                 }
             }
             CallEvent::End(ending) => {
+                job.count(&ending);
                 let tokens = ending.tokens;
                 return finish(job, vec![CallEvent::End(ending)], tokens).await;
             }
@@ -395,6 +413,7 @@
             CallEvent::Heartbeat => continue,
             CallEvent::Failed(failure) => return AttemptEnd::Failed(failure),
             CallEvent::End(ref ending) => {
+                job.count(ending);
                 let tokens = ending.tokens;
                 parts.push(event);
                 return finish(job, parts, tokens).await;
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
+use prometheus::core::Collector;
 use sardinepath_core::domain::error::ErrorKind;
 
 /// Label that carries the code of an error kind.
@@ -60,6 +61,11 @@
         Ok(metrics)
     }
 
+    /// Adds a metric of a part of the process.
+    pub fn add(&self, metric: impl Collector + 'static) -> prometheus::Result<()> {
+        self.registry.register(Box::new(metric))
+    }
+
     /// Counts a request until the guard is dropped.
     pub fn start(&self) -> Running {
         self.requests.inc();
