Start targets and roll weights out under the lease of a data centre

The decisions of orders and roll-out had no caller. The holder of orders/{data centre} now records intents, sends them one at a time with the permit checked after the connection is open, resolves open intents after a take-over, and orders agents to load the newest version. Which targets are wanted is decided behind the trait Want; Floor keeps each pool's floor.

--- a/crates/core/src/decision/order/mod.rs
+++ b/crates/core/src/decision/order/mod.rs
@@ -52,6 +52,7 @@
 mod desk;
 mod intent;
 mod pace;
+mod want;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -71,6 +72,8 @@
 pub use crate::decision::order::intent::Intent;
 pub use crate::decision::order::intent::Recorded;
 pub use crate::decision::order::pace::Pacer;
+pub use crate::decision::order::want::Floor;
+pub use crate::decision::order::want::Want;
 use crate::domain::ids::Fence;
 use crate::domain::name::CentreName;
 use crate::domain::name::TargetName;
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -98,10 +98,12 @@
     OrderWaits = (407, Warn, "order_waits", "the order was not accepted and is tried again"),
     /// An order carried an old fencing token. Fields: `duty`.
     OrderFenced = (408, Error, "order_fenced", "the order carries an old fencing token, so another process holds the duty"),
-    /// A target was ordered to load a version. Fields: `target`, `version`.
-    LoadOrdered = (409, Info, "load_ordered", "the target was ordered to load a version"),
+    /// A target loaded a version by order. Fields: `target`, `version`.
+    Loaded = (409, Info, "loaded", "the target loaded a version by order"),
     /// A load did not succeed and is tried again. Fields: `target`, `version`, `error`.
     LoadFailed = (410, Warn, "load_failed", "the load failed and is tried again"),
     /// The weight store did not tell the latest version. Fields: `model`, `error`.
     WeightsUnknown = (411, Warn, "weights_unknown", "the weight store did not tell the latest version"),
+    /// A load would leave fewer serving targets than the floor of the pool. Fields: `pool`.
+    RolloutAtFloor = (412, Warn, "rollout_at_floor", "a load would leave fewer serving targets than the floor of the pool"),
 }
--- a/crates/node/src/config/entry.rs
+++ b/crates/node/src/config/entry.rs
@@ -43,9 +43,6 @@
     /// Address of the weight store.
     #[serde(default)]
     pub weights: Option<SocketAddr>,
-    /// Address of the platform's list of hosts.
-    #[serde(default)]
-    pub hosts: Option<SocketAddr>,
     /// Length of a usage window in seconds, from 1 to 86,400. All entries need the same one.
     #[serde(default = "range::default_window", deserialize_with = "range::window")]
     pub window: u64,
--- a/crates/node/src/entry/control.rs
+++ b/crates/node/src/entry/control.rs
@@ -218,7 +218,7 @@
                 self.verdicts.remove(ticket);
             }
             Message::Report(report) => {
-                self.duties.report(&report);
+                self.duties.report(now, &report);
                 self.traffic.report(now, report);
             }
             Message::Changed { teams, revision } => self.merge(teams, Some(revision)),
@@ -236,7 +236,7 @@
                 config.merge_listing(teams, &unreadable, revision);
                 self.put_in_force(config, Some(revision));
             }
-            Message::Duty(message) => self.duties.handle(now, message),
+            Message::Duty(message) => self.duties.handle(now, &self.config, message),
             Message::Peer(message) => {
                 if let PeerMessage::Know(entries) = &message {
                     self.duties.know(entries);
--- a/crates/node/src/entry/duty/context.rs
+++ b/crates/node/src/entry/duty/context.rs
@@ -6,9 +6,15 @@
 use sardinepath_adapters::rpc::client::Peers;
 use sardinepath_adapters::runtime::Spawner;
 use sardinepath_core::decision::lease::Permit;
+use sardinepath_core::domain::ids::WeightVersion;
+use sardinepath_core::domain::name::CentreName;
+use sardinepath_core::domain::name::ModelName;
 use sardinepath_core::port::clock::Clock;
 use sardinepath_core::port::object::ObjectPort;
+use sardinepath_core::port::order::OrderError;
 use sardinepath_core::port::order::OrderPort;
+use sardinepath_core::port::order::TargetOrder;
+use sardinepath_core::port::order::TargetState;
 use sardinepath_core::port::usage::UsageError;
 use sardinepath_core::port::usage::UsagePort;
 use sardinepath_core::port::usage::UsageReport;
@@ -66,6 +72,37 @@
     }
 }
 
+impl Ports {
+    /// Sends an order if the permit allows it. The connection is opened first, so that the check
+    /// is the last step before the write.
+    pub fn order(&self, order: &TargetOrder, permit: Permit) -> Result<(), OrderError> {
+        let orders = self.orders()?;
+        orders.prepare()?;
+        if !permit.allows(self.clock.now()) {
+            return Err(OrderError::Unavailable("the lease has ended".to_owned()));
+        }
+        orders.send(order)
+    }
+
+    /// Reads the states of the targets of a data centre.
+    pub fn states(&self, centre: &CentreName) -> Result<Vec<TargetState>, OrderError> {
+        self.orders()?.states(centre)
+    }
+
+    /// Asks the weight store for the latest version of a model.
+    pub fn latest(&self, model: &ModelName) -> Result<WeightVersion, String> {
+        let weights = self.weights.as_ref();
+        weights
+            .ok_or("the settings name no weight store")?
+            .latest(model)
+    }
+
+    fn orders(&self) -> Result<&dyn OrderPort, OrderError> {
+        let reason = || OrderError::Unavailable("the settings name no order interface".to_owned());
+        self.orders.as_deref().ok_or_else(reason)
+    }
+}
+
 impl Context {
     /// Makes a call on a platform thread. The message with its result ends the call.
     pub fn call(
--- a/crates/node/src/entry/duty/post.rs
+++ b/crates/node/src/entry/duty/post.rs
@@ -21,6 +21,8 @@
 /// Kind of a duty.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Duty {
+    /// Target orders and weight roll-out in the entry's data centre.
+    Orders,
     /// Usage reports of a shard of the workspaces.
     Usage(u64),
 }
@@ -46,6 +48,7 @@
     /// Starts as a challenger.
     pub(super) fn new(duty: Duty, settings: &DutySettings) -> Self {
         let name = match duty {
+            Duty::Orders => DutyName::from(format!("orders/{}", settings.centre)),
             Duty::Usage(shard) => DutyName::from(format!("usage/{shard}")),
         };
         Self {
@@ -92,6 +95,11 @@
         write
     }
 
+    /// Gives the lease up because a newer holder exists. Returns the write that would release it.
+    pub(super) fn give_up(&mut self) -> Option<LeaseWrite> {
+        self.keeper.release()
+    }
+
     /// Notes that the releasing write was made.
     pub(super) fn released(&mut self) {
         self.release = Release::Done;
@@ -120,6 +128,19 @@
         made.is_err().then_some(refused)
     }
 
+    /// Makes a write that releases a lease of a process that goes on.
+    pub(super) fn give_up_call(&self, write: LeaseWrite) {
+        let objects = self.ports.objects.clone();
+        let call = LeaseCall::Write(write);
+        let job = move || {
+            // A conflict means that the newer holder has the lease already.
+            let _ = lease::make(objects.as_ref(), &call);
+            None
+        };
+        // Without the write, challengers wait until the lease has lapsed.
+        let _ = self.leases.call(job);
+    }
+
     /// Makes the write that releases a lease.
     pub(super) fn release_call(&self, place: usize, write: LeaseWrite) {
         let objects = self.ports.objects.clone();
--- a/crates/node/tests/duty_usage.rs
+++ b/crates/node/tests/duty_usage.rs
@@ -144,6 +144,8 @@
     await_true("an unreported window", || {
         metric(&member, "sardinepath_usage_windows_unreported") > 0.0
     });
+    // Lets a few reports fail before the interface is back.
+    thread::sleep(Duration::from_secs(2 * WINDOW));
     world.usage.come_back().unwrap();
 
     await_billed(&world, generated(&world));
