Run trainers' steps on the entry

Samples existed only as decisions: no entry took a step, and nothing generated, recorded or delivered a group. An entry now serves POST /{team}/{route}/steps and the poll of a step on model routes, behind the port StepFront. decision/sample/run.rs decides what to generate, score and record. The control thread owns that state; generations run on traffic threads, calls to the object API, leases and scores on platform threads of their own. The request path takes a lowest weight version for samples. Trainer names are qualified with their workspace. The error no_step answers a poll of an unknown step.

--- a/crates/adapters/src/caller/connection.rs
+++ b/crates/adapters/src/caller/connection.rs
@@ -33,6 +33,7 @@
 use crate::caller::refuse::close;
 use crate::caller::refuse::refuse;
 use crate::caller::serve::Shared;
+use crate::caller::step::StepCall;
 use crate::caller::wire::Exchange;
 use crate::caller::wire::Wire;
 use crate::event::emit;
@@ -139,6 +140,12 @@
         Ok(inbound) => inbound,
         Err(kind) => return refused(shared, kind),
     };
+    if let Some(front) = shared.front.steps()
+        && let Some(call) = StepCall::recognize(&inbound)
+        && front.is_model_route(&call.route)
+    {
+        return call.answer(front, inbound).await;
+    }
     let streamed = inbound.completion.as_ref().is_some_and(|c| c.streamed);
     let (sender, events) = flume::bounded(EVENT_ROOM);
     let answering = Answering {
--- a/crates/adapters/src/caller/mod.rs
+++ b/crates/adapters/src/caller/mod.rs
@@ -6,6 +6,7 @@
 pub mod limits;
 mod refuse;
 mod serve;
+mod step;
 mod wire;
 
 pub use serve::CallerServer;
--- a/crates/core/src/decision/authorize.rs
+++ b/crates/core/src/decision/authorize.rs
@@ -6,6 +6,7 @@
 use crate::decision::config::Config;
 use crate::decision::expose::exposes;
 use crate::decision::expose::holds_known;
+use crate::decision::sample::StepRecord;
 use crate::domain::call::Field;
 use crate::domain::declare::Access;
 use crate::domain::declare::Priority;
@@ -30,6 +31,9 @@
     "x-request-tag",
 ];
 
+/// Path of a completions request at a model engine.
+const SAMPLE_PATH: &str = "/v1/completions";
+
 const METHODS_IDEMPOTENT: [&str; 5] = ["GET", "HEAD", "OPTIONS", "PUT", "DELETE"];
 
 /// A request as a front end received it, free of any wire format.
@@ -127,8 +131,69 @@
     })
 }
 
+/// Authorizes a request about a trainer's step. It needs a key also on an open route, since the
+/// samples belong to the workspace of the key.
+pub fn authorize_step(
+    config: &Config,
+    fresh: bool,
+    inbound: &Inbound,
+) -> Result<Authorized, ErrorKind> {
+    let authorized = authorize(config, fresh, inbound)?;
+    if authorized.key.is_none() {
+        return Err(ErrorKind::NoKey);
+    }
+    Ok(authorized)
+}
+
+/// Authorizes a sample that the system itself generates for a step. The key is that of the
+/// trainer's last call, and has to be valid still.
+pub fn authorize_sample(
+    config: &Config,
+    fresh: bool,
+    record: &StepRecord,
+    key: KeyDigest,
+) -> Result<Authorized, ErrorKind> {
+    let spec = config.route(&record.route).ok_or(ErrorKind::NoRoute)?;
+    let workspace = keyed_workspace(config, fresh, &key)?;
+    let listed = match &spec.access {
+        Access::Workspaces(allowed) => allowed.contains(&workspace.name),
+        Access::Open(_) => false,
+    };
+    if *workspace != record.workspace || !listed {
+        return Err(ErrorKind::WrongWorkspace);
+    }
+    let json = Field {
+        name: Arc::from("content-type"),
+        value: Arc::from(&b"application/json"[..]),
+    };
+    Ok(Authorized {
+        route: record.route.clone(),
+        pool: PoolId {
+            team: record.route.team.clone(),
+            name: spec.pool.clone(),
+        },
+        workspace: workspace.clone(),
+        key: Some(key),
+        path: Arc::from(SAMPLE_PATH),
+        fields: Arc::from([json]),
+        idempotent: true,
+        deadline: Duration::from_secs(spec.deadline.into()),
+        priority: Priority::Training,
+    })
+}
+
+/// Returns true if requests of the route go to model engines.
+pub fn is_model_route(config: &Config, route: &RouteId) -> bool {
+    let pool = config.route(route).map(|spec| PoolId {
+        team: route.team.clone(),
+        name: spec.pool.clone(),
+    });
+    let spec = pool.and_then(|pool| config.pool(&pool));
+    spec.is_some_and(|spec| spec.kind == TargetKind::Model)
+}
+
 /// Splits `/{team}/{route}/{rest}` into the route and `/{rest}`.
-fn split_path(path: &str) -> Result<(RouteId, &str), ErrorKind> {
+pub fn split_path(path: &str) -> Result<(RouteId, &str), ErrorKind> {
     let inner = path.strip_prefix('/').ok_or(ErrorKind::BadRequest)?;
     let (team, after) = inner.split_once('/').ok_or(ErrorKind::NoRoute)?;
     let end = after.find(['/', '?']).unwrap_or(after.len());
--- a/crates/core/src/decision/sample/group.rs
+++ b/crates/core/src/decision/sample/group.rs
@@ -89,6 +89,11 @@
         Self { id, state }
     }
 
+    /// Returns the round, counted from 0.
+    pub fn round(&self) -> u32 {
+        self.state.round
+    }
+
     /// Takes the answers of all members.
     pub fn generated(self, mut samples: Vec<Sample>) -> Result<Group<Generated>, Refusal> {
         samples.sort_by_key(|sample| sample.index);
@@ -109,6 +114,28 @@
 }
 
 impl Group<Generated> {
+    /// Returns the samples by index.
+    pub fn samples(&self) -> &[Sample] {
+        &self.state.samples
+    }
+
+    /// Drops the result, which has become too old, and generates the same round again. A write
+    /// of the dropped result that took effect after all makes the next write a conflict.
+    pub fn reopen(self) -> Group<Open> {
+        let Generated {
+            round,
+            expect,
+            samples,
+        } = self.state;
+        let size = u32::try_from(samples.len()).unwrap_or(u32::MAX);
+        let state = Open {
+            size,
+            round,
+            expect,
+        };
+        Group { id: self.id, state }
+    }
+
     /// Returns the write that records the group, unless a sample is too old.
     pub fn record(&self, fresh: Freshness) -> Result<GroupWrite, Refusal> {
         let samples = &self.state.samples;
--- a/crates/core/src/decision/sample/mod.rs
+++ b/crates/core/src/decision/sample/mod.rs
@@ -39,6 +39,8 @@
 mod group;
 mod plan;
 mod poll;
+mod run;
+mod step;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -58,6 +60,16 @@
 pub use crate::decision::sample::plan::Run;
 pub use crate::decision::sample::poll::Reply;
 pub use crate::decision::sample::poll::collect;
+pub use crate::decision::sample::run::DropReason;
+pub use crate::decision::sample::run::Fact;
+pub use crate::decision::sample::run::RunLimits;
+pub use crate::decision::sample::run::RunStep;
+pub use crate::decision::sample::run::StepRun;
+pub use crate::decision::sample::step::GroupSpec;
+pub use crate::decision::sample::step::StepKey;
+pub use crate::decision::sample::step::StepRecord;
+pub use crate::decision::sample::step::qualified;
+pub use crate::decision::sample::step::steps_prefix;
 use crate::domain::ids::Revision;
 use crate::domain::ids::WeightVersion;
 use crate::domain::name::TrainerName;
--- a/crates/core/src/domain/error.rs
+++ b/crates/core/src/domain/error.rs
@@ -83,6 +83,8 @@
     WrongWorkspace = ("wrong_workspace", 403, NotRun, false, "the workspace may not use this route"),
     /// No such team or route.
     NoRoute = ("no_route", 404, NotRun, false, "the route does not exist"),
+    /// No such step of the trainer.
+    NoStep = ("no_step", 404, NotRun, false, "the step does not exist"),
     /// No target of the route's pool can take the request.
     NoTarget = ("no_target", 503, NotRun, false, "no target can take the request"),
     /// The workspace has reached its limit of concurrent requests and its queue is full.
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -80,4 +80,22 @@
     RpcServerEnded = (302, Error, "rpc_server_ended", "the server for other processes ended"),
     /// An answer of the administration server could not be written. Fields: `error`.
     AdminAnswerLost = (303, Debug, "admin_answer_lost", "an answer of the administration server could not be written"),
+    /// A trainer posted a step. Fields: `trainer`, `step`.
+    StepStored = (400, Info, "step_stored", "a trainer posted a step"),
+    /// This entry runs a step. Fields: `trainer`, `step`.
+    StepStarted = (401, Info, "step_started", "this entry runs the step"),
+    /// Every group of a step was delivered. Fields: `trainer`, `step`.
+    StepComplete = (402, Info, "step_complete", "every group of the step was delivered"),
+    /// This entry lost the lease of a trainer. Fields: `trainer`.
+    StepsLost = (403, Warn, "steps_lost", "this entry lost the lease of the trainer and stopped its steps"),
+    /// A generation failed. Fields: `trainer`, `step`, `error`.
+    SampleFailed = (404, Debug, "sample_failed", "the generation of a sample failed and is tried again"),
+    /// Samples were dropped. Fields: `trainer`, `step`, `reason`, `count`.
+    SamplesDropped = (405, Debug, "samples_dropped", "samples were dropped"),
+    /// The scoring service failed. Fields: `error`.
+    ScoreFailed = (406, Warn, "score_failed", "the scoring service failed; the sample waits for its score"),
+    /// No scoring service is set.
+    ScoringOff = (407, Warn, "scoring_off", "no scoring service is set, so samples are recorded with score 0"),
+    /// A stored step or group cannot be read. Fields: `path`, `error`.
+    StepUnreadable = (408, Error, "step_unreadable", "a stored step or group cannot be read"),
 }
--- a/crates/core/src/port/front.rs
+++ b/crates/core/src/port/front.rs
@@ -16,6 +16,7 @@
 use crate::domain::order::AgentOrder;
 use crate::domain::order::OrderAnswer;
 use crate::domain::target::Report;
+use crate::port::step::StepFront;
 use crate::port::target::CallGuard;
 
 /// What an entry offers to callers.
@@ -26,6 +27,11 @@
 
     /// Notes a request that the adapter refused before it was submitted.
     fn note_refusal(&self, kind: ErrorKind);
+
+    /// Returns the part for trainers, if there is one.
+    fn steps(&self) -> Option<&dyn StepFront> {
+        None
+    }
 }
 
 /// What an agent offers to entries.
--- a/crates/core/src/port/mod.rs
+++ b/crates/core/src/port/mod.rs
@@ -9,6 +9,7 @@
 pub mod order;
 pub mod peer;
 pub mod score;
+pub mod step;
 pub mod target;
 pub mod usage;
 pub mod weight;
--- a/crates/node/src/config/entry.rs
+++ b/crates/node/src/config/entry.rs
@@ -28,6 +28,9 @@
     pub admin: SocketAddr,
     /// Address of the platform's object API.
     pub objects: SocketAddr,
+    /// Address of the scoring service. Without it, samples are recorded with score 0.
+    #[serde(default)]
+    pub scoring: Option<SocketAddr>,
     /// Entries to ask for the configuration, by host with their addresses for other entries. A
     /// restart during an outage of the object API needs one of them.
     #[serde(default)]
--- a/crates/node/src/entry/control.rs
+++ b/crates/node/src/entry/control.rs
@@ -30,6 +30,8 @@
 use crate::entry::peer::Distribution;
 use crate::entry::peer::PeerMessage;
 use crate::entry::reports::Follow;
+use crate::entry::step::StepMessage;
+use crate::entry::step::Steps;
 
 /// Interval of the timers of the control state.
 const TICK: Duration = Duration::from_millis(100);
@@ -80,6 +82,8 @@
     },
     /// Another entry or the platform answered.
     Peer(PeerMessage),
+    /// A step of a trainer is posted, polled or has progressed.
+    Step(StepMessage),
     /// The process stops.
     Stop,
 }
@@ -144,6 +148,8 @@
     verdicts: SecondaryMap<TicketKey, Sender<Verdict>>,
     follow: Follow,
     distribution: Distribution,
+    /// Steps of trainers. None at an entry without steps.
+    steps: Option<Steps>,
     ticked: Time,
 }
 
@@ -170,10 +176,17 @@
             verdicts: SecondaryMap::new(),
             follow,
             distribution,
+            steps: None,
             ticked: Time(0),
         }
     }
 
+    /// Adds the steps of trainers.
+    pub fn with_steps(self, steps: Steps) -> Self {
+        let steps = Some(steps);
+        Self { steps, ..self }
+    }
+
     /// Handles messages and timers until the process stops.
     pub fn run(mut self, queue: &Receiver<Message>) {
         loop {
@@ -224,6 +237,11 @@
                 }
                 self.ticked = Time(0);
             }
+            Message::Step(message) => {
+                if let Some(steps) = &mut self.steps {
+                    steps.handle(now, &self.config, message);
+                }
+            }
             Message::Stop => return Step::Stop,
         }
         Step::Continue
@@ -271,6 +289,9 @@
         }
         self.ticked = now;
         self.traffic.tick(now);
+        if let Some(steps) = &mut self.steps {
+            steps.tick(now);
+        }
         let pulse = self.distribution.pulse(now);
         self.distribution.tick(now, pulse.revision);
         let old = self.snapshot.load();
--- a/crates/node/src/entry/drain.rs
+++ b/crates/node/src/entry/drain.rs
@@ -15,6 +15,7 @@
 use crate::entry::Entry;
 use crate::entry::control::Message;
 use crate::entry::control::Published;
+use crate::entry::step::StepMessage;
 use crate::metrics::Metrics;
 use crate::process::wait;
 
@@ -47,6 +48,8 @@
     pub fn drain(&self, process: Process<Serving>, clock: &dyn Clock) -> DrainEnd {
         let process = process.drain(clock.now());
         self.draining.store(true, Ordering::Relaxed);
+        // A control thread that has ended holds no lease.
+        let _ = self.control.send(Message::Step(StepMessage::Drain));
         let finished = self.server.drain();
         wait(&process, clock, &finished)
     }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -7,6 +7,7 @@
 pub mod platform;
 pub mod reports;
 pub mod service;
+pub mod step;
 pub mod watch;
 
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
 use sardinepath_adapters::caller::CallerServer;
 use sardinepath_adapters::caller::limits::CallerLimits;
 use sardinepath_adapters::clock::HostClock;
+use sardinepath_adapters::platform::HttpScores;
 use sardinepath_adapters::rpc::client::Peers;
 use sardinepath_adapters::rpc::peer::PeerRpcServer;
 use sardinepath_adapters::runtime::Runtime;
@@ -31,6 +33,7 @@
 use sardinepath_core::domain::name::HostName;
 use sardinepath_core::port::clock::Clock;
 use sardinepath_core::port::object::ObjectPort;
+use sardinepath_core::port::score::ScorePort;
 
 use crate::config::EntrySettings;
 use crate::entry::control::Control;
@@ -42,6 +45,7 @@
 use crate::entry::peer::PeerMessage;
 use crate::entry::peer::PeerService;
 use crate::entry::service::EntryService;
+use crate::entry::step::Steps;
 use crate::metrics::Metrics;
 
 /// Messages that may wait for the control thread. At 2,000 requests a second it takes them in
@@ -82,7 +86,7 @@
     /// Starts an entry.
     pub fn start(settings: &EntrySettings, objects: Arc<dyn ObjectPort>) -> anyhow::Result<Self> {
         let runtime = Runtime::start(settings.threads).context("could not start threads")?;
-        let parts = start_control(settings, runtime.spawner())?;
+        let parts = start_control(settings, runtime.spawner(), objects.clone())?;
         watch::start(objects, parts.clock.clone(), parts.control.clone())?;
         let peer_server = parts.serve_peers(settings.peer)?;
         let server = parts.serve_callers(settings.listen)?;
@@ -129,16 +133,38 @@
 
     /// Serves callers.
     fn serve_callers(&self, address: SocketAddr) -> anyhow::Result<CallerServer> {
-        let service = EntryService::new(
+        let service = Arc::new(self.service());
+        let limits = CallerLimits::default();
+        CallerServer::start(&self.spawner, listen(address)?, limits, service)
+    }
+
+    /// Creates the service of requests.
+    fn service(&self) -> EntryService {
+        EntryService::new(
             self.spawner.clone(),
             self.clock.clone(),
             self.snapshot.clone(),
             self.control.clone(),
             self.peers.clone(),
             self.metrics.clone(),
-        );
-        let limits = CallerLimits::default();
-        CallerServer::start(&self.spawner, listen(address)?, limits, Arc::new(service))
+        )
+    }
+
+    /// Creates the state of trainers' steps.
+    fn start_steps(
+        &self,
+        settings: &EntrySettings,
+        objects: Arc<dyn ObjectPort>,
+    ) -> anyhow::Result<Steps> {
+        let scores = settings.scoring.map(HttpScores::new);
+        Steps::start(
+            objects,
+            scores.map(|scores| Arc::new(scores) as Arc<dyn ScorePort>),
+            self.service(),
+            self.spawner.clone(),
+            self.control.clone(),
+            self.metrics.clone(),
+        )
     }
 }
 
@@ -153,7 +179,11 @@
 }
 
 /// Starts the control thread.
-fn start_control(settings: &EntrySettings, spawner: Spawner) -> anyhow::Result<Parts> {
+fn start_control(
+    settings: &EntrySettings,
+    spawner: Spawner,
+    objects: Arc<dyn ObjectPort>,
+) -> anyhow::Result<Parts> {
     let clock: Arc<dyn Clock> = Arc::new(HostClock);
     let peers = Arc::new(Peers::new(spawner.clone()));
     let (control, queue) = flume::bounded(CONTROL_ROOM);
@@ -163,24 +193,30 @@
     };
     let distribution = Distribution::new(identity, spawner.clone(), peers.clone(), control.clone());
     let snapshot = control::new_snapshot(distribution.pulse(clock.now()));
+    let parts = Parts {
+        clock,
+        spawner,
+        peers,
+        control,
+        snapshot,
+        metrics: Arc::new(Metrics::new()?),
+    };
     let state = Control::new(
-        clock.clone(),
-        snapshot.clone(),
-        reports::Follow::new(spawner.clone(), peers.clone(), control.clone()),
+        parts.clock.clone(),
+        parts.snapshot.clone(),
+        reports::Follow::new(
+            parts.spawner.clone(),
+            parts.peers.clone(),
+            parts.control.clone(),
+        ),
         Traffic::new(settings.centre.clone(), rand::random()),
         distribution,
     );
+    let state = state.with_steps(parts.start_steps(settings, objects)?);
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || state.run(&queue))?;
-    Ok(Parts {
-        clock,
-        spawner,
-        peers,
-        control,
-        snapshot,
-        metrics: Arc::new(Metrics::new()?),
-    })
+    Ok(parts)
 }
 
 /// Listens on an address.
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -10,15 +10,19 @@
 use sardinepath_adapters::rpc::client::Peers;
 use sardinepath_adapters::runtime::Spawner;
 use sardinepath_adapters::runtime::sleep;
+use sardinepath_adapters::target::completion::completion_body;
 use sardinepath_core::decision::authorize::Authorized;
+use sardinepath_core::decision::authorize::Completion;
 use sardinepath_core::decision::authorize::Inbound;
 use sardinepath_core::decision::authorize::authorize;
+use sardinepath_core::decision::authorize::authorize_sample;
 use sardinepath_core::decision::prefix::prefixes;
 use sardinepath_core::decision::request::Admitted;
 use sardinepath_core::decision::request::AfterFailure;
 use sardinepath_core::decision::request::Answered;
 use sardinepath_core::decision::request::Dispatched;
 use sardinepath_core::decision::request::Request;
+use sardinepath_core::decision::sample::StepRecord;
 use sardinepath_core::decision::traffic::Ask;
 use sardinepath_core::decision::traffic::Choice;
 use sardinepath_core::decision::traffic::Outcome;
@@ -30,15 +34,18 @@
 use sardinepath_core::domain::error::RunState;
 use sardinepath_core::domain::ids::RequestId;
 use sardinepath_core::domain::ids::WeightVersion;
+use sardinepath_core::domain::key::KeyDigest;
 use sardinepath_core::domain::time::Time;
 use sardinepath_core::port::agent::AgentPort;
 use sardinepath_core::port::clock::Clock;
 use sardinepath_core::port::front::CallerFront;
+use sardinepath_core::port::step::StepFront;
 use sardinepath_core::port::target::CallGuard;
 
 use crate::entry::control::Message;
 use crate::entry::control::Published;
 use crate::entry::control::Verdict;
+use crate::entry::step::front::StepService;
 use crate::metrics::Metrics;
 
 /// Verdicts that may wait for one request: a grant and a revocation.
@@ -54,6 +61,7 @@
 #[derive(Clone)]
 pub struct EntryService {
     shared: Arc<Shared>,
+    steps: StepService,
 }
 
 /// What all requests share.
@@ -74,10 +82,27 @@
     deadline: Time,
     clock: Arc<dyn Clock>,
     streamed: bool,
+    /// True if the target streams the answer but it is passed on only when it is whole.
+    collected: bool,
     verdicts: Receiver<Verdict>,
     events: Sender<CallEvent>,
 }
 
+/// A sample that the entry itself asks for.
+#[derive(Clone, Debug)]
+pub struct SampleCall {
+    /// The step of the sample.
+    pub record: Arc<StepRecord>,
+    /// Digest of the trainer's key.
+    pub key: KeyDigest,
+    /// The prompt.
+    pub prompt: Arc<str>,
+    /// Most tokens to generate.
+    pub tokens: u32,
+    /// Lowest weight version of a target that may answer.
+    pub floor: WeightVersion,
+}
+
 /// Tells the control thread the end of a request, also if its task is stopped.
 struct Ticket<'a> {
     key: TicketKey,
@@ -110,6 +135,12 @@
         agents: Arc<Peers>,
         metrics: Arc<Metrics>,
     ) -> Self {
+        let steps = StepService::new(
+            clock.clone(),
+            snapshot.clone(),
+            control.clone(),
+            metrics.clone(),
+        );
         let shared = Shared {
             spawner,
             clock,
@@ -120,10 +151,24 @@
         };
         Self {
             shared: Arc::new(shared),
+            steps,
         }
     }
 }
 
+impl EntryService {
+    /// Starts the generation of a sample, as a request of priority `training`. Events are those of
+    /// a whole answer.
+    pub fn submit_sample(&self, call: SampleCall, events: Sender<CallEvent>) -> Box<dyn CallGuard> {
+        let shared = self.shared.clone();
+        let work = async move {
+            let admitted = shared.admit_sample(&call, events.clone());
+            shared.run_admitted(admitted, events).await;
+        };
+        Box::new(self.shared.spawner.spawn(work))
+    }
+}
+
 impl CallerFront for EntryService {
     fn submit(&self, inbound: Inbound, events: Sender<CallEvent>) -> Box<dyn CallGuard> {
         let shared = self.shared.clone();
@@ -134,13 +179,23 @@
     fn note_refusal(&self, kind: ErrorKind) {
         self.shared.metrics.refuse(kind);
     }
+
+    fn steps(&self) -> Option<&dyn StepFront> {
+        Some(&self.steps)
+    }
 }
 
 impl Shared {
     /// Serves a request and passes a failure on to the caller.
     async fn serve(&self, inbound: Inbound, events: Sender<CallEvent>) {
+        let admitted = self.admit(inbound, events.clone());
+        self.run_admitted(admitted, events).await;
+    }
+
+    /// Runs a request that was admitted, or tells its refusal.
+    async fn run_admitted(&self, admitted: Result<Job, ErrorKind>, events: Sender<CallEvent>) {
         let _running = self.metrics.start();
-        let failure = match self.admit(inbound, events.clone()) {
+        let failure = match admitted {
             Ok(job) => self.run(&job).await,
             Err(kind) => Some(Failure::from(kind)),
         };
@@ -159,6 +214,44 @@
             return Err(ErrorKind::KeysStale);
         }
         let authorized = authorize(&snapshot.config, snapshot.is_fresh(now), &inbound)?;
+        let floor = WeightVersion::default();
+        self.ask(now, authorized, inbound, floor, events)
+    }
+
+    /// Authorizes a sample and asks the control thread for admission.
+    fn admit_sample(&self, call: &SampleCall, events: Sender<CallEvent>) -> Result<Job, ErrorKind> {
+        let now = self.clock.now();
+        let snapshot = self.snapshot.load();
+        let (config, fresh) = (&snapshot.config, snapshot.is_fresh(now));
+        let authorized = authorize_sample(config, fresh, &call.record, call.key)?;
+        let inbound = Inbound {
+            method: Arc::from("POST"),
+            path: authorized.path.clone(),
+            fields: Arc::default(),
+            body: Arc::from(completion_body(&call.prompt, call.tokens)),
+            texts: Vec::new(),
+            completion: Some(Completion {
+                streamed: true,
+                prompt: call.prompt.clone(),
+                tokens: call.tokens,
+            }),
+        };
+        let job = self.ask(now, authorized, inbound, call.floor, events)?;
+        Ok(Job {
+            collected: true,
+            ..job
+        })
+    }
+
+    /// Asks the control thread for the admission of an authorized request.
+    fn ask(
+        &self,
+        now: Time,
+        authorized: Authorized,
+        inbound: Inbound,
+        floor: WeightVersion,
+        events: Sender<CallEvent>,
+    ) -> Result<Job, ErrorKind> {
         let deadline = now + authorized.deadline;
         let completion = inbound.completion.clone().unwrap_or_default();
         let ask = Ask {
@@ -168,7 +261,7 @@
             key: authorized.key,
             priority: authorized.priority,
             prefixes: prefixes(&completion.prompt),
-            floor: WeightVersion::default(),
+            floor,
             tokens: completion.tokens,
             deadline,
         };
@@ -187,6 +280,7 @@
             inbound,
             deadline,
             clock: self.clock.clone(),
+            collected: false,
             verdicts,
             events,
         })
@@ -239,7 +333,7 @@
         let (sender, events) = flume::bounded(EVENT_ROOM);
         let call = job.call(&request, job.left());
         let _guard = self.agents.execute(choice.agent, call, sender);
-        let end = if job.streamed {
+        let end = if job.streamed && !job.collected {
             stream(job, &mut request, &events).await
         } else {
             collect(job, &events).await
--- /dev/null
+++ b/crates/node/src/entry/step/front.rs
@@ -0,0 +1,135 @@
+//! Takes the calls of trainers on the traffic threads.
+
+use std::sync::Arc;
+
+use flume::Sender;
+use sardinepath_core::decision::authorize::Authorized;
+use sardinepath_core::decision::authorize::Inbound;
+use sardinepath_core::decision::authorize::authorize_step;
+use sardinepath_core::decision::authorize::is_model_route;
+use sardinepath_core::decision::sample::StepKey;
+use sardinepath_core::decision::sample::StepRecord;
+use sardinepath_core::decision::sample::qualified;
+use sardinepath_core::domain::error::ErrorKind;
+use sardinepath_core::domain::error::Failure;
+use sardinepath_core::domain::name::RouteId;
+use sardinepath_core::port::clock::Clock;
+use sardinepath_core::port::step::Delivery;
+use sardinepath_core::port::step::StepFront;
+use sardinepath_core::port::step::StepOrder;
+use sardinepath_core::port::step::StepPoll;
+
+use crate::entry::control::Message;
+use crate::entry::control::Published;
+use crate::entry::step::PollAsk;
+use crate::entry::step::PostAsk;
+use crate::entry::step::StepMessage;
+use crate::metrics::Metrics;
+
+/// Serves trainers.
+#[derive(Clone)]
+pub struct StepService {
+    clock: Arc<dyn Clock>,
+    snapshot: Published,
+    control: Sender<Message>,
+    metrics: Arc<Metrics>,
+}
+
+impl StepService {
+    /// Creates the service.
+    pub fn new(
+        clock: Arc<dyn Clock>,
+        snapshot: Published,
+        control: Sender<Message>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self {
+            clock,
+            snapshot,
+            control,
+            metrics,
+        }
+    }
+
+    fn authorize(&self, inbound: &Inbound) -> Result<Authorized, ErrorKind> {
+        let snapshot = self.snapshot.load();
+        if !snapshot.ready {
+            return Err(ErrorKind::KeysStale);
+        }
+        let fresh = snapshot.is_fresh(self.clock.now());
+        authorize_step(&snapshot.config, fresh, inbound)
+    }
+
+    fn post_message(
+        &self,
+        inbound: &Inbound,
+        order: StepOrder,
+        reply: Sender<Result<(), Failure>>,
+    ) -> Result<StepMessage, ErrorKind> {
+        let authorized = self.authorize(inbound)?;
+        let trainer = qualified(&authorized.workspace, &order.trainer)?;
+        let record = StepRecord {
+            route: authorized.route,
+            workspace: authorized.workspace,
+            version: order.version,
+            staleness: order.staleness,
+            groups: order.groups,
+        };
+        record.check()?;
+        let step = order.step;
+        Ok(StepMessage::Post(PostAsk {
+            key: StepKey { trainer, step },
+            record: Arc::new(record),
+            digest: authorized.key.ok_or(ErrorKind::NoKey)?,
+            reply,
+        }))
+    }
+
+    fn poll_message(
+        &self,
+        inbound: &Inbound,
+        poll: &StepPoll,
+        reply: Sender<Result<Delivery, Failure>>,
+    ) -> Result<StepMessage, ErrorKind> {
+        let authorized = self.authorize(inbound)?;
+        let trainer = qualified(&authorized.workspace, &poll.trainer)?;
+        let step = poll.step;
+        Ok(StepMessage::Poll(PollAsk {
+            key: StepKey { trainer, step },
+            after: poll.after,
+            version: poll.version,
+            digest: authorized.key.ok_or(ErrorKind::NoKey)?,
+            since: self.clock.now(),
+            reply,
+        }))
+    }
+
+    /// Passes a message on, or answers with the refusal.
+    fn pass<T>(&self, message: Result<StepMessage, ErrorKind>, reply: &Sender<Result<T, Failure>>) {
+        let sent = message.and_then(|message| {
+            let sent = self.control.try_send(Message::Step(message));
+            sent.map_err(|_| ErrorKind::Overloaded)
+        });
+        if let Err(kind) = sent {
+            self.metrics.refuse(kind);
+            // The trainer may have hung up.
+            let _ = reply.try_send(Err(Failure::from(kind)));
+        }
+    }
+}
+
+impl StepFront for StepService {
+    fn is_model_route(&self, route: &RouteId) -> bool {
+        is_model_route(&self.snapshot.load().config, route)
+    }
+
+    fn post(&self, inbound: &Inbound, order: StepOrder, reply: Sender<Result<(), Failure>>) {
+        let message = self.post_message(inbound, order, reply.clone());
+        self.pass(message, &reply);
+    }
+
+    fn poll(&self, inbound: &Inbound, poll: StepPoll, reply: Sender<Result<Delivery, Failure>>) {
+        let message = self.poll_message(inbound, &poll, reply.clone());
+        self.pass(message, &reply);
+    }
+}
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -6,11 +6,18 @@
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
+use sardinepath_core::decision::sample::DropReason;
 use sardinepath_core::domain::error::ErrorKind;
 
 /// Label that carries the code of an error kind.
 const CODE: &str = "code";
 
+/// Label that carries the new state of a group.
+const STATE: &str = "state";
+
+/// Label that carries the reason of a drop.
+const REASON: &str = "reason";
+
 /// Metrics of one process.
 #[derive(Debug)]
 pub struct Metrics {
@@ -21,6 +28,8 @@
     running: IntGauge,
     tokens: IntCounter,
     control: IntGauge,
+    groups: IntCounterVec,
+    dropped: IntCounterVec,
 }
 
 /// Counts a request as running until dropped.
@@ -55,6 +64,20 @@
                 "sardinepath_control_queue_length",
                 "Messages that wait for the control thread.",
             )?,
+            groups: IntCounterVec::new(
+                Opts::new(
+                    "sardinepath_step_groups_total",
+                    "Groups of steps, by new state.",
+                ),
+                &[STATE],
+            )?,
+            dropped: IntCounterVec::new(
+                Opts::new(
+                    "sardinepath_samples_dropped_total",
+                    "Samples dropped, by reason.",
+                ),
+                &[REASON],
+            )?,
         };
         metrics.register()?;
         Ok(metrics)
@@ -84,6 +107,25 @@
         self.tokens.inc_by(tokens);
     }
 
+    /// Counts a group that this process recorded.
+    pub fn record_group(&self) {
+        self.groups.with_label_values(&["recorded"]).inc();
+    }
+
+    /// Counts groups that a poll delivered and expired.
+    pub fn deliver_groups(&self, delivered: u64, expired: u64) {
+        let count = |state: &str, count| self.groups.with_label_values(&[state]).inc_by(count);
+        count("delivered", delivered);
+        count("expired", expired);
+    }
+
+    /// Counts samples that were dropped.
+    pub fn drop_samples(&self, reason: DropReason, count: u64) {
+        self.dropped
+            .with_label_values(&[reason.code()])
+            .inc_by(count);
+    }
+
     /// Returns the text format, with the given length of the control queue.
     pub fn text(&self, queued: usize) -> String {
         self.control.set(i64::try_from(queued).unwrap_or(i64::MAX));
@@ -99,6 +141,14 @@
             self.refusals.with_label_values(&[code]);
             self.retries.with_label_values(&[code]);
         }
+        for state in ["recorded", "delivered", "expired"] {
+            self.groups.with_label_values(&[state]);
+        }
+        for reason in DropReason::ALL {
+            self.dropped.with_label_values(&[reason.code()]);
+        }
+        self.registry.register(Box::new(self.groups.clone()))?;
+        self.registry.register(Box::new(self.dropped.clone()))?;
         self.registry.register(Box::new(self.refusals.clone()))?;
         self.registry.register(Box::new(self.retries.clone()))?;
         self.registry.register(Box::new(self.requests.clone()))?;
