Test steps against failures of engines, entries and the object API

The path of steps had no test. The request service and the run of a step are split into smaller files.

--- a/crates/core/src/decision/sample/mod.rs
+++ b/crates/core/src/decision/sample/mod.rs
@@ -36,6 +36,7 @@
 //! generated again, because the trainer may hold the first answer. The length is the time from the
 //! write that delivers the group to the receipt of the answer.
 
+mod fact;
 mod group;
 mod plan;
 mod poll;
@@ -48,6 +49,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use crate::decision::sample::fact::DropReason;
+pub use crate::decision::sample::fact::Fact;
 pub use crate::decision::sample::group::Generated;
 pub use crate::decision::sample::group::Group;
 pub use crate::decision::sample::group::Open;
@@ -60,8 +63,6 @@
 pub use crate::decision::sample::plan::Run;
 pub use crate::decision::sample::poll::Reply;
 pub use crate::decision::sample::poll::collect;
-pub use crate::decision::sample::run::DropReason;
-pub use crate::decision::sample::run::Fact;
 pub use crate::decision::sample::run::RunLimits;
 pub use crate::decision::sample::run::RunStep;
 pub use crate::decision::sample::run::StepRun;
--- a/crates/core/src/decision/sample/run.rs
+++ b/crates/core/src/decision/sample/run.rs
@@ -5,14 +5,16 @@
 //! version.
 
 use std::collections::BTreeMap;
-use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decision::sample::DropReason;
+use crate::decision::sample::Fact;
 use crate::decision::sample::Freshness;
 use crate::decision::sample::Generated;
 use crate::decision::sample::Group;
 use crate::decision::sample::GroupRecord;
+use crate::decision::sample::GroupSpec;
 use crate::decision::sample::GroupState;
 use crate::decision::sample::GroupWrite;
 use crate::decision::sample::Member;
@@ -73,54 +75,6 @@
     Complete,
 }
 
-/// Why samples were dropped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum DropReason {
-    /// Another run of the member answered first.
-    Duplicate,
-    /// The answer names no weight version.
-    Unlabelled,
-    /// The sample is older than the staleness bound.
-    Stale,
-    /// Another process recorded the group first.
-    Elsewhere,
-}
-
-impl DropReason {
-    /// All reasons.
-    pub const ALL: [Self; 4] = [
-        Self::Duplicate,
-        Self::Unlabelled,
-        Self::Stale,
-        Self::Elsewhere,
-    ];
-
-    /// Returns the code used in metrics and logs.
-    pub fn code(self) -> &'static str {
-        match self {
-            Self::Duplicate => "duplicate",
-            Self::Unlabelled => "unlabelled",
-            Self::Stale => "stale",
-            Self::Elsewhere => "elsewhere",
-        }
-    }
-}
-
-impl fmt::Display for DropReason {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.code())
-    }
-}
-
-/// Something that is counted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fact {
-    /// This process recorded a group.
-    Recorded,
-    /// Samples were dropped.
-    Dropped(DropReason, u64),
-}
-
 /// A step that is being run.
 #[derive(Debug)]
 pub struct StepRun {
@@ -177,7 +131,7 @@
             .flat_map(|(n, g)| (0..g.samples).map(move |i| ((n, i), u64::from(g.max_tokens))))
             .collect();
         let budget = u32::try_from(lengths.len() / OVERSAMPLING).unwrap_or(u32::MAX);
-        let open = |(n, g): (u32, &crate::decision::sample::GroupSpec)| {
+        let open = |(n, g): (u32, &GroupSpec)| {
             Progress::Open(Group::first(key.group(n), g.samples), BTreeMap::new())
         };
         let groups = numbered().map(open).collect();
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -1,5 +1,7 @@
 //! Runs requests on the traffic threads of an entry.
 
+mod sample;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,19 +12,15 @@
 use sardinepath_adapters::rpc::client::Peers;
 use sardinepath_adapters::runtime::Spawner;
 use sardinepath_adapters::runtime::sleep;
-use sardinepath_adapters::target::completion::completion_body;
 use sardinepath_core::decision::authorize::Authorized;
-use sardinepath_core::decision::authorize::Completion;
 use sardinepath_core::decision::authorize::Inbound;
 use sardinepath_core::decision::authorize::authorize;
-use sardinepath_core::decision::authorize::authorize_sample;
 use sardinepath_core::decision::prefix::prefixes;
 use sardinepath_core::decision::request::Admitted;
 use sardinepath_core::decision::request::AfterFailure;
 use sardinepath_core::decision::request::Answered;
 use sardinepath_core::decision::request::Dispatched;
 use sardinepath_core::decision::request::Request;
-use sardinepath_core::decision::sample::StepRecord;
 use sardinepath_core::decision::traffic::Ask;
 use sardinepath_core::decision::traffic::Choice;
 use sardinepath_core::decision::traffic::Outcome;
@@ -34,7 +32,6 @@
 use sardinepath_core::domain::error::RunState;
 use sardinepath_core::domain::ids::RequestId;
 use sardinepath_core::domain::ids::WeightVersion;
-use sardinepath_core::domain::key::KeyDigest;
 use sardinepath_core::domain::time::Time;
 use sardinepath_core::port::agent::AgentPort;
 use sardinepath_core::port::clock::Clock;
@@ -48,6 +45,8 @@
 use crate::entry::step::front::StepService;
 use crate::metrics::Metrics;
 
+pub use sample::SampleCall;
+
 /// Verdicts that may wait for one request: a grant and a revocation.
 const VERDICT_ROOM: usize = 4;
 
@@ -88,21 +87,6 @@
     events: Sender<CallEvent>,
 }
 
-/// A sample that the entry itself asks for.
-#[derive(Clone, Debug)]
-pub struct SampleCall {
-    /// The step of the sample.
-    pub record: Arc<StepRecord>,
-    /// Digest of the trainer's key.
-    pub key: KeyDigest,
-    /// The prompt.
-    pub prompt: Arc<str>,
-    /// Most tokens to generate.
-    pub tokens: u32,
-    /// Lowest weight version of a target that may answer.
-    pub floor: WeightVersion,
-}
-
 /// Tells the control thread the end of a request, also if its task is stopped.
 struct Ticket<'a> {
     key: TicketKey,
@@ -156,19 +140,6 @@
     }
 }
 
-impl EntryService {
-    /// Starts the generation of a sample, as a request of priority `training`. Events are those of
-    /// a whole answer.
-    pub fn submit_sample(&self, call: SampleCall, events: Sender<CallEvent>) -> Box<dyn CallGuard> {
-        let shared = self.shared.clone();
-        let work = async move {
-            let admitted = shared.admit_sample(&call, events.clone());
-            shared.run_admitted(admitted, events).await;
-        };
-        Box::new(self.shared.spawner.spawn(work))
-    }
-}
-
 impl CallerFront for EntryService {
     fn submit(&self, inbound: Inbound, events: Sender<CallEvent>) -> Box<dyn CallGuard> {
         let shared = self.shared.clone();
@@ -218,31 +189,6 @@
         self.ask(now, authorized, inbound, floor, events)
     }
 
-    /// Authorizes a sample and asks the control thread for admission.
-    fn admit_sample(&self, call: &SampleCall, events: Sender<CallEvent>) -> Result<Job, ErrorKind> {
-        let now = self.clock.now();
-        let snapshot = self.snapshot.load();
-        let (config, fresh) = (&snapshot.config, snapshot.is_fresh(now));
-        let authorized = authorize_sample(config, fresh, &call.record, call.key)?;
-        let inbound = Inbound {
-            method: Arc::from("POST"),
-            path: authorized.path.clone(),
-            fields: Arc::default(),
-            body: Arc::from(completion_body(&call.prompt, call.tokens)),
-            texts: Vec::new(),
-            completion: Some(Completion {
-                streamed: true,
-                prompt: call.prompt.clone(),
-                tokens: call.tokens,
-            }),
-        };
-        let job = self.ask(now, authorized, inbound, call.floor, events)?;
-        Ok(Job {
-            collected: true,
-            ..job
-        })
-    }
-
     /// Asks the control thread for the admission of an authorized request.
     fn ask(
         &self,
--- /dev/null
+++ b/crates/node/tests/step_entries.rs
@@ -0,0 +1,237 @@
+//! Steps while entries, trainers and the object API fail.
+
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod common;
+mod step_support;
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use sardinepath_adapters::clock::HostClock;
+use sardinepath_core::decision::process::Process;
+use sardinepath_core::port::object::ObjectPort;
+use sardinepath_standins::object_api::Service;
+use sardinepath_standins::trainer::Polled;
+
+use crate::step_support::Fleet;
+use crate::step_support::PATIENCE;
+use crate::step_support::Setup;
+use crate::step_support::await_true;
+use crate::step_support::check;
+use crate::step_support::executions;
+use crate::step_support::groups;
+use crate::step_support::kill;
+use crate::step_support::poll_until_done;
+use crate::step_support::start_fleet;
+use crate::step_support::stored;
+use crate::step_support::trainer;
+
+const LEASE: &str = "leases/steps/print/diary/t1";
+
+fn two_entries(token_millis: u64) -> Fleet {
+    start_fleet(&Setup {
+        entries: 2,
+        token_time: Duration::from_millis(token_millis),
+        ..Setup::default()
+    })
+}
+
+/// Guards against recorded groups that are lost or generated again when their entry dies before
+/// it delivers them.
+#[test]
+fn entry_killed_between_record_and_delivery() {
+    let mut fleet = two_entries(1);
+    let mut trainer = trainer(&fleet, &[0, 1], 1);
+    trainer.post_step(1, &groups(1, 6, 10)).unwrap();
+    await_true("all is recorded", || stored(&fleet, 1, "recorded") == 6);
+    let before = executions(&fleet, 1);
+
+    kill(&mut fleet, 0);
+    poll_until_done(&mut trainer, 1);
+
+    check(&fleet, &trainer);
+    assert_eq!(executions(&fleet, 1), before);
+}
+
+/// Guards against a step that ends with its entry, and against a new runner that generates groups
+/// again that are recorded.
+#[test]
+fn other_entry_takes_over_what_is_not_recorded() {
+    let mut fleet = two_entries(10);
+    let mut trainer = trainer(&fleet, &[0, 1], 1);
+    let mut order = groups(1, 8, 10);
+    for group in &mut order[4..] {
+        group.max_tokens = 400;
+    }
+    trainer.post_step(1, &order).unwrap();
+    await_true("the short groups are recorded", || {
+        stored(&fleet, 1, "recorded") == 4
+    });
+
+    kill(&mut fleet, 0);
+    poll_until_done(&mut trainer, 1);
+
+    check(&fleet, &trainer);
+    let books: Vec<_> = fleet.engines.iter().map(|e| e.book()).collect();
+    for group in 0..4 {
+        let tag = format!("s1-g{group}");
+        let runs: usize = books.iter().map(|book| book.tagged(&tag).len()).sum();
+        assert_eq!(runs, 2, "{tag} was generated again");
+    }
+}
+
+/// Guards against groups that are lost or come twice when the entry dies after the write that
+/// delivers them and before its answer.
+#[test]
+fn entry_killed_between_delivery_and_answer() {
+    let mut fleet = two_entries(1);
+    let mut trainer = trainer(&fleet, &[0, 1], 1);
+    trainer.post_step(1, &groups(1, 6, 10)).unwrap();
+    await_true("all is recorded", || stored(&fleet, 1, "recorded") == 6);
+    trainer.lose_polls = 1;
+    let lost = trainer.poll(1).unwrap();
+    let delivered = stored(&fleet, 1, "delivered");
+
+    kill(&mut fleet, 0);
+    poll_until_done(&mut trainer, 1);
+
+    assert_eq!((lost, delivered), (Polled::Lost, 6));
+    check(&fleet, &trainer);
+}
+
+/// Guards against samples that are lost with the answer of a poll while the step runs.
+#[test]
+fn lost_poll_answers_lose_no_sample() {
+    let fleet = start_fleet(&Setup::default());
+    let mut trainer = trainer(&fleet, &[0], 1);
+    let mut order = groups(1, 12, 10);
+    order[11].max_tokens = 400;
+    trainer.post_step(1, &order).unwrap();
+    trainer.lose_polls = 3;
+
+    poll_until_done(&mut trainer, 1);
+
+    assert_eq!(trainer.lose_polls, 0);
+    check(&fleet, &trainer);
+}
+
+/// Guards against groups and steps that are written twice, or not at all, when the object API
+/// loses the answers to writes.
+#[test]
+fn lost_answers_of_the_object_api() {
+    let fleet = start_fleet(&Setup::default());
+    let mut trainer = trainer(&fleet, &[0], 1);
+    fleet.api.set(|faults| faults.lost = 12);
+
+    trainer.run_step(1, &groups(1, 8, 10), PATIENCE).unwrap();
+
+    assert_eq!(fleet.api.faults().lost, 0);
+    check(&fleet, &trainer);
+}
+
+/// Guards against samples that come twice when two entries run the step, as after a pause of the
+/// first holder. The deleted lease lets the second entry acquire it while the first one runs on.
+#[test]
+fn two_entries_run_one_step() {
+    let fleet = two_entries(10);
+    let mut first = trainer(&fleet, &[0], 1);
+    let order = groups(1, 6, 500);
+    first.post_step(1, &order).unwrap();
+    let mut second = trainer(&fleet, &[1], 1);
+    second.post_step(1, &order).unwrap();
+    await_true("the first entry generates", || executions(&fleet, 1) >= 12);
+    let lease = fleet.api.objects.get(LEASE).unwrap().unwrap();
+    fleet.api.objects.delete(LEASE, lease.revision).unwrap();
+
+    poll_until_done(&mut second, 1);
+
+    check(&fleet, &second);
+    assert_eq!(stored(&fleet, 1, "delivered"), 6);
+    let again = executions(&fleet, 1);
+    assert!(again >= 18, "the second entry generated nothing: {again}");
+}
+
+/// Guards against a trainer that cannot get its samples again after a restart without its cursor.
+#[test]
+fn trainer_restart_gets_the_same_samples() {
+    let fleet = start_fleet(&Setup::default());
+    let order = groups(1, 8, 10);
+    let mut before = trainer(&fleet, &[0], 1);
+    before.post_step(1, &order).unwrap();
+    before.poll(1).unwrap();
+
+    let mut after = trainer(&fleet, &[0], 1);
+    after.run_step(1, &order, PATIENCE).unwrap();
+
+    check(&fleet, &after);
+    for entry in before.book() {
+        assert!(after.book().contains(entry));
+    }
+}
+
+/// Guards against samples that are lost or doubled by an outage of the object API that is longer
+/// than the lease, refusing and then silent.
+#[test]
+fn outage_of_the_object_api() {
+    let fleet = two_entries(5);
+    let mut trainer = trainer(&fleet, &[0, 1], 1);
+    trainer.post_step(1, &groups(1, 8, 100)).unwrap();
+    await_true("the step runs", || executions(&fleet, 1) >= 16);
+
+    fleet.api.set(|faults| faults.service = Service::Refusing);
+    thread::sleep(Duration::from_secs(6));
+    fleet.api.set(|faults| faults.service = Service::Silent);
+    thread::sleep(Duration::from_secs(6));
+    let during = stored(&fleet, 1, "recorded");
+    fleet.api.set(|faults| faults.service = Service::Up);
+    poll_until_done(&mut trainer, 1);
+
+    assert_eq!(during, 0);
+    check(&fleet, &trainer);
+}
+
+/// Guards against a step that nobody runs because another entry holds the trainer's lease.
+#[test]
+fn step_posted_to_another_entry_is_run_by_the_holder() {
+    let fleet = two_entries(5);
+    let mut trainer = trainer(&fleet, &[0, 1], 1);
+    trainer.post_step(1, &groups(1, 2, 1500)).unwrap();
+    await_true("the first step runs", || executions(&fleet, 1) >= 4);
+    let mut other = step_support::trainer(&fleet, &[1], 1);
+
+    other.run_step(2, &groups(2, 4, 10), PATIENCE).unwrap();
+
+    assert_eq!(
+        stored(&fleet, 1, "recorded"),
+        0,
+        "the first step still runs"
+    );
+    check(&fleet, &other);
+    poll_until_done(&mut trainer, 1);
+    check(&fleet, &trainer);
+}
+
+/// Guards against a drained entry that keeps its leases until they lapse.
+#[test]
+fn drained_entry_releases_its_leases() {
+    let mut fleet = two_entries(10);
+    let mut trainer = trainer(&fleet, &[0, 1], 1);
+    trainer.post_step(1, &groups(1, 4, 300)).unwrap();
+    await_true("the step runs", || executions(&fleet, 1) >= 8);
+    let start = Instant::now();
+
+    let entry = fleet.entries[0].take().unwrap();
+    entry.drain(Process::new(PATIENCE).serve(), &HostClock);
+    await_true("the lease is released", || {
+        let lease = fleet.api.objects.get(LEASE).unwrap().unwrap();
+        lease.value.contains("\"holder\":null")
+    });
+    let released = start.elapsed();
+    drop(entry);
+    poll_until_done(&mut trainer, 1);
+
+    assert!(released < Duration::from_secs(8), "{released:?}");
+    check(&fleet, &trainer);
+}
--- /dev/null
+++ b/crates/node/tests/step_support/mod.rs
@@ -0,0 +1,262 @@
+//! Fixtures of the step tests: entries, agents and engines in one process over the HTTP object API.
+
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use sardinepath_adapters::platform::object::HttpObjects;
+use sardinepath_core::domain::ids::WeightVersion;
+use sardinepath_core::domain::key::KeyDigest;
+use sardinepath_core::port::object::Expect;
+use sardinepath_core::port::object::ObjectPort;
+use sardinepath_node::agent::Agent;
+use sardinepath_node::entry::Entry;
+use sardinepath_standins::engine::Engine;
+use sardinepath_standins::engine::EngineSettings;
+use sardinepath_standins::object_api::ObjectApi;
+use sardinepath_standins::objects::MemoryObjects;
+use sardinepath_standins::scoring::ScoreState;
+use sardinepath_standins::scoring::Scoring;
+use sardinepath_standins::scoring::score;
+use sardinepath_standins::trainer::Faults;
+use sardinepath_standins::trainer::GroupOrder;
+use sardinepath_standins::trainer::Polled;
+use sardinepath_standins::trainer::Trainer;
+use sardinepath_standins::trainer::TrainerSettings;
+use sardinepath_standins::weights::WeightState;
+use sardinepath_standins::weights::Weights;
+use serde_json::json;
+
+use crate::common::agent_settings;
+use crate::common::entry_settings;
+
+/// Key of the trainer's workspace.
+pub const KEY: &str = "key-of-dream-diary-0001";
+
+/// Key of another workspace of the route.
+pub const OTHER_KEY: &str = "key-of-order-desk-00002";
+
+/// Time that every awaited condition gets. Only a fault makes a test wait this long.
+pub const PATIENCE: Duration = Duration::from_secs(120);
+
+/// Version of engines and trainers at the start.
+pub const FIRST: WeightVersion = WeightVersion(1);
+
+/// What a test starts.
+pub struct Setup {
+    pub engines: usize,
+    pub entries: usize,
+    pub token_time: Duration,
+    pub scoring: bool,
+}
+
+pub struct Fleet {
+    pub entries: Vec<Option<Entry>>,
+    pub addresses: Vec<SocketAddr>,
+    pub engines: Vec<Engine>,
+    pub api: ObjectApi,
+    pub scoring: Scoring,
+    pub weights: Weights,
+    agents: Vec<Agent>,
+}
+
+impl Default for Setup {
+    fn default() -> Self {
+        Self {
+            engines: 2,
+            entries: 1,
+            token_time: Duration::from_millis(1),
+            scoring: true,
+        }
+    }
+}
+
+/// Starts a fleet and waits until it serves the route.
+pub fn start_fleet(setup: &Setup) -> Fleet {
+    let engine = |seed| {
+        let (version, token_time) = (FIRST, setup.token_time);
+        let settings = EngineSettings {
+            version,
+            token_time,
+            seed,
+            ..EngineSettings::default()
+        };
+        Engine::start(settings).unwrap()
+    };
+    let engines: Vec<_> = (0..setup.engines as u64).map(engine).collect();
+    let agent = |(n, engine): (usize, &Engine)| {
+        Agent::start(&agent_settings(&format!("engine-{n}"), engine.address)).unwrap()
+    };
+    let agents: Vec<_> = engines.iter().enumerate().map(agent).collect();
+    let objects = Arc::new(MemoryObjects::default());
+    objects
+        .put("config/print", &tree(&agents), Expect::Absent)
+        .unwrap();
+    let api = ObjectApi::start(objects).unwrap();
+    let scoring = Scoring::serve(ScoreState::default()).unwrap();
+    let weights = Weights::serve(WeightState::new(64, 1 << 20)).unwrap();
+    let mut fleet = Fleet {
+        entries: Vec::new(),
+        addresses: Vec::new(),
+        engines,
+        api,
+        scoring,
+        weights,
+        agents,
+    };
+    for number in 0..setup.entries {
+        start_entry(&mut fleet, number, setup.scoring);
+    }
+    fleet
+}
+
+/// Starts an entry and waits until it serves the route.
+fn start_entry(fleet: &mut Fleet, number: usize, scoring: bool) {
+    let mut settings = entry_settings(&format!("host-{number}"), fleet.api.address);
+    settings.scoring = scoring.then_some(fleet.scoring.address);
+    let objects = Arc::new(HttpObjects::new(fleet.api.address));
+    let entry = Entry::start(&settings, objects).unwrap();
+    let url = format!("http://{}/print/open/v1/completions", entry.address);
+    await_true("the entry serves", || {
+        let warm = json!({"prompt": "warm-up", "max_tokens": 1}).to_string();
+        let answer = minreq::post(&url).with_body(warm).with_timeout(5).send();
+        answer.is_ok_and(|answer| answer.status_code == 200)
+    });
+    fleet.addresses.push(entry.address);
+    fleet.entries.push(Some(entry));
+}
+
+fn tree(agents: &[Agent]) -> String {
+    let target = |(n, agent): (usize, &Agent)| {
+        let spec = json!({"agent": agent.address, "centre": "cx1"});
+        (format!("engine-{n}"), spec)
+    };
+    let targets: BTreeMap<_, _> = agents.iter().enumerate().map(target).collect();
+    let digest = |key: &str| String::from(KeyDigest::of(key.as_bytes()));
+    let both = json!({"workspaces": ["diary", "desk"]});
+    json!({
+        "scheme": "slug",
+        "workspaces": {"diary": {}, "desk": {}},
+        "keys": {
+            "trainer": {"workspace": "diary", "digest": digest(KEY)},
+            "desk-app": {"workspace": "desk", "digest": digest(OTHER_KEY)},
+        },
+        "pools": {"small": {"kind": "model", "model": "small", "targets": targets}},
+        "routes": {
+            "train": {"pool": "small", "access": both, "repeat": "always", "deadline": 60},
+            "open": {"pool": "small", "access": {"open": "diary"}, "repeat": "always"},
+        },
+    })
+    .to_string()
+}
+
+/// Creates a trainer that uses these entries in turn.
+pub fn trainer(fleet: &Fleet, entries: &[usize], staleness: u64) -> Trainer {
+    let settings = TrainerSettings {
+        name: "t1".into(),
+        team: "print".into(),
+        route: "train".into(),
+        key: KEY.to_owned(),
+        entries: entries.iter().map(|n| fleet.addresses[*n]).collect(),
+        store: fleet.weights.address,
+        model: "small".into(),
+        staleness,
+    };
+    Trainer::new(settings, FIRST)
+}
+
+/// Orders groups of two samples. The tag of a group is `sT-gN`.
+pub fn groups(step: u64, count: usize, max_tokens: u32) -> Vec<GroupOrder> {
+    let group = |n| GroupOrder {
+        group: format!("g{n}"),
+        prompt: format!("dream {n} tag:s{step}-g{n}"),
+        samples: 2,
+        max_tokens,
+    };
+    (0..count).map(group).collect()
+}
+
+/// Polls with the same trainer until its step is done. Errors are tried again elsewhere.
+pub fn poll_until_done(trainer: &mut Trainer, step: u64) {
+    await_true("the step is done", || {
+        trainer.poll(step) == Ok(Polled::Done)
+    });
+}
+
+/// Kills an entry: it stops without drain and without release of its leases.
+pub fn kill(fleet: &mut Fleet, number: usize) {
+    drop(fleet.entries[number].take());
+}
+
+/// Orders an engine to load a version, as the roll-out does.
+pub fn load(engine: &Engine, version: u64) -> i32 {
+    let body = json!({"model": "small", "version": version, "fence": 1}).to_string();
+    let url = format!("http://{}/orders/load", engine.address);
+    let answer = minreq::post(url).with_body(body).with_timeout(60).send();
+    answer.unwrap().status_code.into()
+}
+
+/// Checks a trainer's book: each sample once, fresh, scored, and labelled with the versions by
+/// which an engine says that it generated it.
+pub fn check(fleet: &Fleet, trainer: &Trainer) {
+    assert_eq!(trainer.faults(), Faults::default());
+    let books: Vec<_> = fleet.engines.iter().map(Engine::book).collect();
+    for entry in trainer.book() {
+        let tag = format!("s{}-{}", entry.step, entry.group);
+        let text = &entry.sample.text;
+        assert!(text.starts_with(&format!("tag:{tag}")), "{text}");
+        assert!(text.ends_with(&format!("end:{tag}")), "{text}");
+        let mut runs = books.iter().flat_map(|book| book.tagged(&tag));
+        let mine = runs.any(|run| {
+            let mut versions = run.versions.clone();
+            versions.sort_unstable();
+            versions == entry.sample.versions && run.tokens == entry.sample.tokens
+        });
+        assert!(mine, "no engine generated {:?}", entry.sample);
+        assert!((entry.sample.score - score(text)).abs() < 1e-9);
+    }
+}
+
+/// Counts the executions of a step at all engines.
+pub fn executions(fleet: &Fleet, step: u64) -> usize {
+    let books = fleet.engines.iter().map(Engine::book);
+    let tags = format!("s{step}-");
+    let count = |book: sardinepath_standins::engine::Book| {
+        let runs = book.executions.iter();
+        runs.filter(|run| run.tag.starts_with(&tags)).count()
+    };
+    books.map(count).sum()
+}
+
+/// Returns the stored groups of a step in a state.
+pub fn stored(fleet: &Fleet, step: u64, state: &str) -> usize {
+    let prefix = format!("samples/print/diary/t1/{step}/");
+    let listing = fleet.api.objects.list(&prefix).unwrap();
+    let named = format!("\"state\":\"{state}\"");
+    let groups = listing.objects.iter();
+    groups.filter(|group| group.value.contains(&named)).count()
+}
+
+/// Reads a counter at an entry.
+pub fn counter(fleet: &Fleet, entry: usize, name: &str) -> u64 {
+    let admin = fleet.entries[entry].as_ref().unwrap().admin;
+    let page = minreq::get(format!("http://{admin}/metrics"))
+        .send()
+        .unwrap();
+    let text = page.as_str().unwrap();
+    let line = text.lines().find_map(|line| line.strip_prefix(name));
+    line.unwrap().trim().parse().unwrap()
+}
+
+pub fn await_true(what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + PATIENCE;
+    while !holds() {
+        assert!(Instant::now() < end, "gave up waiting until {what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
