--- a/crates/core/src/decision/sample/mod.rs
+++ b/crates/core/src/decision/sample/mod.rs
@@ -36,9 +36,12 @@
 //! generated again, because the trainer may hold the first answer. The length is the time from the
 //! write that delivers the group to the receipt of the answer.
 
+mod fact;
 mod group;
 mod plan;
 mod poll;
+mod run;
+mod step;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -46,6 +49,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+pub use crate::decision::sample::fact::DropReason;
+pub use crate::decision::sample::fact::Fact;
 pub use crate::decision::sample::group::Generated;
 pub use crate::decision::sample::group::Group;
 pub use crate::decision::sample::group::Open;
@@ -58,6 +63,14 @@
 pub use crate::decision::sample::plan::Run;
 pub use crate::decision::sample::poll::Reply;
 pub use crate::decision::sample::poll::collect;
+pub use crate::decision::sample::run::RunLimits;
+pub use crate::decision::sample::run::RunStep;
+pub use crate::decision::sample::run::StepRun;
+pub use crate::decision::sample::step::GroupSpec;
+pub use crate::decision::sample::step::StepKey;
+pub use crate::decision::sample::step::StepRecord;
+pub use crate::decision::sample::step::qualified;
+pub use crate::decision::sample::step::steps_prefix;
 use crate::domain::ids::Revision;
 use crate::domain::ids::WeightVersion;
 use crate::domain::name::TrainerName;
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -106,4 +106,22 @@
     WeightsUnknown = (411, Warn, "weights_unknown", "the weight store did not tell the latest version"),
     /// A load would leave fewer serving targets than the floor of the pool. Fields: `pool`.
     RolloutAtFloor = (412, Warn, "rollout_at_floor", "a load would leave fewer serving targets than the floor of the pool"),
+    /// A trainer posted a step. Fields: `trainer`, `step`.
+    StepStored = (500, Info, "step_stored", "a trainer posted a step"),
+    /// This entry runs a step. Fields: `trainer`, `step`.
+    StepStarted = (501, Info, "step_started", "this entry runs the step"),
+    /// Every group of a step was delivered. Fields: `trainer`, `step`.
+    StepComplete = (502, Info, "step_complete", "every group of the step was delivered"),
+    /// This entry lost the lease of a trainer. Fields: `trainer`.
+    StepsLost = (503, Warn, "steps_lost", "this entry lost the lease of the trainer and stopped its steps"),
+    /// A generation failed. Fields: `trainer`, `step`, `error`.
+    SampleFailed = (504, Debug, "sample_failed", "the generation of a sample failed and is tried again"),
+    /// Samples were dropped. Fields: `trainer`, `step`, `reason`, `count`.
+    SamplesDropped = (505, Debug, "samples_dropped", "samples were dropped"),
+    /// The scoring service failed. Fields: `error`.
+    ScoreFailed = (506, Warn, "score_failed", "the scoring service failed; the sample waits for its score"),
+    /// No scoring service is set.
+    ScoringOff = (507, Warn, "scoring_off", "no scoring service is set, so samples are recorded with score 0"),
+    /// A stored step or group cannot be read. Fields: `path`, `error`.
+    StepUnreadable = (508, Error, "step_unreadable", "a stored step or group cannot be read"),
 }
--- a/crates/node/src/entry/control.rs
+++ b/crates/node/src/entry/control.rs
@@ -33,6 +33,8 @@
 use crate::entry::peer::Distribution;
 use crate::entry::peer::PeerMessage;
 use crate::entry::reports::Follow;
+use crate::entry::step::StepMessage;
+use crate::entry::step::Steps;
 
 /// Interval of the timers of the control state.
 const TICK: Duration = Duration::from_millis(100);
@@ -87,6 +89,8 @@
     Peer(PeerMessage),
     /// A result for the duties, or a question to them.
     Duty(DutyMessage),
+    /// A step of a trainer is posted, polled or has progressed.
+    Step(StepMessage),
     /// The process stops.
     Stop,
 }
@@ -152,6 +156,8 @@
     follow: Follow,
     distribution: Distribution,
     duties: Duties,
+    /// Steps of trainers. None at an entry without steps.
+    steps: Option<Steps>,
     ticked: Time,
 }
 
@@ -180,10 +186,17 @@
             follow,
             distribution,
             duties,
+            steps: None,
             ticked: Time(0),
         }
     }
 
+    /// Adds the steps of trainers.
+    pub fn with_steps(self, steps: Steps) -> Self {
+        let steps = Some(steps);
+        Self { steps, ..self }
+    }
+
     /// Handles messages and timers until the process stops.
     pub fn run(mut self, queue: &Receiver<Message>) {
         loop {
@@ -246,6 +259,11 @@
                 }
                 self.ticked = Time(0);
             }
+            Message::Step(message) => {
+                if let Some(steps) = &mut self.steps {
+                    steps.handle(now, &self.config, message);
+                }
+            }
             Message::Stop => return Step::Stop,
         }
         Step::Continue
@@ -294,6 +312,9 @@
         self.ticked = now;
         self.traffic.tick(now);
         self.duties.tick(now, &self.config);
+        if let Some(steps) = &mut self.steps {
+            steps.tick(now);
+        }
         let pulse = self.distribution.pulse(now);
         self.distribution.tick(now, pulse.revision);
         let old = self.snapshot.load();
--- a/crates/node/src/entry/drain.rs
+++ b/crates/node/src/entry/drain.rs
@@ -17,6 +17,7 @@
 use crate::entry::control::Message;
 use crate::entry::control::Published;
 use crate::entry::duty::DutyMessage;
+use crate::entry::step::StepMessage;
 use crate::metrics::Metrics;
 use crate::process::wait;
 
@@ -53,6 +54,8 @@
     pub fn drain(&self, process: Process<Serving>, clock: &dyn Clock) -> DrainEnd {
         let process = process.drain(clock.now());
         self.draining.store(true, Ordering::Relaxed);
+        // A control thread that has ended holds no lease.
+        let _ = self.control.send(Message::Step(StepMessage::Drain));
         let finished = self.server.drain();
         let end = wait(&process, clock, &finished);
         self.release_leases();
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -7,6 +7,7 @@
 pub mod platform;
 pub mod reports;
 pub mod service;
+pub mod step;
 pub mod watch;
 
 use std::net::SocketAddr;
@@ -23,6 +24,7 @@
 use sardinepath_adapters::caller::limits::CallerLimits;
 use sardinepath_adapters::clock::HostClock;
 use sardinepath_adapters::platform::HttpOrders;
+use sardinepath_adapters::platform::HttpScores;
 use sardinepath_adapters::platform::HttpUsage;
 use sardinepath_adapters::platform::HttpWeights;
 use sardinepath_adapters::rpc::client::Peers;
@@ -35,6 +37,7 @@
 use sardinepath_core::port::clock::Clock;
 use sardinepath_core::port::object::ObjectPort;
 use sardinepath_core::port::order::OrderPort;
+use sardinepath_core::port::score::ScorePort;
 use sardinepath_core::port::usage::UsagePort;
 use sardinepath_core::port::weight::WeightPort;
 
@@ -54,6 +57,7 @@
 use crate::entry::peer::PeerService;
 use crate::entry::platform::Platform;
 use crate::entry::service::EntryService;
+use crate::entry::step::Steps;
 use crate::metrics::Metrics;
 
 /// Messages that may wait for the control thread. At 2,000 requests a second it takes them in
@@ -145,16 +149,47 @@
 
     /// Serves callers.
     fn serve_callers(&self, address: SocketAddr) -> anyhow::Result<CallerServer> {
-        let service = EntryService::new(
+        let service = Arc::new(self.service());
+        let limits = CallerLimits::default();
+        CallerServer::start(&self.spawner, listen(address)?, limits, service)
+    }
+
+    /// Creates the report streams of the targets.
+    fn report_streams(&self) -> reports::Follow {
+        reports::Follow::new(
+            self.spawner.clone(),
+            self.peers.clone(),
+            self.control.clone(),
+        )
+    }
+
+    /// Creates the service of requests.
+    fn service(&self) -> EntryService {
+        EntryService::new(
             self.spawner.clone(),
             self.clock.clone(),
             self.snapshot.clone(),
             self.control.clone(),
             self.peers.clone(),
             self.metrics.clone(),
-        );
-        let limits = CallerLimits::default();
-        CallerServer::start(&self.spawner, listen(address)?, limits, Arc::new(service))
+        )
+    }
+
+    /// Creates the state of trainers' steps.
+    fn start_steps(
+        &self,
+        settings: &EntrySettings,
+        objects: Arc<dyn ObjectPort>,
+    ) -> anyhow::Result<Steps> {
+        let scores = settings.scoring.map(HttpScores::new);
+        Steps::start(
+            objects,
+            scores.map(|scores| Arc::new(scores) as Arc<dyn ScorePort>),
+            self.service(),
+            self.spawner.clone(),
+            self.control.clone(),
+            self.metrics.clone(),
+        )
     }
 }
 
@@ -183,7 +218,7 @@
     };
     let metrics = Arc::new(Metrics::new()?);
     let context = Context {
-        ports: ports(settings, &spawner, clock.clone(), objects),
+        ports: ports(settings, &spawner, clock.clone(), objects.clone()),
         spawner: spawner.clone(),
         peers: peers.clone(),
         control: control.clone(),
@@ -200,25 +235,27 @@
     };
     let distribution = Distribution::new(identity, spawner.clone(), peers.clone(), control.clone());
     let snapshot = control::new_snapshot(distribution.pulse(clock.now()));
+    let parts = Parts {
+        clock,
+        spawner,
+        peers,
+        control,
+        snapshot,
+        metrics,
+    };
     let state = Control::new(
-        clock.clone(),
-        snapshot.clone(),
-        reports::Follow::new(spawner.clone(), peers.clone(), control.clone()),
+        parts.clock.clone(),
+        parts.snapshot.clone(),
+        parts.report_streams(),
         Traffic::new(settings.centre.clone(), rand::random()),
         distribution,
         Duties::new(duties, context),
     );
+    let state = state.with_steps(parts.start_steps(settings, objects)?);
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || state.run(&queue))?;
-    Ok(Parts {
-        clock,
-        spawner,
-        peers,
-        control,
-        snapshot,
-        metrics,
-    })
+    Ok(parts)
 }
 
 /// Connects the ports of the duties with the interfaces that the settings name.
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -1,5 +1,7 @@
 //! Runs requests on the traffic threads of an entry.
 
+mod sample;
+
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::time::Duration;
@@ -37,13 +39,17 @@
 use sardinepath_core::port::agent::AgentPort;
 use sardinepath_core::port::clock::Clock;
 use sardinepath_core::port::front::CallerFront;
+use sardinepath_core::port::step::StepFront;
 use sardinepath_core::port::target::CallGuard;
 
 use crate::entry::control::Message;
 use crate::entry::control::Published;
 use crate::entry::control::Verdict;
+use crate::entry::step::front::StepService;
 use crate::metrics::Metrics;
 
+pub use sample::SampleCall;
+
 /// Verdicts that may wait for one request: a grant and a revocation.
 const VERDICT_ROOM: usize = 4;
 
@@ -57,6 +63,7 @@
 #[derive(Clone)]
 pub struct EntryService {
     shared: Arc<Shared>,
+    steps: StepService,
 }
 
 /// What all requests share.
@@ -77,6 +84,8 @@
     deadline: Time,
     clock: Arc<dyn Clock>,
     streamed: bool,
+    /// True if the target streams the answer but it is passed on only when it is whole.
+    collected: bool,
     verdicts: Receiver<Verdict>,
     events: Sender<CallEvent>,
     /// The agent's usage counter that came with the end of the answer.
@@ -116,6 +125,12 @@
         agents: Arc<Peers>,
         metrics: Arc<Metrics>,
     ) -> Self {
+        let steps = StepService::new(
+            clock.clone(),
+            snapshot.clone(),
+            control.clone(),
+            metrics.clone(),
+        );
         let shared = Shared {
             spawner,
             clock,
@@ -126,6 +141,7 @@
         };
         Self {
             shared: Arc::new(shared),
+            steps,
         }
     }
 }
@@ -140,13 +156,23 @@
     fn note_refusal(&self, kind: ErrorKind) {
         self.shared.metrics.refuse(kind);
     }
+
+    fn steps(&self) -> Option<&dyn StepFront> {
+        Some(&self.steps)
+    }
 }
 
 impl Shared {
     /// Serves a request and passes a failure on to the caller.
     async fn serve(&self, inbound: Inbound, events: Sender<CallEvent>) {
+        let admitted = self.admit(inbound, events.clone());
+        self.run_admitted(admitted, events).await;
+    }
+
+    /// Runs a request that was admitted, or tells its refusal.
+    async fn run_admitted(&self, admitted: Result<Job, ErrorKind>, events: Sender<CallEvent>) {
         let _running = self.metrics.start();
-        let failure = match self.admit(inbound, events.clone()) {
+        let failure = match admitted {
             Ok(job) => self.run(&job).await,
             Err(kind) => Some(Failure::from(kind)),
         };
@@ -165,6 +191,19 @@
             return Err(ErrorKind::KeysStale);
         }
         let authorized = authorize(&snapshot.config, snapshot.is_fresh(now), &inbound)?;
+        let floor = WeightVersion::default();
+        self.ask(now, authorized, inbound, floor, events)
+    }
+
+    /// Asks the control thread for the admission of an authorized request.
+    fn ask(
+        &self,
+        now: Time,
+        authorized: Authorized,
+        inbound: Inbound,
+        floor: WeightVersion,
+        events: Sender<CallEvent>,
+    ) -> Result<Job, ErrorKind> {
         let deadline = now + authorized.deadline;
         let completion = inbound.completion.clone().unwrap_or_default();
         let ask = Ask {
@@ -174,7 +213,7 @@
             key: authorized.key,
             priority: authorized.priority,
             prefixes: prefixes(&completion.prompt),
-            floor: WeightVersion::default(),
+            floor,
             tokens: completion.tokens,
             deadline,
         };
@@ -193,6 +232,7 @@
             inbound,
             deadline,
             clock: self.clock.clone(),
+            collected: false,
             verdicts,
             events,
             counter: OnceLock::new(),
@@ -246,7 +286,7 @@
         let (sender, events) = flume::bounded(EVENT_ROOM);
         let call = job.call(&request, job.left());
         let _guard = self.agents.execute(choice.agent, call, sender);
-        let end = if job.streamed {
+        let end = if job.streamed && !job.collected {
             stream(job, &mut request, &events).await
         } else {
             collect(job, &events).await
