Pause a step only after failures in a row, and test the withheld group

Each failed generation paused its whole step for 0.5 s, so one bad engine beside good ones could hold up every other sample. The pause now follows four failures without a whole answer between them.

--- a/crates/core/src/decision/sample/run.rs
+++ b/crates/core/src/decision/sample/run.rs
@@ -32,9 +32,14 @@
 use crate::domain::time::Time;
 use crate::port::object::ObjectError;
 
-/// Pause after a failed run, score or write, so that an outage does not cause a busy loop.
+/// Pause after failed runs and after a failed score or write, so that an outage does not cause a
+/// busy loop.
 const PAUSE: Duration = Duration::from_millis(500);
 
+/// Failed runs in a row before a pause. A pause after each failure would let one bad target hold
+/// up the whole step.
+const FAILURES: u32 = 4;
+
 /// Time between two listings while recorded groups wait for the trainer. Only a listing shows a
 /// group that a poll at another entry has expired.
 const RELIST: Duration = Duration::from_secs(2);
@@ -85,6 +90,8 @@
     groups: Vec<Progress>,
     /// Time before which no generation starts.
     paused: Time,
+    /// Failed runs since the last whole answer.
+    failures: u32,
     /// Time of the next listing, or none while one is under way.
     relist: Option<Time>,
     facts: Vec<Fact>,
@@ -142,6 +149,7 @@
             record,
             fresh,
             paused: now,
+            failures: 0,
             relist: Some(now + RELIST),
             facts: Vec::new(),
         };
@@ -201,6 +209,7 @@
             self.failed(now, member, run);
             return false;
         }
+        self.failures = 0;
         let first = self.plan.answered(member, run);
         match self.groups.get_mut(member.0 as usize) {
             Some(Progress::Open(_, answers)) if first => {
@@ -218,7 +227,10 @@
     /// Takes in the failure of a generation.
     pub fn failed(&mut self, now: Time, member: Member, run: Run) {
         self.plan.failed(member, run);
-        self.paused = now + PAUSE;
+        self.failures = self.failures.saturating_add(1);
+        if self.failures >= FAILURES {
+            self.paused = now + PAUSE;
+        }
     }
 
     /// Takes in a score, or none if the scoring service failed.
--- a/crates/node/tests/step_engines.rs
+++ b/crates/node/tests/step_engines.rs
@@ -9,6 +9,7 @@
 
 use sardinepath_core::domain::ids::WeightVersion;
 use sardinepath_standins::engine::Ending;
+use sardinepath_standins::trainer::Polled;
 
 use crate::step_support::PATIENCE;
 use crate::step_support::Setup;
@@ -127,6 +128,26 @@
     assert_eq!(counter(&fleet, 0, expired), 6);
 }
 
+/// Guards against a stale delivery in the window that the design leaves open: the answer to a poll
+/// is lost and the trainer moves on before it polls again. Promise P2 holds; the group is withheld.
+#[test]
+fn delivered_group_is_withheld_from_a_newer_version() {
+    let fleet = start_fleet(&Setup::default());
+    let mut trainer = trainer(&fleet, &[0], 0);
+    trainer.post_step(1, &groups(1, 2, 10)).unwrap();
+    await_true("all is recorded", || stored(&fleet, 1, "recorded") == 2);
+    trainer.lose_polls = 1;
+    trainer.poll(1).unwrap();
+
+    trainer.publish().unwrap();
+    let polled = trainer.poll(1);
+
+    assert_eq!(polled, Ok(Polled::Done));
+    assert_eq!(trainer.book(), []);
+    assert_eq!(trainer.faults().missing.len(), 4);
+    assert_eq!(stored(&fleet, 1, "delivered"), 2);
+}
+
 /// Guards against stragglers that are delivered although the trainer moved beyond the bound while
 /// they ran (promise P2), and against an endless loop at the bound.
 #[test]
