Test that a withdrawn key stops the samples of a step

Samples run without a request of the trainer, so a withdrawal has to reach them by the digest of its last key.

--- a/crates/node/tests/step.rs
+++ b/crates/node/tests/step.rs
@@ -5,8 +5,11 @@
 mod common;
 mod step_support;
 
+use std::time::Duration;
 use std::time::Instant;
 
+use sardinepath_core::port::object::Expect;
+use sardinepath_core::port::object::ObjectPort;
 use sardinepath_standins::trainer::GroupOrder;
 use sardinepath_standins::trainer::Polled;
 use serde_json::json;
@@ -16,6 +19,7 @@
 use crate::step_support::OTHER_KEY;
 use crate::step_support::PATIENCE;
 use crate::step_support::Setup;
+use crate::step_support::await_true;
 use crate::step_support::check;
 use crate::step_support::counter;
 use crate::step_support::executions;
@@ -135,7 +139,7 @@
 fn poll_waits_for_a_group() {
     let fleet = start_fleet(&Setup::default());
     for engine in &fleet.engines {
-        engine.set_faults(|faults| faults.delay = std::time::Duration::from_secs(3));
+        engine.set_faults(|faults| faults.delay = Duration::from_secs(3));
     }
     let mut trainer = trainer(&fleet, &[0], 1);
     trainer.post_step(1, &groups(1, 1, 5)).unwrap();
@@ -144,6 +148,37 @@
     let first = trainer.poll(1).unwrap();
 
     assert_eq!(first, Polled::Done);
-    assert!(start.elapsed() >= std::time::Duration::from_millis(1500));
+    assert!(start.elapsed() >= Duration::from_millis(1500));
     check(&fleet, &trainer);
 }
+
+/// Guards against samples that go on for a withdrawn key (promise P6), also those that run.
+#[test]
+fn withdrawn_key_stops_the_samples() {
+    let fleet = start_fleet(&Setup {
+        token_time: Duration::from_millis(20),
+        ..Setup::default()
+    });
+    let mut trainer = trainer(&fleet, &[0], 1);
+    trainer.post_step(1, &groups(1, 80, 100)).unwrap();
+    await_true("samples run", || executions(&fleet, 1) > 10);
+    let object = fleet.api.objects.get("config/print").unwrap().unwrap();
+    let mut tree: serde_json::Value = serde_json::from_str(&object.value).unwrap();
+    tree["keys"]["trainer"]["withdrawn"] = true.into();
+    let (text, expect) = (tree.to_string(), Expect::At(object.revision));
+
+    fleet
+        .api
+        .objects
+        .put("config/print", &text, expect)
+        .unwrap();
+    std::thread::sleep(Duration::from_secs(5));
+    let running: usize = fleet.engines.iter().map(|engine| engine.load().0).sum();
+    let before = executions(&fleet, 1);
+    std::thread::sleep(Duration::from_secs(2));
+
+    assert_eq!(running, 0);
+    assert!(before < 160, "the step was over before the withdrawal");
+    assert_eq!(executions(&fleet, 1), before);
+    assert!(trainer.poll(1).unwrap_err().contains("bad_key"));
+}
