Test lost answers to intents and to orders apart

The former test lost the answer to a read of the states, not to an order: an intent whose write had no answer is resolved by the states first. Each loss now has a test of its own; both are at least as strict as before.

--- a/crates/node/tests/duty_orders.rs
+++ b/crates/node/tests/duty_orders.rs
@@ -136,18 +136,33 @@
     );
 }
 
-/// Guards against an order that runs twice, or never, after its answer or that of its intent was
-/// lost.
+/// Guards against an order that runs twice, or never, after the answer to a write of its intent or
+/// to a renewal was lost.
 #[test]
-fn lost_answers_lead_to_one_order_for_each_target() {
+fn lost_answers_to_intents_lead_to_one_order_for_each_target() {
     let world = start_world();
     declare_floor(&world);
     let orders = start_orders();
     let member = start_orderer(&world, "host-1", orders.address);
     await_true("the duty", || held(&member, "orders/cx1") == 1);
 
-    // From here on no write to the object API is answered, whether of a lease or of an intent.
+    // From here on no write to the object API is answered.
     world.api.set(|faults| faults.lost = 1000);
+
+    await_true("the settled intents", || settled(&world) == 2);
+    assert!(world.api.faults().lost < 1000);
+    assert_started_once(&orders);
+}
+
+/// Guards against an order that is sent again, or given up, after its answer was lost.
+#[test]
+fn lost_answers_to_orders_are_resolved_by_the_states() {
+    let world = start_world();
+    declare_floor(&world);
+    let orders = start_orders();
+    let _member = start_orderer(&world, "host-1", orders.address);
+
+    // The next call to the interface after the first intent is the order itself.
     await_true("an intent", || !windows(&world, "intents/cx1/").is_empty());
     orders.set_faults(|faults| faults.lose = 1);
 
@@ -155,11 +170,14 @@
     let (tell, told) = flume::bounded(1);
     orders.set_faults(move |faults| tell.send(faults.lose).unwrap());
     assert_eq!(told.recv().unwrap(), 0);
-    assert!(world.api.faults().lost < 1000);
-    let mut started = applied(&orders);
+    assert_started_once(&orders);
+}
+
+fn assert_started_once(orders: &Orders) {
+    let mut started = applied(orders);
     started.sort();
     assert_eq!(started, ["o1", "o2"].map(|target| (target.to_owned(), 1)));
-    assert_eq!(book(&orders).len(), 2);
+    assert_eq!(book(orders).len(), 2);
 }
 
 /// Guards against an order that is written after the lease of its sender has ended.
