Run the whole path in one process with a demo that checks the promises

Cause: nobody could see the parts work together, and the books of the stand-ins were compared only in tests of single parts. Change: sardinepath demo [--json]; steps are authorized without the check of completions paths.

--- a/crates/core/src/decision/authorize.rs
+++ b/crates/core/src/decision/authorize.rs
@@ -33,6 +33,7 @@
 
 /// Start of the paths that callers may reach on a model engine.
 const MODEL_PATHS: &str = "/v1/";
+
 /// Path of a completions request at a model engine.
 const SAMPLE_PATH: &str = "/v1/completions";
 
@@ -93,6 +94,13 @@
 ///
 /// `fresh` is false if this node cannot tell whether keys are still valid.
 pub fn authorize(config: &Config, fresh: bool, inbound: &Inbound) -> Result<Authorized, ErrorKind> {
+    let authorized = identify(config, fresh, inbound)?;
+    refuse_unfit(config, &authorized, inbound)?;
+    Ok(authorized)
+}
+
+/// Finds the route and the workspace, and refuses what must not be passed on.
+fn identify(config: &Config, fresh: bool, inbound: &Inbound) -> Result<Authorized, ErrorKind> {
     let (route, rest) = split_path(&inbound.path)?;
     let spec = config.route(&route).ok_or(ErrorKind::NoRoute)?;
     if inbound.body.len() > spec.body as usize {
@@ -119,7 +127,6 @@
         team: route.team.clone(),
         name: spec.pool.clone(),
     };
-    refuse_unfit(config, &pool, rest, inbound)?;
     Ok(Authorized {
         pool,
         idempotent: idempotent(spec, &inbound.method),
@@ -140,7 +147,7 @@
     fresh: bool,
     inbound: &Inbound,
 ) -> Result<Authorized, ErrorKind> {
-    let authorized = authorize(config, fresh, inbound)?;
+    let authorized = identify(config, fresh, inbound)?;
     if authorized.key.is_none() {
         return Err(ErrorKind::NoKey);
     }
@@ -283,14 +290,14 @@
 /// take orders too, and a body that the front end could not read.
 fn refuse_unfit(
     config: &Config,
-    pool: &PoolId,
-    rest: &str,
+    authorized: &Authorized,
     inbound: &Inbound,
 ) -> Result<(), ErrorKind> {
-    if config.pool(pool).ok_or(ErrorKind::NoRoute)?.kind != TargetKind::Model {
+    let pool = config.pool(&authorized.pool).ok_or(ErrorKind::NoRoute)?;
+    if pool.kind != TargetKind::Model {
         return Ok(());
     }
-    if !is_model_path(rest) {
+    if !is_model_path(&authorized.path) {
         return Err(ErrorKind::NoRoute);
     }
     if inbound.completion.is_none() && !inbound.body.is_empty() {
--- a/crates/sardinepath/src/cli.rs
+++ b/crates/sardinepath/src/cli.rs
@@ -51,6 +51,12 @@
         #[bpaf(argument("LEVEL"), fallback(LevelFilter::Info))]
         log: LevelFilter,
     },
+    /// Run the whole path on the loopback in one process, with stand-ins, and check its promises
+    #[bpaf(command)]
+    Demo {
+        /// Print one JSON object
+        json: bool,
+    },
     /// Check a file of settings or of declarations without starting or changing anything
     #[bpaf(command)]
     Check {
--- /dev/null
+++ b/crates/sardinepath/src/demo/fleet.rs
@@ -0,0 +1,317 @@
+//! The stand-ins, agents and entries of the demo.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use anyhow::Context;
+use anyhow::bail;
+use sardinepath_adapters::platform::object::HttpObjects;
+use sardinepath_core::domain::key::KeyDigest;
+use sardinepath_node::agent::Agent;
+use sardinepath_node::config::AgentSettings;
+use sardinepath_node::config::EntrySettings;
+use sardinepath_node::entry::Entry;
+use sardinepath_node::operate;
+use sardinepath_standins::engine::Engine;
+use sardinepath_standins::engine::EngineSettings;
+use sardinepath_standins::object_api::ObjectApi;
+use sardinepath_standins::objects::MemoryObjects;
+use sardinepath_standins::plain::PlainService;
+use sardinepath_standins::scoring::ScoreState;
+use sardinepath_standins::scoring::Scoring;
+use sardinepath_standins::usage::Usage;
+use sardinepath_standins::usage::UsageState;
+use sardinepath_standins::weights::WeightState;
+use sardinepath_standins::weights::Weights;
+use serde_json::Value;
+use serde_json::json;
+
+/// Model of all engines.
+pub const MODEL: &str = "prompter";
+
+/// Length of a usage window in seconds. Short, so that one closes during the demo.
+const WINDOW: u64 = 5;
+
+/// Time for all parts to be ready.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+
+/// Size of a weight version in bytes, and the rate of the store in bytes a second.
+const WEIGHTS: (usize, u64) = (1 << 16, 1 << 24);
+
+const CENTRES: [&str; 2] = ["cx1", "cx2"];
+
+const ENGINES: usize = 3;
+
+const SERVICES: usize = 2;
+
+const ENTRIES: usize = 2;
+
+/// A workspace with its key.
+pub struct Tenant {
+    /// Team of the workspace.
+    pub team: &'static str,
+    /// Name in the team's scheme.
+    pub workspace: &'static str,
+    /// Name of the key declaration.
+    pub key: &'static str,
+    /// The secret.
+    pub secret: &'static str,
+}
+
+/// Workspaces in three naming schemes. The first two share a team, the second trains.
+pub const TENANTS: [Tenant; 4] = [
+    Tenant {
+        team: "press",
+        workspace: "press.caxias.diary",
+        key: "press.caxias.app",
+        secret: "demo-key-of-the-dream-diary-4f1c",
+    },
+    Tenant {
+        team: "press",
+        workspace: "press.caxias.training",
+        key: "press.caxias.trainer",
+        secret: "demo-key-of-the-trainer-91b7",
+    },
+    Tenant {
+        team: "field",
+        workspace: "crew-jobs",
+        key: "crew-app",
+        secret: "demo-key-of-the-crews-77aa",
+    },
+    Tenant {
+        team: "orders",
+        workspace: "WS-00417",
+        key: "KY-00001",
+        secret: "demo-key-of-the-shop-30de",
+    },
+];
+
+/// Everything that the demo runs.
+pub struct Fleet {
+    /// Entries with their addresses for callers.
+    pub entries: Vec<Entry>,
+    /// Engines with their books.
+    pub engines: Vec<Engine>,
+    /// Plain services with their logs.
+    pub services: Vec<PlainService>,
+    /// The weight store.
+    pub weights: Weights,
+    /// The usage interface with its book.
+    pub usage: Usage,
+    /// The object API.
+    pub objects: ObjectApi,
+    agents: Vec<Agent>,
+    _scoring: Scoring,
+}
+
+impl Fleet {
+    /// Starts all parts, puts the declarations in force and waits until requests are served.
+    pub fn start() -> anyhow::Result<Self> {
+        let engines: Vec<_> = (0..ENGINES).map(start_engine).collect::<Result<_, _>>()?;
+        let services: Vec<_> = (0..SERVICES)
+            .map(|_| PlainService::start())
+            .collect::<Result<_, _>>()?;
+        let mut fleet = Self {
+            entries: Vec::new(),
+            agents: start_agents(&engines, &services)?,
+            engines,
+            services,
+            weights: Weights::serve(WeightState::new(WEIGHTS.0, WEIGHTS.1))?,
+            usage: Usage::serve(UsageState::default())?,
+            objects: ObjectApi::start(Arc::new(MemoryObjects::default()))?,
+            _scoring: Scoring::serve(ScoreState::default())?,
+        };
+        fleet.apply(&[])?;
+        for number in 0..ENTRIES {
+            let settings = fleet.entry_settings(number)?;
+            let objects = Arc::new(HttpObjects::new(fleet.objects.address));
+            fleet.entries.push(Entry::start(&settings, objects)?);
+        }
+        fleet.meet();
+        fleet.wait_until_ready()?;
+        Ok(fleet)
+    }
+
+    /// Returns the address of one of the entries.
+    pub fn entry(&self, number: usize) -> SocketAddr {
+        self.entries[number % self.entries.len()].address
+    }
+
+    /// Puts the declarations in force, with these keys withdrawn.
+    pub fn apply(&self, withdrawn: &[&str]) -> anyhow::Result<()> {
+        let file = std::env::temp_dir().join(format!("sardinepath-demo-{}", std::process::id()));
+        let text = self.declarations(withdrawn).to_string();
+        std::fs::write(&file, text).context("could not write the declarations")?;
+        let applied = self.apply_file(&file);
+        // A file that stays behind holds no secret.
+        let _ = std::fs::remove_file(&file);
+        applied
+    }
+
+    fn apply_file(&self, file: &Path) -> anyhow::Result<()> {
+        let objects = HttpObjects::new(self.objects.address);
+        let applied = operate::apply(file, &objects).map_err(|e| anyhow::anyhow!("{e}"))?;
+        if !applied.is_complete() {
+            bail!("the declarations were not applied:\n{applied}");
+        }
+        Ok(())
+    }
+
+    fn declarations(&self, withdrawn: &[&str]) -> Value {
+        let plain = self.agents.iter().skip(self.engines.len());
+        let engines = targets("engine", self.agents.iter().take(self.engines.len()));
+        let services = targets("orders", plain);
+        let models = json!({"kind": "model", "model": MODEL, "targets": engines});
+        let field_engines = json!({"kind": "plain", "targets": services});
+        json!({"teams": {
+            "press": {
+                "scheme": "dotted",
+                "workspaces": {
+                    "press.caxias.diary": {"share": 2, "priority": "interactive"},
+                    "press.caxias.training": {"priority": "training"},
+                },
+                "keys": keys("press", withdrawn),
+                "pools": {"press.models": models},
+                "routes": {"press.suggest": {
+                    "pool": "press.models",
+                    "access": {"workspaces": ["press.caxias.diary", "press.caxias.training"]},
+                    "repeat": "always",
+                }},
+            },
+            "field": {
+                "scheme": "slug",
+                "workspaces": {"crew-jobs": {}},
+                "keys": keys("field", withdrawn),
+                "pools": {"jobs": field_engines},
+                "routes": {
+                    "dispatch": {
+                        "pool": "jobs",
+                        "access": {"workspaces": ["crew-jobs"]},
+                        "repeat": "never",
+                    },
+                    "notices": {"pool": "jobs", "access": {"open": "crew-jobs"}},
+                },
+            },
+            "orders": {
+                "scheme": "coded",
+                "workspaces": {"WS-00417": {}},
+                "keys": keys("orders", withdrawn),
+            },
+        }})
+    }
+
+    fn entry_settings(&self, number: usize) -> anyhow::Result<EntrySettings> {
+        let any = loopback();
+        let settings = json!({
+            "role": "entry", "host": format!("entry-{number}"), "centre": CENTRES[number % 2],
+            "listen": any, "peer": any, "admin": any, "objects": self.objects.address,
+            "usage": self.usage.address, "weights": self.weights.address,
+            "scoring": self._scoring.address, "window": WINDOW,
+        });
+        serde_json::from_value(settings).context("the settings of the demo's entries are wrong")
+    }
+
+    fn meet(&self) {
+        let all: Vec<_> = self
+            .entries
+            .iter()
+            .enumerate()
+            .map(|(n, entry)| (format!("entry-{n}").into(), entry.peer))
+            .collect();
+        for entry in &self.entries {
+            entry.meet(all.clone());
+        }
+    }
+
+    /// Waits until every entry reaches both kinds of target.
+    fn wait_until_ready(&self) -> anyhow::Result<()> {
+        let end = Instant::now() + READY_LIMIT;
+        while Instant::now() < end {
+            let ready = (0..self.entries.len()).all(|n| self.is_ready(n));
+            if ready {
+                return Ok(());
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        bail!("the entries were not ready within {READY_LIMIT:?}")
+    }
+
+    fn is_ready(&self, number: usize) -> bool {
+        let entry = self.entry(number);
+        let notice = minreq::get(format!("http://{entry}/field/notices/ready")).send();
+        let models = minreq::post(format!("http://{entry}/press/press.suggest/v1/completions"))
+            .with_header("x-api-key", TENANTS[0].secret)
+            .with_body(r#"{"prompt":"tag:ready","max_tokens":4}"#)
+            .send();
+        [notice, models]
+            .into_iter()
+            .all(|answer| answer.is_ok_and(|a| a.status_code == 200))
+    }
+}
+
+/// Returns an address with a free port.
+pub fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+fn start_engine(number: usize) -> anyhow::Result<Engine> {
+    Engine::start(EngineSettings {
+        model: MODEL.into(),
+        checks_fence: number > 0,
+        ..EngineSettings::default()
+    })
+}
+
+fn start_agents(engines: &[Engine], services: &[PlainService]) -> anyhow::Result<Vec<Agent>> {
+    let engines = engines.iter().map(|e| ("engine", e.address));
+    let services = services.iter().map(|s| ("orders", s.address));
+    let mut counts = BTreeMap::new();
+    engines
+        .chain(services)
+        .map(|(kind, address)| {
+            let number = counts.entry(kind).or_insert(0);
+            let name = format!("{kind}-{number}");
+            *number += 1;
+            start_agent(&name, address)
+        })
+        .collect()
+}
+
+fn start_agent(target: &str, address: SocketAddr) -> anyhow::Result<Agent> {
+    let any = loopback();
+    let settings = json!({
+        "role": "agent", "host": format!("host-of-{target}"), "centre": CENTRES[0],
+        "listen": any, "admin": any, "target": target, "address": address,
+    });
+    let settings: AgentSettings =
+        serde_json::from_value(settings).context("the settings of the demo's agents are wrong")?;
+    Agent::start(&settings)
+}
+
+fn targets<'a>(kind: &str, agents: impl Iterator<Item = &'a Agent>) -> Value {
+    let targets = agents.enumerate().map(|(number, agent)| {
+        let centre = CENTRES[number % CENTRES.len()];
+        let spec = json!({"agent": agent.address, "centre": centre});
+        (format!("{kind}-{number}"), spec)
+    });
+    targets.collect()
+}
+
+fn keys(team: &str, withdrawn: &[&str]) -> Value {
+    let tenants = TENANTS.iter().filter(|tenant| tenant.team == team);
+    let keys = tenants.map(|tenant| {
+        let digest = String::from(KeyDigest::of(tenant.secret.as_bytes()));
+        let spec = json!({
+            "workspace": tenant.workspace,
+            "digest": digest,
+            "withdrawn": withdrawn.contains(&tenant.key),
+        });
+        (tenant.key.to_owned(), spec)
+    });
+    keys.collect()
+}
--- a/crates/sardinepath/src/main.rs
+++ b/crates/sardinepath/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod config;
+mod demo;
 mod logging;
 mod operate;
 mod role;
@@ -24,6 +25,7 @@
     let exit = match cli::parse() {
         Ok(Command::Entry { settings, log }) => run(&settings, log, role::run_entry),
         Ok(Command::Agent { settings, log }) => run(&settings, log, role::run_agent),
+        Ok(Command::Demo { json }) => demo::run(json),
         Ok(Command::Check { objects, file }) => check(&file, objects),
         Ok(Command::Apply { objects, file }) => operate::apply(&file, objects),
         Ok(Command::Diff { objects, file }) => operate::diff(&file, objects),
