Decide on answers, departures and new requests in the core

Cause: the entry and agent services decided themselves what follows an event of an attempt, so property tests of the core could not reach these decisions. Change: decision/answer.rs takes in the events of an attempt and checks the attempt that they name, decision/entrance.rs decides on a new request, Request::depart checks the deadline before an attempt, and Gathered of the agent decides on the events of the target. The services call them.

--- a/crates/adapters/src/rpc/convert.rs
+++ b/crates/adapters/src/rpc/convert.rs
@@ -5,6 +5,8 @@
 
 use bytes::Bytes;
 use sardinepath_core::decision::agent::Known;
+use sardinepath_core::decision::answer::check_attempt;
+use sardinepath_core::decision::answer::names_attempt;
 use sardinepath_core::domain::call::Call;
 use sardinepath_core::domain::call::CallEvent;
 use sardinepath_core::domain::call::Counter;
@@ -76,7 +78,7 @@
 
 /// Encodes an event of an attempt.
 pub(crate) fn event_to_wire(event: CallEvent, of: (RequestId, Attempt)) -> wire::ExecuteEvent {
-    let marked = !matches!(event, CallEvent::Chunk(_) | CallEvent::Heartbeat);
+    let marked = names_attempt(&event);
     let event = match event {
         CallEvent::Head { status, fields } => Event::Head(wire::Head {
             status: status.into(),
@@ -110,12 +112,8 @@
 /// Decodes an event of an attempt. An event of an unknown kind, or a head, end or failure of
 /// another attempt, becomes a failure that claims nothing.
 pub(crate) fn event_from_wire(wire: wire::ExecuteEvent, of: (RequestId, Attempt)) -> CallEvent {
-    let unmarked = matches!(wire.event, Some(Event::Chunk(_) | Event::Heartbeat(_)));
     let from = request_id(&wire.request).map(|id| (id, Attempt(wire.attempt)));
-    if !unmarked && from != Some(of) {
-        return CallEvent::Failed(Failure::from(ErrorKind::AgentLost));
-    }
-    match wire.event {
+    let event = match wire.event {
         Some(Event::Head(head)) => CallEvent::Head {
             status: u16::try_from(head.status).unwrap_or(502),
             fields: head.headers.into_iter().map(field_from_wire).collect(),
@@ -129,7 +127,8 @@
         }),
         Some(Event::Failure(failure)) => CallEvent::Failed(failure_from_wire(&failure)),
         None => CallEvent::Failed(Failure::from(ErrorKind::AgentLost)),
-    }
+    };
+    check_attempt(event, from, of)
 }
 
 /// Encodes an order.
--- a/crates/core/src/decision/agent.rs
+++ b/crates/core/src/decision/agent.rs
@@ -4,8 +4,11 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 
+use crate::domain::call::CallEvent;
 use crate::domain::call::Counter;
 use crate::domain::error::ErrorKind;
+use crate::domain::error::Failure;
+use crate::domain::error::RunState;
 use crate::domain::ids::Fence;
 use crate::domain::ids::Incarnation;
 use crate::domain::ids::RequestId;
@@ -13,6 +16,7 @@
 use crate::domain::name::WorkspaceId;
 use crate::domain::target::Naming;
 use crate::domain::target::ServingState;
+use crate::port::target::TargetEvent;
 
 /// Ids of non-idempotent requests that an agent remembers. At 100 such requests a second this
 /// covers more than ten minutes, the longest deadline of a route.
@@ -38,6 +42,28 @@
     before: Option<WeightVersion>,
 }
 
+/// What an answer says of itself, gathered over its parts.
+#[derive(Clone, Debug, Default)]
+pub struct Gathered {
+    /// Weight versions.
+    pub label: Label,
+    /// Tokens.
+    pub tokens: u64,
+}
+
+/// What an agent does with an event of its target.
+#[derive(Debug)]
+pub enum Forward {
+    /// Pass this event on to the entry.
+    Pass(CallEvent),
+    /// The answer is whole: count it and send its end.
+    Whole,
+    /// The target did not start the attempt: forget it, then send this failure.
+    NotRun(Failure),
+    /// The attempt failed: send this failure.
+    Failed(Failure),
+}
+
 /// Control state of one agent.
 #[derive(Debug)]
 pub struct AgentState {
@@ -93,6 +119,39 @@
     }
 }
 
+impl Gathered {
+    /// Starts with the version that was read before the call, if it could be read.
+    pub fn new(before: Option<WeightVersion>) -> Self {
+        Self {
+            label: Label::new(before),
+            tokens: 0,
+        }
+    }
+
+    /// Takes in an event of the target.
+    pub fn take(&mut self, event: TargetEvent) -> Forward {
+        match event {
+            TargetEvent::Head { status, fields } => {
+                Forward::Pass(CallEvent::Head { status, fields })
+            }
+            TargetEvent::Chunk {
+                bytes,
+                naming,
+                tokens,
+            } => {
+                self.label.take(naming);
+                self.tokens = tokens.unwrap_or(self.tokens);
+                Forward::Pass(CallEvent::Chunk(bytes))
+            }
+            TargetEvent::Whole => Forward::Whole,
+            TargetEvent::Failed(failure) if failure.run == RunState::NotRun => {
+                Forward::NotRun(failure)
+            }
+            TargetEvent::Failed(failure) => Forward::Failed(failure),
+        }
+    }
+}
+
 impl AgentState {
     /// Creates the state of a new run of an agent.
     pub fn new(incarnation: Incarnation) -> Self {
--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -1,8 +1,10 @@
 //! State machines: `(now, event)` in, the next step out.
 
 pub mod agent;
+pub mod answer;
 pub mod authorize;
 pub mod config;
+pub mod entrance;
 mod expose;
 pub mod freshness;
 pub mod lease;
--- a/crates/core/src/decision/request.rs
+++ b/crates/core/src/decision/request.rs
@@ -1,6 +1,8 @@
 //! Life cycle of a request at an entry. Each state is a type, so a step out of order does not
 //! compile.
 
+use std::time::Duration;
+
 use crate::domain::error::ErrorKind;
 use crate::domain::error::Failure;
 use crate::domain::error::RunState;
@@ -47,6 +49,15 @@
     Final(Request<Answered>),
 }
 
+/// What follows when a target has been granted and the delay before the attempt is over.
+#[derive(Debug)]
+pub enum Departure {
+    /// The attempt starts.
+    Go(Request<Dispatched>),
+    /// The deadline has passed, so the attempt does not start.
+    Late(Request<Answered>),
+}
+
 impl Request<Admitted> {
     /// Starts the life of a request.
     pub fn new(id: RequestId, idempotent: bool) -> Self {
@@ -58,6 +69,14 @@
         }
     }
 
+    /// Starts the next attempt if time is left until the deadline.
+    pub fn depart(self, left: Duration) -> Departure {
+        if left.is_zero() {
+            return Departure::Late(self.refuse(Failure::from(ErrorKind::DeadlineInQueue)));
+        }
+        Departure::Go(self.dispatch())
+    }
+
     /// Goes to a target as the next attempt.
     pub fn dispatch(self) -> Request<Dispatched> {
         Request {
--- a/crates/node/src/agent/running.rs
+++ b/crates/node/src/agent/running.rs
@@ -1,7 +1,7 @@
 //! An attempt that the control thread has let start.
 
 use flume::Sender;
-use sardinepath_core::decision::agent::Label;
+use sardinepath_core::decision::agent::Gathered;
 use sardinepath_core::domain::call::CallEvent;
 use sardinepath_core::domain::call::Counter;
 use sardinepath_core::domain::call::Ending;
@@ -25,13 +25,6 @@
     open: bool,
 }
 
-/// What an answer says of itself, gathered over its parts.
-#[derive(Debug)]
-pub(super) struct Gathered {
-    pub(super) label: Label,
-    pub(super) tokens: u64,
-}
-
 impl Running {
     /// Creates a handle that is closed until the attempt may start.
     pub fn new(request: RequestId, workspace: WorkspaceId, control: Sender<Message>) -> Self {
--- a/crates/node/src/agent/service.rs
+++ b/crates/node/src/agent/service.rs
@@ -5,14 +5,14 @@
 
 use flume::Sender;
 use sardinepath_adapters::runtime::Spawner;
+use sardinepath_core::decision::agent::Forward;
+use sardinepath_core::decision::agent::Gathered;
 use sardinepath_core::decision::agent::Known;
-use sardinepath_core::decision::agent::Label;
 use sardinepath_core::domain::call::Call;
 use sardinepath_core::domain::call::CallEvent;
 use sardinepath_core::domain::call::Counter;
 use sardinepath_core::domain::error::ErrorKind;
 use sardinepath_core::domain::error::Failure;
-use sardinepath_core::domain::error::RunState;
 use sardinepath_core::domain::ids::Incarnation;
 use sardinepath_core::domain::ids::RequestId;
 use sardinepath_core::domain::ids::WeightVersion;
@@ -21,13 +21,11 @@
 use sardinepath_core::domain::target::Report;
 use sardinepath_core::port::front::AgentFront;
 use sardinepath_core::port::target::CallGuard;
-use sardinepath_core::port::target::TargetEvent;
 use sardinepath_core::port::target::TargetPort;
 
 use crate::agent::control::Begun;
 use crate::agent::control::Message;
 use crate::agent::drain::Leaving;
-use crate::agent::running::Gathered;
 use crate::agent::running::Running;
 use crate::metrics::Metrics;
 
@@ -103,34 +101,21 @@
         labelled: bool,
         events: &Sender<CallEvent>,
     ) -> CallEvent {
-        let mut gathered = Gathered {
-            label: Label::new(self.version(labelled).await),
-            tokens: 0,
-        };
+        let mut gathered = Gathered::new(self.version(labelled).await);
         let (sender, parts) = flume::bounded(EVENT_ROOM);
         let _guard = self.target.call(call, sender);
         while let Ok(part) = parts.recv_async().await {
-            let event = match part {
-                TargetEvent::Head { status, fields } => CallEvent::Head { status, fields },
-                TargetEvent::Chunk {
-                    bytes,
-                    naming,
-                    tokens,
-                } => {
-                    gathered.label.take(naming);
-                    gathered.tokens = tokens.unwrap_or(gathered.tokens);
-                    CallEvent::Chunk(bytes)
-                }
-                TargetEvent::Whole => {
+            let event = match gathered.take(part) {
+                Forward::Pass(event) => event,
+                Forward::Whole => {
                     let after = self.version(labelled).await;
                     return running.whole(gathered, after).await;
                 }
-                TargetEvent::Failed(failure) => {
-                    if failure.run == RunState::NotRun {
-                        running.refuse().await;
-                    }
+                Forward::NotRun(failure) => {
+                    running.refuse().await;
                     return CallEvent::Failed(failure);
                 }
+                Forward::Failed(failure) => return CallEvent::Failed(failure),
             };
             if events.send_async(event).await.is_err() {
                 return CallEvent::Failed(Failure::from(ErrorKind::Cancelled));
--- a/crates/node/src/entry/control.rs
+++ b/crates/node/src/entry/control.rs
@@ -128,13 +128,6 @@
     }))
 }
 
-impl Snapshot {
-    /// Tells whether keys may be checked at this time.
-    pub fn is_fresh(&self, now: Time) -> bool {
-        self.keys.is_some_and(|until| now < until)
-    }
-}
-
 /// State of the control thread.
 pub struct Control {
     clock: Arc<dyn Clock>,
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -10,16 +10,18 @@
 use sardinepath_adapters::rpc::client::Peers;
 use sardinepath_adapters::runtime::Spawner;
 use sardinepath_adapters::runtime::sleep;
+use sardinepath_core::decision::answer::Answer;
+use sardinepath_core::decision::answer::Taken;
 use sardinepath_core::decision::authorize::Authorized;
 use sardinepath_core::decision::authorize::Inbound;
-use sardinepath_core::decision::authorize::authorize;
-use sardinepath_core::decision::prefix::prefixes;
+use sardinepath_core::decision::entrance::View;
+use sardinepath_core::decision::entrance::enter;
 use sardinepath_core::decision::request::Admitted;
 use sardinepath_core::decision::request::AfterFailure;
 use sardinepath_core::decision::request::Answered;
+use sardinepath_core::decision::request::Departure;
 use sardinepath_core::decision::request::Dispatched;
 use sardinepath_core::decision::request::Request;
-use sardinepath_core::decision::traffic::Ask;
 use sardinepath_core::decision::traffic::Choice;
 use sardinepath_core::decision::traffic::Outcome;
 use sardinepath_core::decision::traffic::TicketKey;
@@ -29,7 +31,6 @@
 use sardinepath_core::domain::error::Failure;
 use sardinepath_core::domain::error::RunState;
 use sardinepath_core::domain::ids::RequestId;
-use sardinepath_core::domain::ids::WeightVersion;
 use sardinepath_core::domain::time::Time;
 use sardinepath_core::port::agent::AgentPort;
 use sardinepath_core::port::clock::Clock;
@@ -47,9 +48,6 @@
 /// Events of one attempt that may wait.
 const EVENT_ROOM: usize = 16;
 
-/// Largest answer that is collected before it is passed on, in bytes.
-const ANSWER_MOST: usize = 8 << 20;
-
 /// Serves callers.
 #[derive(Clone)]
 pub struct EntryService {
@@ -155,23 +153,14 @@
     fn admit(&self, inbound: Inbound, events: Sender<CallEvent>) -> Result<Job, ErrorKind> {
         let now = self.clock.now();
         let snapshot = self.snapshot.load();
-        if !snapshot.ready {
-            return Err(ErrorKind::KeysStale);
-        }
-        let authorized = authorize(&snapshot.config, snapshot.is_fresh(now), &inbound)?;
-        let deadline = now + authorized.deadline;
-        let completion = inbound.completion.clone().unwrap_or_default();
-        let ask = Ask {
-            route: authorized.route.clone(),
-            pool: authorized.pool.clone(),
-            workspace: authorized.workspace.clone(),
-            key: authorized.key,
-            priority: authorized.priority,
-            prefixes: prefixes(&completion.prompt),
-            floor: WeightVersion::default(),
-            tokens: completion.tokens,
-            deadline,
+        let view = View {
+            config: &snapshot.config,
+            ready: snapshot.ready,
+            keys: snapshot.keys,
         };
+        let (authorized, ask) = enter(view, now, &inbound)?;
+        let deadline = ask.deadline;
+        let streamed = inbound.completion.as_ref().is_some_and(|c| c.streamed);
         let (sender, verdicts) = flume::bounded(VERDICT_ROOM);
         let message = Message::Ask {
             ask,
@@ -183,7 +172,7 @@
         Ok(Job {
             id: RequestId(rand::random()),
             authorized,
-            streamed: completion.streamed,
+            streamed,
             inbound,
             deadline,
             clock: self.clock.clone(),
@@ -212,13 +201,14 @@
             };
             let mut ticket = Ticket::new(key, &self.control);
             sleep(delay).await;
-            if job.left().is_zero() {
-                let failure = Failure::from(ErrorKind::DeadlineInQueue);
-                let answered = request.refuse(failure);
-                ticket.done(&answered, 0);
-                return answered.failure();
-            }
-            match self.attempt(job, request.dispatch(), &choice).await {
+            let departed = match request.depart(job.left()) {
+                Departure::Go(request) => request,
+                Departure::Late(answered) => {
+                    ticket.done(&answered, 0);
+                    return answered.failure();
+                }
+            };
+            match self.attempt(job, departed, &choice).await {
                 Step::Retry(next, failure) => {
                     self.metrics.retry(failure.kind);
                     ticket.retry(failure).await;
@@ -239,12 +229,7 @@
         let (sender, events) = flume::bounded(EVENT_ROOM);
         let call = job.call(&request, job.left());
         let _guard = self.agents.execute(choice.agent, call, sender);
-        let end = if job.streamed {
-            stream(job, &mut request, &events).await
-        } else {
-            collect(job, &events).await
-        };
-        match end {
+        match relay(job, &mut request, &events).await {
             AttemptEnd::Whole(tokens) => Step::Done(request.finish(), tokens),
             AttemptEnd::Revoked(failure) => Step::Done(request.abort(failure), 0),
             AttemptEnd::Failed(failure) => match request.fail(failure) {
@@ -354,58 +339,29 @@
     }
 }
 
-/// Passes a streamed answer on as it comes.
-async fn stream(
+/// Takes in the events of an attempt and passes its answer on.
+async fn relay(
     job: &Job,
     request: &mut Request<Dispatched>,
     events: &Receiver<CallEvent>,
 ) -> AttemptEnd {
+    let mut answer = Answer::new(job.streamed);
     loop {
         let event = match job.next(events).await {
             Ok(event) => event,
             Err(failure) => return AttemptEnd::Revoked(failure),
         };
-        match event {
-            CallEvent::Heartbeat => continue,
-            CallEvent::Failed(failure) => return AttemptEnd::Failed(failure),
-            CallEvent::Head { .. } | CallEvent::Chunk(_) => {
-                request.mark_sent();
+        match answer.take(request, event) {
+            Taken::Wait => {}
+            Taken::Pass(event) => {
                 if let Err(failure) = job.pass(event).await {
                     return AttemptEnd::Revoked(failure);
                 }
             }
-            CallEvent::End(ending) => {
-                let tokens = ending.tokens;
-                return finish(job, vec![CallEvent::End(ending)], tokens).await;
-            }
-        }
-    }
-}
-
-/// Collects an answer and passes it on when it is whole.
-async fn collect(job: &Job, events: &Receiver<CallEvent>) -> AttemptEnd {
-    let mut parts = Vec::new();
-    let mut size = 0;
-    loop {
-        let event = match job.next(events).await {
-            Ok(event) => event,
-            Err(failure) => return AttemptEnd::Revoked(failure),
-        };
-        match event {
-            CallEvent::Heartbeat => continue,
-            CallEvent::Failed(failure) => return AttemptEnd::Failed(failure),
-            CallEvent::End(ref ending) => {
-                let tokens = ending.tokens;
-                parts.push(event);
-                return finish(job, parts, tokens).await;
-            }
-            CallEvent::Chunk(ref bytes) => size += bytes.len(),
-            CallEvent::Head { .. } => {}
-        }
-        if size > ANSWER_MOST {
-            return AttemptEnd::Revoked(Failure::from(ErrorKind::AnswerTooLarge));
+            Taken::Whole(parts, tokens) => return finish(job, parts, tokens).await,
+            Taken::Failed(failure) => return AttemptEnd::Failed(failure),
+            Taken::Stop(failure) => return AttemptEnd::Revoked(failure),
         }
-        parts.push(event);
     }
 }
 
