Refuse crossed parts of answers and late copies of refused attempts

Cause: property tests over pairs of failures found two faults. With crossed streams, a part without a head in front of it went to the caller of another request (CrossStreams with CrashAfter). A second copy of an attempt ran after the target's refusal had been told to the entry (DoubleExecute with CrashBefore), although the caller was told that the request did not run. Change: an answer fails if a part or end precedes its head or a second head comes; the agent remembers the refused attempt of an id and starts only later ones. The test of AgentState::begin uses attempts and also checks the refused one.

--- a/crates/core/src/decision/agent.rs
+++ b/crates/core/src/decision/agent.rs
@@ -9,6 +9,7 @@
 use crate::domain::error::ErrorKind;
 use crate::domain::error::Failure;
 use crate::domain::error::RunState;
+use crate::domain::ids::Attempt;
 use crate::domain::ids::Fence;
 use crate::domain::ids::Incarnation;
 use crate::domain::ids::RequestId;
@@ -18,7 +19,7 @@
 use crate::domain::target::ServingState;
 use crate::port::target::TargetEvent;
 
-/// Ids of non-idempotent requests that an agent remembers. At 100 such requests a second this
+/// Ids of non-idempotent requests, and of refused ones, that an agent remembers. At 100 such requests a second this
 /// covers more than ten minutes, the longest deadline of a route.
 const REMEMBERED: usize = 65_536;
 
@@ -73,6 +74,9 @@
     fence: Fence,
     seen: HashMap<RequestId, Known>,
     order: VecDeque<RequestId>,
+    /// The last attempt of a request that the target did not start, by request.
+    refused: HashMap<RequestId, Attempt>,
+    refusals: VecDeque<RequestId>,
     counters: HashMap<WorkspaceId, u64>,
 }
 
@@ -162,6 +166,8 @@
             fence: Fence::default(),
             seen: HashMap::new(),
             order: VecDeque::new(),
+            refused: HashMap::new(),
+            refusals: VecDeque::new(),
             counters: HashMap::new(),
         }
     }
@@ -182,10 +188,25 @@
     }
 
     /// Decides whether an attempt may start at the target.
-    pub fn begin(&mut self, request: RequestId, idempotent: bool) -> Result<(), ErrorKind> {
+    ///
+    /// An attempt that was refused does not start later, however often its message arrives: the
+    /// entry was told that it did not run.
+    pub fn begin(
+        &mut self,
+        request: RequestId,
+        attempt: Attempt,
+        idempotent: bool,
+    ) -> Result<(), ErrorKind> {
         if self.serving != ServingState::Serving {
             return Err(ErrorKind::TargetLeaving);
         }
+        if self
+            .refused
+            .get(&request)
+            .is_some_and(|last| attempt <= *last)
+        {
+            return Err(ErrorKind::Repeated);
+        }
         if !idempotent {
             self.remember(request)?;
         }
@@ -213,14 +234,16 @@
         })
     }
 
-    /// Notes that the target did not start an attempt that had begun. The id may come again.
-    pub fn refuse(&mut self, request: RequestId) {
+    /// Notes that the target did not start an attempt that had begun. The id may come again as
+    /// another attempt.
+    pub fn refuse(&mut self, request: RequestId, attempt: Attempt) {
         self.running = self.running.saturating_sub(1);
         self.seen.remove(&request);
         // The id is among the newest.
         if let Some(at) = self.order.iter().rposition(|id| *id == request) {
             self.order.remove(at);
         }
+        self.remember_refusal(request, attempt);
     }
 
     /// Tells what is known of a request id.
@@ -262,6 +285,18 @@
         Ok(())
     }
 
+    fn remember_refusal(&mut self, request: RequestId, attempt: Attempt) {
+        if self.refused.insert(request, attempt).is_some() {
+            return;
+        }
+        if self.refusals.len() == REMEMBERED
+            && let Some(oldest) = self.refusals.pop_front()
+        {
+            self.refused.remove(&oldest);
+        }
+        self.refusals.push_back(request);
+    }
+
     /// Records a non-idempotent request id, or refuses one that was seen before.
     fn remember(&mut self, request: RequestId) -> Result<(), ErrorKind> {
         if self.seen.contains_key(&request) {
--- a/crates/core/src/decision/answer.rs
+++ b/crates/core/src/decision/answer.rs
@@ -15,6 +15,8 @@
 #[derive(Debug)]
 pub struct Answer {
     streamed: bool,
+    /// True once the head has come.
+    headed: bool,
     parts: Vec<CallEvent>,
     size: usize,
 }
@@ -39,13 +41,23 @@
     pub fn new(streamed: bool) -> Self {
         Self {
             streamed,
+            headed: false,
             parts: Vec::new(),
             size: 0,
         }
     }
 
     /// Takes in the next event.
+    ///
+    /// A part or an end in front of the head, or a second head, belongs to another answer. Parts
+    /// do not name their attempt, so this is how those of a crossed stream are noticed.
     pub fn take(&mut self, request: &mut Request<Dispatched>, event: CallEvent) -> Taken {
+        let head = matches!(event, CallEvent::Head { .. });
+        let body = matches!(event, CallEvent::Chunk(_) | CallEvent::End(_));
+        if head && self.headed || body && !self.headed {
+            return Taken::Failed(Failure::from(ErrorKind::AgentLost));
+        }
+        self.headed |= head;
         match event {
             CallEvent::Heartbeat => Taken::Wait,
             CallEvent::Failed(failure) => Taken::Failed(failure),
--- a/crates/core/tests/request.rs
+++ b/crates/core/tests/request.rs
@@ -17,6 +17,7 @@
 use sardinepath_core::domain::error::ErrorKind;
 use sardinepath_core::domain::error::Failure;
 use sardinepath_core::domain::error::RunState;
+use sardinepath_core::domain::ids::Attempt;
 use sardinepath_core::domain::ids::Fence;
 use sardinepath_core::domain::ids::Incarnation;
 use sardinepath_core::domain::ids::RequestId;
@@ -140,7 +141,8 @@
     }
 
     /// Guards against an agent that starts a known id again, in whatever order begins, ends,
-    /// refusals by the target and look-ups come, against one that refuses an id that never ran,
+    /// refusals by the target and look-ups come, against one that starts a refused
+    /// attempt when its message arrives again, against one that refuses an id that never ran,
     /// and against a look-up that forgets a running request.
     #[test]
     fn agent_starts_each_non_idempotent_id_once(
@@ -148,13 +150,19 @@
     ) {
         let mut agent = AgentState::new(Incarnation(1));
         let mut begun = [0_u32; 4];
+        let mut refused = [0_u32; 4];
         let mut open = [false; 4];
 
         for (id, step) in steps {
             let at = usize::try_from(id).unwrap();
             match step {
                 Step::Begin => {
-                    let fine = agent.begin(RequestId(id), false).is_ok();
+                    let stale = Attempt(refused[at]);
+                    if refused[at] > 0 {
+                        prop_assert!(agent.begin(RequestId(id), stale, false).is_err());
+                    }
+                    let next = Attempt(refused[at] + 1);
+                    let fine = agent.begin(RequestId(id), next, false).is_ok();
                     prop_assert_eq!(fine, begun[at] == 0);
                     begun[at] += u32::from(fine);
                     open[at] |= fine;
@@ -164,7 +172,8 @@
                     open[at] = false;
                 }
                 Step::NotRun if open[at] => {
-                    agent.refuse(RequestId(id));
+                    refused[at] += 1;
+                    agent.refuse(RequestId(id), Attempt(refused[at]));
                     begun[at] -= 1;
                     open[at] = false;
                 }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -3,6 +3,12 @@
 
 pub mod lease;
 pub mod order;
+pub mod pairs;
+pub mod pairs_agent;
+pub mod pairs_entry;
+pub mod pairs_fault;
+pub mod pairs_fixture;
+pub mod pairs_judge;
 pub mod reporters;
 pub mod sample;
 pub mod usage;
--- /dev/null
+++ b/crates/core/tests/support/pairs_entry.rs
@@ -0,0 +1,454 @@
+//! The steps of the entry between its decisions: control state and one task for each request.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sardinepath_core::decision::answer::Answer;
+use sardinepath_core::decision::answer::Taken;
+use sardinepath_core::decision::answer::check_attempt;
+use sardinepath_core::decision::config::Config;
+use sardinepath_core::decision::entrance::View;
+use sardinepath_core::decision::entrance::enter;
+use sardinepath_core::decision::freshness::Freshness;
+use sardinepath_core::decision::request::Admitted;
+use sardinepath_core::decision::request::AfterFailure;
+use sardinepath_core::decision::request::Answered;
+use sardinepath_core::decision::request::Departure;
+use sardinepath_core::decision::request::Dispatched;
+use sardinepath_core::decision::request::Request;
+use sardinepath_core::decision::traffic::Action;
+use sardinepath_core::decision::traffic::Choice;
+use sardinepath_core::decision::traffic::Outcome;
+use sardinepath_core::decision::traffic::TicketKey;
+use sardinepath_core::decision::traffic::Traffic;
+use sardinepath_core::domain::call::Call;
+use sardinepath_core::domain::call::CallEvent;
+use sardinepath_core::domain::error::ErrorKind;
+use sardinepath_core::domain::error::Failure;
+use sardinepath_core::domain::ids::Attempt;
+use sardinepath_core::domain::ids::RequestId;
+use sardinepath_core::domain::ids::Revision;
+use sardinepath_core::domain::time::Time;
+
+use crate::support::pairs::Message;
+use crate::support::pairs::Place;
+use crate::support::pairs::StreamId;
+use crate::support::pairs::World;
+use crate::support::pairs::entry_state;
+use crate::support::pairs_fixture;
+
+/// Interval of the entry's timers in milliseconds.
+const TICK: u64 = 100;
+
+/// The entry process.
+pub struct Entry {
+    /// Counts the restarts.
+    pub life: u32,
+    /// The process makes no step before this time.
+    pub paused: u64,
+    /// True once the drain has started.
+    pub draining: bool,
+    pub traffic: Traffic,
+    pub freshness: Freshness,
+    pub config: Arc<Config>,
+    /// The tasks of open tickets.
+    pub verdicts: BTreeMap<TicketKey, usize>,
+    snapshot: Snapshot,
+}
+
+/// What the control state has published.
+struct Snapshot {
+    config: Arc<Config>,
+    ready: bool,
+    keys: Option<Time>,
+}
+
+/// What a request's task knows beside its state.
+#[derive(Clone, Debug)]
+pub struct Job {
+    deadline: Time,
+    call: Call,
+    /// The ticket that the task has to close.
+    ticket: Option<TicketKey>,
+    /// A revocation that came during the delay before an attempt.
+    revoked: Option<Failure>,
+}
+
+/// The task of a request.
+#[derive(Debug)]
+pub enum Task {
+    /// Has not come yet.
+    Idle,
+    /// Waits for a verdict.
+    Waiting(Request<Admitted>, Job),
+    /// Waits for the delay before an attempt.
+    Delayed(Request<Admitted>, Job),
+    /// Waits for events from this agent.
+    Running(Request<Dispatched>, Job, Answer, usize),
+    /// Has ended.
+    Done,
+}
+
+impl Entry {
+    /// Starts a life of the entry.
+    pub fn new(life: u32, seed: u64) -> Self {
+        let (traffic, freshness) = entry_state(seed);
+        Self {
+            life,
+            paused: 0,
+            draining: false,
+            traffic,
+            freshness,
+            config: Arc::default(),
+            verdicts: BTreeMap::new(),
+            snapshot: Snapshot {
+                config: Arc::default(),
+                ready: false,
+                keys: None,
+            },
+        }
+    }
+
+    fn publish(&mut self, now: Time) {
+        self.snapshot = Snapshot {
+            config: self.config.clone(),
+            ready: self.freshness.standing(now).ready,
+            keys: self.freshness.keys_until(),
+        };
+    }
+}
+
+impl World {
+    /// Makes a step of the entry.
+    pub fn step_entry(&mut self, message: Message) {
+        let now = Time(self.now);
+        match message {
+            Message::Submit(request) => return self.submit(request),
+            Message::Go(request, ticket, choice, delay) => {
+                return self.go(request, ticket, choice, delay);
+            }
+            Message::Refused(request, failure) => return self.refused(request, failure),
+            Message::Revoked(request, failure) => return self.revoked(request, failure),
+            Message::Depart(request, ticket, choice) => {
+                return self.depart(request, ticket, &choice);
+            }
+            Message::Deadline(request) => return self.deadline(request),
+            Message::Event(stream, from, event) => return self.event(stream, from, event),
+            Message::Ask(request, ask) => {
+                let ticket = self.entry.traffic.ask(now, ask);
+                self.entry.verdicts.insert(ticket, request);
+            }
+            Message::Retry(ticket, failure) => self.entry.traffic.retry(now, ticket, failure),
+            Message::Ended(ticket, outcome) => self.close(ticket, &outcome),
+            Message::Report(report) => self.entry.traffic.report(now, report),
+            Message::Watched(asked, revision) => self.watched(asked, revision),
+            Message::Updated(revision) => self.put_in_force(revision),
+            Message::EntryTick => self.tick(),
+            other => panic!("{other:?} is no step of the entry"),
+        }
+        self.carry_out();
+    }
+
+    /// Stops the task of a caller that hangs up.
+    pub fn caller_leaves(&mut self, request: usize) {
+        self.callers[request].gone = true;
+        match std::mem::replace(&mut self.tasks[request], Task::Done) {
+            Task::Idle | Task::Done => {}
+            Task::Waiting(_, job) | Task::Delayed(_, job) => self.close_gone(&job),
+            Task::Running(running, job, _, agent) => {
+                self.give_up(agent, (request, running.attempt().0));
+                self.close_gone(&job);
+            }
+        }
+    }
+
+    /// Gives an attempt up at its agent.
+    pub fn give_up(&mut self, agent: usize, stream: StreamId) {
+        let after = self.way();
+        let place = Place::Agent(agent, self.agents[agent].life);
+        let lane = (3, agent, self.agents[agent].life);
+        self.send_in_order(place, lane, after, Message::Cancel(agent, stream));
+    }
+
+    fn submit(&mut self, request: usize) {
+        if self.now < self.entry.paused {
+            let later = self.entry.paused - self.now;
+            return self.send(Place::Outside, later, Message::Submit(request));
+        }
+        if self.entry.draining || self.callers[request].gone {
+            self.callers[request].gone = true;
+            return;
+        }
+        let inbound = pairs_fixture::inbound(&self.callers[request]);
+        let snapshot = &self.entry.snapshot;
+        let view = View {
+            config: &snapshot.config,
+            ready: snapshot.ready,
+            keys: snapshot.keys,
+        };
+        let (authorized, ask) = match enter(view, Time(self.now), &inbound) {
+            Ok(entered) => entered,
+            Err(kind) => return self.callers[request].failure = Some(Failure::from(kind)),
+        };
+        let id = RequestId(request as u128);
+        let call = Call {
+            request: id,
+            attempt: Attempt(0),
+            workspace: authorized.workspace,
+            method: inbound.method,
+            path: authorized.path,
+            fields: authorized.fields,
+            body: inbound.body,
+            idempotent: authorized.idempotent,
+            deadline: authorized.deadline,
+            priority: authorized.priority,
+            streamed: self.callers[request].streamed,
+        };
+        let job = Job {
+            deadline: ask.deadline,
+            call,
+            ticket: None,
+            revoked: None,
+        };
+        self.tasks[request] = Task::Waiting(Request::new(id, authorized.idempotent), job);
+        self.tell_control(Message::Ask(request, ask));
+    }
+
+    fn go(&mut self, request: usize, ticket: TicketKey, choice: Choice, delay: Duration) {
+        match std::mem::replace(&mut self.tasks[request], Task::Done) {
+            Task::Waiting(waiting, mut job) => {
+                job.ticket = Some(ticket);
+                self.tasks[request] = Task::Delayed(waiting, job);
+                let after = u64::try_from(delay.as_millis()).unwrap();
+                let place = Place::Entry(self.entry.life);
+                self.send(place, after, Message::Depart(request, ticket, choice));
+            }
+            other => self.tasks[request] = other,
+        }
+    }
+
+    fn depart(&mut self, request: usize, ticket: TicketKey, choice: &Choice) {
+        let (waiting, job) = match std::mem::replace(&mut self.tasks[request], Task::Done) {
+            Task::Delayed(waiting, job) if job.ticket == Some(ticket) => (waiting, job),
+            other => return self.tasks[request] = other,
+        };
+        let left = job.deadline.since(Time(self.now));
+        let running = match waiting.depart(left) {
+            Departure::Go(running) => running,
+            Departure::Late(answered) => return self.finish(request, &job, &answered, 0),
+        };
+        let agent = usize::from(choice.agent.port() - 7000);
+        let call = Call {
+            attempt: running.attempt(),
+            deadline: left,
+            ..job.call.clone()
+        };
+        self.seen.dispatched.push((self.now, agent));
+        self.execute(agent, (request, running.attempt().0), call);
+        let answer = Answer::new(self.callers[request].streamed);
+        let revoked = job.revoked;
+        let after = u64::try_from(left.as_millis()).unwrap();
+        self.tasks[request] = Task::Running(running, job, answer, agent);
+        let place = Place::Entry(self.entry.life);
+        self.send(place, after, Message::Deadline(request));
+        if let Some(failure) = revoked {
+            self.revoked(request, failure);
+        }
+    }
+
+    fn refused(&mut self, request: usize, failure: Failure) {
+        match std::mem::replace(&mut self.tasks[request], Task::Done) {
+            Task::Waiting(waiting, mut job) => {
+                job.ticket = None;
+                self.finish(request, &job, &waiting.refuse(failure), 0);
+            }
+            other => self.tasks[request] = other,
+        }
+    }
+
+    fn revoked(&mut self, request: usize, failure: Failure) {
+        match std::mem::replace(&mut self.tasks[request], Task::Done) {
+            Task::Waiting(waiting, job) => {
+                self.finish(request, &job, &waiting.refuse(failure), 0);
+            }
+            Task::Delayed(waiting, mut job) => {
+                job.revoked = Some(failure);
+                self.tasks[request] = Task::Delayed(waiting, job);
+            }
+            Task::Running(running, job, _, agent) => {
+                self.give_up(agent, (request, running.attempt().0));
+                self.finish(request, &job, &running.abort(failure), 0);
+            }
+            other => self.tasks[request] = other,
+        }
+    }
+
+    fn deadline(&mut self, request: usize) {
+        if matches!(&self.tasks[request], Task::Running(_, job, ..) if job.deadline <= Time(self.now))
+        {
+            self.revoked(request, Failure::from(ErrorKind::DeadlinePassed));
+        }
+    }
+
+    fn event(&mut self, stream: StreamId, from: (RequestId, Attempt), event: CallEvent) {
+        let (request, attempt) = stream;
+        let (mut running, job, mut answer, agent) =
+            match std::mem::replace(&mut self.tasks[request], Task::Done) {
+                Task::Running(running, job, answer, agent) if running.attempt().0 == attempt => {
+                    (running, job, answer, agent)
+                }
+                other => return self.tasks[request] = other,
+            };
+        let of = (running.id(), running.attempt());
+        match answer.take(&mut running, check_attempt(event, Some(from), of)) {
+            Taken::Wait => self.tasks[request] = Task::Running(running, job, answer, agent),
+            Taken::Pass(event) => {
+                self.pass(request, &event);
+                self.tasks[request] = Task::Running(running, job, answer, agent);
+            }
+            Taken::Whole(parts, tokens) => {
+                for part in &parts {
+                    self.pass(request, part);
+                }
+                self.finish(request, &job, &running.finish(), tokens);
+            }
+            Taken::Stop(failure) => {
+                self.give_up(agent, stream);
+                self.finish(request, &job, &running.abort(failure), 0);
+            }
+            Taken::Failed(failure) => {
+                self.give_up(agent, stream);
+                self.failed(request, running, job, failure);
+            }
+        }
+    }
+
+    fn failed(&mut self, request: usize, running: Request<Dispatched>, job: Job, failure: Failure) {
+        match running.fail(failure) {
+            AfterFailure::Retry(waiting) => {
+                let ticket = job.ticket.unwrap();
+                self.tell_control(Message::Retry(ticket, failure));
+                self.tasks[request] = Task::Waiting(waiting, job);
+            }
+            AfterFailure::Final(answered) => self.finish(request, &job, &answered, 0),
+        }
+    }
+
+    /// Passes an event on to the caller.
+    fn pass(&mut self, request: usize, event: &CallEvent) {
+        let caller = &mut self.callers[request];
+        match event {
+            CallEvent::Chunk(bytes) => caller.bytes.extend(bytes),
+            CallEvent::End(_) => caller.whole = true,
+            _ => {}
+        }
+    }
+
+    /// Ends a task with its answer or its failure.
+    fn finish(&mut self, request: usize, job: &Job, answered: &Request<Answered>, tokens: u64) {
+        self.tasks[request] = Task::Done;
+        self.callers[request].failure = answered.failure();
+        let outcome = answered
+            .failure()
+            .map_or(Outcome::Whole(tokens), Outcome::Failed);
+        if let Some(ticket) = job.ticket {
+            self.tell_control(Message::Ended(ticket, outcome));
+        }
+    }
+
+    /// Closes the ticket of a task that was stopped.
+    fn close_gone(&mut self, job: &Job) {
+        if let Some(ticket) = job.ticket {
+            let outcome = Outcome::Failed(Failure::from(ErrorKind::Cancelled));
+            self.tell_control(Message::Ended(ticket, outcome));
+        }
+    }
+
+    fn close(&mut self, ticket: TicketKey, outcome: &Outcome) {
+        self.entry.traffic.ended(Time(self.now), ticket, outcome);
+        self.entry.verdicts.remove(&ticket);
+    }
+
+    fn watched(&mut self, asked: Time, revision: Revision) {
+        self.entry.freshness.platform_answered(asked);
+        if revision > self.entry.config.revision() {
+            self.put_in_force(revision);
+        }
+    }
+
+    fn put_in_force(&mut self, revision: Revision) {
+        let now = Time(self.now);
+        let found = self.accepted.iter().find(|(r, _)| *r == revision);
+        let teams = found.unwrap().1.teams().clone().into_iter().collect();
+        let entry = &mut self.entry;
+        let mut config = Config::clone(&entry.config);
+        config.merge_listing(teams, &[], revision);
+        config.advance(revision);
+        entry.config = Arc::new(config);
+        entry.traffic.configure(now, entry.config.clone());
+        entry.freshness.applied(revision);
+        entry.publish(now);
+        let held = entry.config.teams().values().map(|team| team.revision);
+        let held = held.max().unwrap();
+        self.seen.revisions.push((entry.life, held));
+        for name in pairs_fixture::WORKSPACES {
+            let known = entry.config.workspace_of(&pairs_fixture::key(name));
+            if known.is_none() {
+                self.seen.withdrawn.entry(name).or_insert(self.now);
+            }
+        }
+    }
+
+    /// Runs the timers, and closes the tickets of tasks that ended without telling.
+    fn tick(&mut self) {
+        let now = Time(self.now);
+        self.entry.traffic.tick(now);
+        self.entry.publish(now);
+        self.sweep();
+        let place = Place::Entry(self.entry.life);
+        self.send(place, TICK, Message::EntryTick);
+    }
+
+    /// Closes the tickets of tasks that ended without telling. A message on its way goes first.
+    fn sweep(&mut self) {
+        if self.is_control_busy() {
+            return;
+        }
+        let gone =
+            |(_, request): &(&TicketKey, &usize)| matches!(self.tasks[**request], Task::Done);
+        let gone: Vec<_> = self.entry.verdicts.iter().filter(gone).collect();
+        let gone: Vec<_> = gone.into_iter().map(|(ticket, _)| *ticket).collect();
+        for ticket in gone {
+            let failure = Failure::from(ErrorKind::Cancelled);
+            self.close(ticket, &Outcome::Failed(failure));
+        }
+    }
+
+    /// Carries out the actions of the control state.
+    fn carry_out(&mut self) {
+        while let Some(action) = self.entry.traffic.next_action() {
+            let (ticket, refused) = match &action {
+                Action::Grant(ticket, ..) | Action::Revoke(ticket, _) => (*ticket, false),
+                Action::Refuse(ticket, _) => (*ticket, true),
+            };
+            let Some(&request) = self.entry.verdicts.get(&ticket) else {
+                continue;
+            };
+            if matches!(self.tasks[request], Task::Done) {
+                let failure = Failure::from(ErrorKind::Cancelled);
+                self.close(ticket, &Outcome::Failed(failure));
+                continue;
+            }
+            let message = match action {
+                Action::Grant(_, choice, delay) => Message::Go(request, ticket, choice, delay),
+                Action::Refuse(_, failure) => Message::Refused(request, failure),
+                Action::Revoke(_, failure) => Message::Revoked(request, failure),
+            };
+            self.tell_task(request, 1, message);
+            if refused {
+                self.entry.verdicts.remove(&ticket);
+            }
+        }
+    }
+}
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -12,6 +12,7 @@
 use sardinepath_core::decision::agent::Known;
 use sardinepath_core::domain::call::Counter;
 use sardinepath_core::domain::error::ErrorKind;
+use sardinepath_core::domain::ids::Attempt;
 use sardinepath_core::domain::ids::Incarnation;
 use sardinepath_core::domain::ids::RequestId;
 use sardinepath_core::domain::ids::WeightVersion;
@@ -55,7 +56,7 @@
         reply: Sender<Option<Counter>>,
     },
     /// The target did not start an attempt that had begun.
-    NotRun(RequestId),
+    NotRun(RequestId, Attempt),
     /// The state of the target, or none if it does not answer.
     Status(Option<TargetStatus>),
     /// An entry asks for a report.
@@ -150,7 +151,7 @@
             } => {
                 let _ = reply.send(self.state.end(request, &workspace, tokens));
             }
-            Message::NotRun(request) => self.state.refuse(request),
+            Message::NotRun(request, attempt) => self.state.refuse(request, attempt),
             Message::Status(status) => self.status = status,
             Message::Report(reply) => {
                 let _ = reply.send(self.report());
@@ -175,7 +176,9 @@
 
     /// Decides on an attempt. One that was given up meanwhile ends at once.
     fn begin(&mut self, running: Running, idempotent: bool, reply: &Sender<Begun>) {
-        let begun = self.state.begin(running.request, idempotent);
+        let begun = self
+            .state
+            .begin(running.request, running.attempt, idempotent);
         let labelled = self
             .status
             .as_ref()
--- a/crates/node/src/agent/running.rs
+++ b/crates/node/src/agent/running.rs
@@ -2,9 +2,11 @@
 
 use flume::Sender;
 use sardinepath_core::decision::agent::Gathered;
+use sardinepath_core::domain::call::Call;
 use sardinepath_core::domain::call::CallEvent;
 use sardinepath_core::domain::call::Counter;
 use sardinepath_core::domain::call::Ending;
+use sardinepath_core::domain::ids::Attempt;
 use sardinepath_core::domain::ids::RequestId;
 use sardinepath_core::domain::ids::WeightVersion;
 use sardinepath_core::domain::name::WorkspaceId;
@@ -19,6 +21,8 @@
 pub struct Running {
     /// The request.
     pub request: RequestId,
+    /// The attempt.
+    pub attempt: Attempt,
     /// Workspace for which it runs.
     pub workspace: WorkspaceId,
     control: Sender<Message>,
@@ -27,10 +31,11 @@
 
 impl Running {
     /// Creates a handle that is closed until the attempt may start.
-    pub fn new(request: RequestId, workspace: WorkspaceId, control: Sender<Message>) -> Self {
+    pub fn new(call: &Call, control: Sender<Message>) -> Self {
         Self {
-            request,
-            workspace,
+            request: call.request,
+            attempt: call.attempt,
+            workspace: call.workspace.clone(),
             control,
             open: false,
         }
@@ -50,7 +55,8 @@
     /// Notes that the target did not start the attempt. Has effect before the entry can retry.
     pub(super) async fn refuse(mut self) {
         // The control thread is gone only when the process stops.
-        let _ = self.control.send_async(Message::NotRun(self.request)).await;
+        let message = Message::NotRun(self.request, self.attempt);
+        let _ = self.control.send_async(message).await;
         self.open = false;
     }
 
--- a/crates/node/src/agent/service.rs
+++ b/crates/node/src/agent/service.rs
@@ -82,7 +82,7 @@
         let control = self.control.clone();
         let (reply, decision) = flume::bounded(1);
         let message = Message::Begin {
-            running: Running::new(call.request, call.workspace.clone(), control),
+            running: Running::new(call, control),
             idempotent: call.idempotent,
             reply,
         };
