Close the tickets of requests that end between attempts or before their grant

Cause: a request whose key was withdrawn while its retry was on the way to the control thread ended without a word, and so did a request whose caller hung up with an unread grant in its channel. Their tickets stayed open, and their targets looked busier by one for good. Change: a request keeps its ticket over its attempts and tells its end unless the control thread refused it. The control thread closes tickets whose channel has no reader. The property test models both.

--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod order;
 pub mod pairs;
 pub mod pairs_agent;
+pub mod pairs_control;
 pub mod pairs_entry;
 pub mod pairs_fault;
 pub mod pairs_fixture;
--- a/crates/node/src/entry/control.rs
+++ b/crates/node/src/entry/control.rs
@@ -175,7 +175,7 @@
                 Err(RecvTimeoutError::Timeout) => Step::Continue,
                 Err(RecvTimeoutError::Disconnected) => Step::Stop,
             };
-            self.tick();
+            self.tick(queue);
             self.carry_out();
             if let Step::Stop = step {
                 return;
@@ -256,7 +256,7 @@
 
     /// Runs the timers and publishes what they changed. Called after each message, since under
     /// steady traffic no wait for a message ends by itself.
-    fn tick(&mut self) {
+    fn tick(&mut self, queue: &Receiver<Message>) {
         let now = self.clock.now();
         // Without this limit, each request would pay for a look at every entry.
         if now.since(self.ticked) < TICK {
@@ -264,6 +264,7 @@
         }
         self.ticked = now;
         self.traffic.tick(now);
+        self.close_abandoned(now, queue);
         let pulse = self.distribution.pulse(now);
         self.distribution.tick(now, pulse.revision);
         let old = self.snapshot.load();
@@ -305,16 +306,36 @@
         }
     }
 
+    /// Closes the tickets of requests that have gone without reading their grant. A request that
+    /// ends otherwise sends its end before it closes its channel, so after a look at the channels
+    /// an empty queue proves that no such end is on its way.
+    fn close_abandoned(&mut self, now: Time, queue: &Receiver<Message>) {
+        let gone = |(ticket, sender): (TicketKey, &Sender<Verdict>)| {
+            sender.is_disconnected().then_some(ticket)
+        };
+        let gone: Vec<_> = self.verdicts.iter().filter_map(gone).collect();
+        if !queue.is_empty() {
+            return;
+        }
+        for ticket in gone {
+            self.close(now, ticket);
+        }
+    }
+
+    /// Closes the ticket of a request that has gone.
+    fn close(&mut self, now: Time, ticket: TicketKey) {
+        let failure = Failure::from(sardinepath_core::domain::error::ErrorKind::Cancelled);
+        self.traffic.ended(now, ticket, &Outcome::Failed(failure));
+        self.verdicts.remove(ticket);
+    }
+
     /// Tells a request its verdict. A request that has gone is closed.
     fn tell(&mut self, ticket: TicketKey, verdict: Verdict) {
         let Some(sender) = self.verdicts.get(ticket) else {
             return;
         };
         if let Err(flume::TrySendError::Disconnected(_)) = sender.try_send(verdict) {
-            let failure = Failure::from(sardinepath_core::domain::error::ErrorKind::Cancelled);
-            let outcome = Outcome::Failed(failure);
-            self.traffic.ended(self.clock.now(), ticket, &outcome);
-            self.verdicts.remove(ticket);
+            self.close(self.clock.now(), ticket);
         }
     }
 }
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -76,12 +76,13 @@
     events: Sender<CallEvent>,
 }
 
-/// Tells the control thread the end of a request, also if its task is stopped.
+/// Tells the control thread the end of a request, also if its task is stopped or its key is
+/// withdrawn between two attempts.
 struct Ticket<'a> {
     key: TicketKey,
     control: &'a Sender<Message>,
     outcome: Outcome,
-    /// False once the control thread keeps the request for another attempt.
+    /// False once the control thread has closed the ticket.
     open: bool,
 }
 
@@ -184,6 +185,7 @@
     /// Makes attempts until the request is answered. Returns its failure, if any.
     async fn run(&self, job: &Job) -> Option<Failure> {
         let mut request = Request::new(job.id, job.authorized.idempotent);
+        let mut held: Option<Ticket<'_>> = None;
         loop {
             let (key, choice, delay) = match job.verdicts.recv_async().await {
                 Ok(Verdict::Go {
@@ -191,15 +193,22 @@
                     choice,
                     delay,
                 }) => (ticket, choice, delay),
-                Ok(Verdict::Refused(failure) | Verdict::Revoked(failure)) => {
+                Ok(Verdict::Refused(failure)) => {
+                    // The control thread has closed the ticket.
+                    held.iter_mut().for_each(Ticket::close);
                     return request.refuse(failure).failure();
                 }
+                Ok(Verdict::Revoked(failure)) => {
+                    let answered = request.refuse(failure);
+                    held.iter_mut().for_each(|ticket| ticket.done(&answered, 0));
+                    return answered.failure();
+                }
                 Err(_) => {
                     let failure = Failure::from(ErrorKind::Draining);
                     return request.refuse(failure).failure();
                 }
             };
-            let mut ticket = Ticket::new(key, &self.control);
+            let ticket = held.get_or_insert_with(|| Ticket::new(key, &self.control));
             sleep(delay).await;
             let departed = match request.depart(job.left()) {
                 Departure::Go(request) => request,
@@ -306,13 +315,17 @@
     }
 
     /// Asks for another target. The request stays known to the control thread.
-    async fn retry(mut self, failure: Failure) {
+    async fn retry(&self, failure: Failure) {
         // The request sees a closed verdict channel if the control thread is gone.
         let message = Message::Retry {
             ticket: self.key,
             failure,
         };
         let _ = self.control.send_async(message).await;
+    }
+
+    /// Notes that the control thread has closed the ticket.
+    fn close(&mut self) {
         self.open = false;
     }
 
