Draw close pairs of failures and judge keys by the time of their withdrawal

Cause: short queues hid the moments between a verdict and its reader, and no judge covered a paused entry that still trusts its keys. Change: queues of the entry hold messages for up to 40 ms, half of the pairs are close, a withdrawal answers a pending watch, and a judge compares checks of keys with the time at which the platform accepted the withdrawal.

--- a/crates/core/tests/pairs.rs
+++ b/crates/core/tests/pairs.rs
@@ -12,7 +12,7 @@
 
 use crate::support::pairs::World;
 use crate::support::pairs_fault::Fault;
-use crate::support::pairs_fault::fault;
+use crate::support::pairs_fault::pair;
 use crate::support::pairs_judge::judge;
 
 /// Pairs of one test run. `PROPTEST_CASES` sets another number.
@@ -27,8 +27,8 @@
 
     /// Guards against two failures that together break what each alone does not.
     #[test]
-    fn promises_hold_under_two_failures(seed in any::<u64>(), first in fault(), second in fault()) {
-        let judged = outcome(seed, &[first, second]);
+    fn promises_hold_under_two_failures(seed in any::<u64>(), faults in pair()) {
+        let judged = outcome(seed, &faults);
 
         prop_assert!(judged.is_ok(), "{:?}", judged);
     }
--- a/crates/core/tests/support/pairs.rs
+++ b/crates/core/tests/support/pairs.rs
@@ -49,6 +49,9 @@
 /// End of a run, later than every deadline, silence and pause together, in milliseconds.
 pub const END: u64 = 40_000;
 
+/// Longest wait of a message in a queue of the entry, in milliseconds.
+const QUEUE: u64 = 40;
+
 /// Longest way of a message between processes, in milliseconds.
 const WAY: u64 = 8;
 
@@ -154,6 +157,10 @@
 pub struct Observed {
     /// Times at which a withdrawal came into force at the entry, by workspace.
     pub withdrawn: HashMap<&'static str, u64>,
+    /// Times at which the platform accepted a withdrawal, by workspace.
+    pub accepted: HashMap<&'static str, u64>,
+    /// Requests that passed the check of their key: time and workspace.
+    pub entered: Vec<(u64, &'static str)>,
     /// Times at which a target left, by agent.
     pub left: HashMap<usize, u64>,
     /// Dispatches: time and agent.
@@ -288,7 +295,7 @@
 
     /// Sends a message to the entry's control state, in order.
     pub fn tell_control(&mut self, message: Message) {
-        let after = self.random.random_range(0..3);
+        let after = self.wait();
         let place = Place::Entry(self.entry.life);
         self.send_in_order(place, (0, 0, self.entry.life), after, message);
     }
@@ -299,6 +306,11 @@
         self.send_in_order(place, (1, request, self.entry.life), after, message);
     }
 
+    /// Draws the wait in a queue of the entry.
+    pub fn wait(&mut self) -> u64 {
+        self.random.random_range(0..QUEUE)
+    }
+
     /// Draws the time on the way between two processes.
     pub fn way(&mut self) -> u64 {
         self.random.random_range(1..WAY)
--- a/crates/core/tests/support/pairs_control.rs
+++ b/crates/core/tests/support/pairs_control.rs
@@ -120,7 +120,8 @@
                 Action::Refuse(_, failure) => Message::Refused(request, failure),
                 Action::Revoke(_, failure) => Message::Revoked(request, failure),
             };
-            self.tell_task(request, 1, message);
+            let after = self.wait();
+            self.tell_task(request, after, message);
             if refused {
                 self.entry.verdicts.remove(&ticket);
             }
--- a/crates/core/tests/support/pairs_entry.rs
+++ b/crates/core/tests/support/pairs_entry.rs
@@ -174,6 +174,8 @@
             Ok(entered) => entered,
             Err(kind) => return self.callers[request].failure = Some(Failure::from(kind)),
         };
+        let workspace = self.callers[request].workspace;
+        self.seen.entered.push((self.now, workspace));
         let id = RequestId(request as u128);
         let call = Call {
             request: id,
--- a/crates/core/tests/support/pairs_fault.rs
+++ b/crates/core/tests/support/pairs_fault.rs
@@ -8,6 +8,8 @@
 use sardinepath_core::domain::error::Failure;
 use sardinepath_core::domain::ids::Attempt;
 use sardinepath_core::domain::ids::RequestId;
+use sardinepath_core::domain::ids::Revision;
+use sardinepath_core::domain::time::Time;
 use sardinepath_core::port::target::TargetEvent;
 
 use crate::support::pairs::Message;
@@ -21,6 +23,9 @@
 /// Time in which failures begin, in milliseconds.
 const FAULTS: u64 = 7_000;
 
+/// Longest time between two failures that follow closely on each other, in milliseconds.
+const CLOSE: u64 = 100;
+
 /// Time for which a restarted process or a crashed target takes no connection, in milliseconds.
 const DOWN: u64 = 1_000;
 
@@ -97,10 +102,19 @@
 }
 
 /// Draws one failure.
-pub fn fault() -> impl Strategy<Value = Fault> {
+fn fault() -> impl Strategy<Value = Fault> {
     (0..FAULTS, kind()).prop_map(|(at, kind)| Fault { at, kind })
 }
 
+/// Draws two failures. In half of the pairs the second follows closely on the first.
+pub fn pair() -> impl Strategy<Value = [Fault; 2]> {
+    let close = prop::option::of(0..CLOSE);
+    (fault(), fault(), close).prop_map(|(first, second, close)| {
+        let at = close.map_or(second.at, |after| first.at + after);
+        [first, Fault { at, ..second }]
+    })
+}
+
 fn kind() -> impl Strategy<Value = Kind> {
     let fixed = prop::sample::select(vec![
         Kind::LoseExecute,
@@ -244,9 +258,14 @@
 
     fn withdraw(&mut self, workspace: &'static str) {
         self.withdrawn.push(workspace);
+        self.seen.accepted.entry(workspace).or_insert(self.now);
         let revision = self.accepted.len() as u64 + 1;
         let accepted = pairs_fixture::accepted(revision, &self.withdrawn);
         self.accepted.push(accepted);
+        // A pending watch answers at once.
+        let message = Message::Watched(Time(self.now), Revision(revision));
+        let after = self.way();
+        self.send(Place::Entry(self.entry.life), after, message);
     }
 
     fn update_again(&mut self, number: usize, after: u64) {
--- a/crates/core/tests/support/pairs_judge.rs
+++ b/crates/core/tests/support/pairs_judge.rs
@@ -18,6 +18,7 @@
 pub fn judge(world: &World) -> Verdict {
     runs_for_its_workspace(world)?;
     no_run_after_withdrawal(world)?;
+    no_check_by_old_keys(world)?;
     callers_get_their_answers(world)?;
     not_run_is_true(world)?;
     runs_at_most_once(world)?;
@@ -49,6 +50,15 @@
     none(late, "P6: a run after the key was withdrawn")
 }
 
+/// P6 for an entry that did not hear of the withdrawal, for example because it was paused.
+fn no_check_by_old_keys(world: &World) -> Verdict {
+    let late = world.seen.entered.iter().find(|(at, workspace)| {
+        let accepted = world.seen.accepted.get(workspace);
+        accepted.is_some_and(|accepted| *at > accepted + BOUND)
+    });
+    none(late, "P6: a withdrawn key passed the check")
+}
+
 /// P9.
 fn callers_get_their_answers(world: &World) -> Verdict {
     for (request, caller) in world.callers.iter().enumerate() {
