--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -13,13 +13,15 @@
 use sardinepath_adapters::rpc::client::Peers;
 use sardinepath_adapters::runtime::Spawner;
 use sardinepath_adapters::runtime::sleep;
+use sardinepath_core::decision::answer::Answer;
+use sardinepath_core::decision::answer::Taken;
 use sardinepath_core::decision::authorize::Authorized;
 use sardinepath_core::decision::authorize::Inbound;
-use sardinepath_core::decision::authorize::authorize;
-use sardinepath_core::decision::prefix::prefixes;
+use sardinepath_core::decision::entrance::enter;
 use sardinepath_core::decision::request::Admitted;
 use sardinepath_core::decision::request::AfterFailure;
 use sardinepath_core::decision::request::Answered;
+use sardinepath_core::decision::request::Departure;
 use sardinepath_core::decision::request::Dispatched;
 use sardinepath_core::decision::request::Request;
 use sardinepath_core::decision::traffic::Ask;
@@ -34,7 +36,6 @@
 use sardinepath_core::domain::error::Failure;
 use sardinepath_core::domain::error::RunState;
 use sardinepath_core::domain::ids::RequestId;
-use sardinepath_core::domain::ids::WeightVersion;
 use sardinepath_core::domain::time::Time;
 use sardinepath_core::port::agent::AgentPort;
 use sardinepath_core::port::clock::Clock;
@@ -56,9 +57,6 @@
 /// Events of one attempt that may wait.
 const EVENT_ROOM: usize = 16;
 
-/// Largest answer that is collected before it is passed on, in bytes.
-const ANSWER_MOST: usize = 8 << 20;
-
 /// Serves callers.
 #[derive(Clone)]
 pub struct EntryService {
@@ -92,13 +90,14 @@
     counter: OnceLock<Counter>,
 }
 
-/// Tells the control thread the end of a request, also if its task is stopped.
+/// Tells the control thread the end of a request, also if its task is stopped or its key is
+/// withdrawn between two attempts.
 struct Ticket<'a> {
     key: TicketKey,
     control: &'a Sender<Message>,
     counter: &'a OnceLock<Counter>,
     outcome: Outcome,
-    /// False once the control thread keeps the request for another attempt.
+    /// False once the control thread has closed the ticket.
     open: bool,
 }
 
@@ -187,36 +186,20 @@
     fn admit(&self, inbound: Inbound, events: Sender<CallEvent>) -> Result<Job, ErrorKind> {
         let now = self.clock.now();
         let snapshot = self.snapshot.load();
-        if !snapshot.ready {
-            return Err(ErrorKind::KeysStale);
-        }
-        let authorized = authorize(&snapshot.config, snapshot.is_fresh(now), &inbound)?;
-        let floor = WeightVersion::default();
-        self.ask(now, authorized, inbound, floor, events)
+        let (authorized, ask) = enter(snapshot.view(), now, &inbound)?;
+        self.ask(authorized, ask, inbound, events)
     }
 
     /// Asks the control thread for the admission of an authorized request.
     fn ask(
         &self,
-        now: Time,
         authorized: Authorized,
+        ask: Ask,
         inbound: Inbound,
-        floor: WeightVersion,
         events: Sender<CallEvent>,
     ) -> Result<Job, ErrorKind> {
-        let deadline = now + authorized.deadline;
-        let completion = inbound.completion.clone().unwrap_or_default();
-        let ask = Ask {
-            route: authorized.route.clone(),
-            pool: authorized.pool.clone(),
-            workspace: authorized.workspace.clone(),
-            key: authorized.key,
-            priority: authorized.priority,
-            prefixes: prefixes(&completion.prompt),
-            floor,
-            tokens: completion.tokens,
-            deadline,
-        };
+        let deadline = ask.deadline;
+        let streamed = inbound.completion.as_ref().is_some_and(|c| c.streamed);
         let (sender, verdicts) = flume::bounded(VERDICT_ROOM);
         let message = Message::Ask {
             ask,
@@ -228,7 +211,7 @@
         Ok(Job {
             id: RequestId(rand::random()),
             authorized,
-            streamed: completion.streamed,
+            streamed,
             inbound,
             deadline,
             clock: self.clock.clone(),
@@ -242,6 +225,7 @@
     /// Makes attempts until the request is answered. Returns its failure, if any.
     async fn run(&self, job: &Job) -> Option<Failure> {
         let mut request = Request::new(job.id, job.authorized.idempotent);
+        let mut held: Option<Ticket<'_>> = None;
         loop {
             let (key, choice, delay) = match job.verdicts.recv_async().await {
                 Ok(Verdict::Go {
@@ -249,23 +233,31 @@
                     choice,
                     delay,
                 }) => (ticket, choice, delay),
-                Ok(Verdict::Refused(failure) | Verdict::Revoked(failure)) => {
+                Ok(Verdict::Refused(failure)) => {
+                    // The control thread has closed the ticket.
+                    held.iter_mut().for_each(Ticket::close);
                     return request.refuse(failure).failure();
                 }
+                Ok(Verdict::Revoked(failure)) => {
+                    let answered = request.refuse(failure);
+                    held.iter_mut().for_each(|ticket| ticket.done(&answered, 0));
+                    return answered.failure();
+                }
                 Err(_) => {
                     let failure = Failure::from(ErrorKind::Draining);
                     return request.refuse(failure).failure();
                 }
             };
-            let mut ticket = Ticket::new(key, &self.control, job);
+            let ticket = held.get_or_insert_with(|| Ticket::new(key, &self.control, job));
             sleep(delay).await;
-            if job.left().is_zero() {
-                let failure = Failure::from(ErrorKind::DeadlineInQueue);
-                let answered = request.refuse(failure);
-                ticket.done(&answered, 0);
-                return answered.failure();
-            }
-            match self.attempt(job, request.dispatch(), &choice).await {
+            let departed = match request.depart(job.left()) {
+                Departure::Go(request) => request,
+                Departure::Late(answered) => {
+                    ticket.done(&answered, 0);
+                    return answered.failure();
+                }
+            };
+            match self.attempt(job, departed, &choice).await {
                 Step::Retry(next, failure) => {
                     self.metrics.retry(failure.kind);
                     ticket.retry(failure).await;
@@ -286,12 +278,7 @@
         let (sender, events) = flume::bounded(EVENT_ROOM);
         let call = job.call(&request, job.left());
         let _guard = self.agents.execute(choice.agent, call, sender);
-        let end = if job.streamed && !job.collected {
-            stream(job, &mut request, &events).await
-        } else {
-            collect(job, &events).await
-        };
-        match end {
+        match relay(job, &mut request, &events).await {
             AttemptEnd::Whole(tokens) => Step::Done(request.finish(), tokens),
             AttemptEnd::Revoked(failure) => Step::Done(request.abort(failure), 0),
             AttemptEnd::Failed(failure) => match request.fail(failure) {
@@ -377,13 +364,17 @@
     }
 
     /// Asks for another target. The request stays known to the control thread.
-    async fn retry(mut self, failure: Failure) {
+    async fn retry(&self, failure: Failure) {
         // The request sees a closed verdict channel if the control thread is gone.
         let message = Message::Retry {
             ticket: self.key,
             failure,
         };
         let _ = self.control.send_async(message).await;
+    }
+
+    /// Notes that the control thread has closed the ticket.
+    fn close(&mut self) {
         self.open = false;
     }
 
@@ -411,60 +402,34 @@
     }
 }
 
-/// Passes a streamed answer on as it comes.
-async fn stream(
+/// Takes in the events of an attempt and passes its answer on.
+async fn relay(
     job: &Job,
     request: &mut Request<Dispatched>,
     events: &Receiver<CallEvent>,
 ) -> AttemptEnd {
+    let mut answer = Answer::new(job.streamed && !job.collected);
     loop {
         let event = match job.next(events).await {
             Ok(event) => event,
             Err(failure) => return AttemptEnd::Revoked(failure),
         };
-        match event {
-            CallEvent::Heartbeat => continue,
-            CallEvent::Failed(failure) => return AttemptEnd::Failed(failure),
-            CallEvent::Head { .. } | CallEvent::Chunk(_) => {
-                request.mark_sent();
+        match answer.take(request, event) {
+            Taken::Wait => {}
+            Taken::Pass(event) => {
                 if let Err(failure) = job.pass(event).await {
                     return AttemptEnd::Revoked(failure);
                 }
             }
-            CallEvent::End(ending) => {
-                job.count(&ending);
-                let tokens = ending.tokens;
-                return finish(job, vec![CallEvent::End(ending)], tokens).await;
-            }
-        }
-    }
-}
-
-/// Collects an answer and passes it on when it is whole.
-async fn collect(job: &Job, events: &Receiver<CallEvent>) -> AttemptEnd {
-    let mut parts = Vec::new();
-    let mut size = 0;
-    loop {
-        let event = match job.next(events).await {
-            Ok(event) => event,
-            Err(failure) => return AttemptEnd::Revoked(failure),
-        };
-        match event {
-            CallEvent::Heartbeat => continue,
-            CallEvent::Failed(failure) => return AttemptEnd::Failed(failure),
-            CallEvent::End(ref ending) => {
-                job.count(ending);
-                let tokens = ending.tokens;
-                parts.push(event);
+            Taken::Whole(parts, tokens) => {
+                if let Some(CallEvent::End(ending)) = parts.last() {
+                    job.count(ending);
+                }
                 return finish(job, parts, tokens).await;
             }
-            CallEvent::Chunk(ref bytes) => size += bytes.len(),
-            CallEvent::Head { .. } => {}
-        }
-        if size > ANSWER_MOST {
-            return AttemptEnd::Revoked(Failure::from(ErrorKind::AnswerTooLarge));
+            Taken::Failed(failure) => return AttemptEnd::Failed(failure),
+            Taken::Stop(failure) => return AttemptEnd::Revoked(failure),
         }
-        parts.push(event);
     }
 }
 
--- a/crates/node/src/entry/service/sample.rs
+++ b/crates/node/src/entry/service/sample.rs
@@ -7,6 +7,7 @@
 use sardinepath_core::decision::authorize::Completion;
 use sardinepath_core::decision::authorize::Inbound;
 use sardinepath_core::decision::authorize::authorize_sample;
+use sardinepath_core::decision::entrance::question;
 use sardinepath_core::decision::sample::StepRecord;
 use sardinepath_core::domain::call::CallEvent;
 use sardinepath_core::domain::error::ErrorKind;
@@ -51,7 +52,7 @@
     fn admit_sample(&self, call: &SampleCall, events: Sender<CallEvent>) -> Result<Job, ErrorKind> {
         let now = self.clock.now();
         let snapshot = self.snapshot.load();
-        let (config, fresh) = (&snapshot.config, snapshot.is_fresh(now));
+        let (config, fresh) = (&snapshot.config, snapshot.view().is_fresh(now));
         let authorized = authorize_sample(config, fresh, &call.record, call.key)?;
         let inbound = Inbound {
             method: Arc::from("POST"),
@@ -65,7 +66,8 @@
                 tokens: call.tokens,
             }),
         };
-        let job = self.ask(now, authorized, inbound, call.floor, events)?;
+        let ask = question(&authorized, &inbound, call.floor, now);
+        let job = self.ask(authorized, ask, inbound, events)?;
         Ok(Job {
             collected: true,
             ..job
--- a/crates/node/src/entry/step/front.rs
+++ b/crates/node/src/entry/step/front.rs
@@ -56,7 +56,7 @@
         if !snapshot.ready {
             return Err(ErrorKind::KeysStale);
         }
-        let fresh = snapshot.is_fresh(self.clock.now());
+        let fresh = snapshot.view().is_fresh(self.clock.now());
         authorize_step(&snapshot.config, fresh, inbound)
     }
 
