--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,2 +1,8 @@
-//! bench
-fn main() {}
+//! Entry point of the measuring program.
+
+use sardinepath_bench::cli;
+
+fn main() -> anyhow::Result<()> {
+    let command = cli::command().run();
+    cli::run(&command)
+}
