Measure speed and memory of the decisions

The subcommand decide times a request, a report and the timers at 10, 100 and 1,000 targets and 8 and 200 workspaces, on an idle and on a full pool, and the memory of a ticket, target and key.

--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -4,7 +4,10 @@
 
 use anyhow::Context;
 use bpaf::Bpaf;
+use serde::Serialize;
 
+use crate::decide;
+use crate::policy::Comparison;
 use crate::policy::Settings;
 use crate::policy::compare;
 use crate::policy::deployment::Deployment;
@@ -45,49 +48,77 @@
         #[bpaf(argument("FOLDER"), optional)]
         plot: Option<PathBuf>,
     },
+    /// Measures the time and memory of the decisions.
+    #[bpaf(command)]
+    Decide {
+        /// Prints JSON in place of a table.
+        json: bool,
+    },
 }
 
 /// Runs a command.
 pub fn run(command: &Command) -> anyhow::Result<()> {
     match command {
-        Command::Policy {
-            workload,
-            seed,
-            level,
-            fault,
-            greedy,
-            minutes,
-            json,
-            plot,
-        } => {
-            let levels = if level.is_empty() { &LEVELS[..] } else { level };
-            let mut results = vec![];
-            for deployment in deployments(workload)? {
-                for level in levels {
-                    for fault in faults(fault)? {
-                        results.push(compare(&Settings {
-                            deployment: deployment.clone(),
-                            level: *level,
-                            greedy: *greedy,
-                            fault,
-                            seed: *seed,
-                            minutes: *minutes,
-                        }));
-                    }
-                }
-            }
+        Command::Policy { json, plot, .. } => {
+            let results = run_policy(command)?;
             if let Some(folder) = plot {
                 plot::write(folder, &results).context("plots could not be written")?;
             }
-            let text = if *json {
-                serde_json::to_string_pretty(&results)?
-            } else {
-                output::table(&results)
-            };
-            println!("{text}");
-            Ok(())
+            print(*json, &results, |results| output::table(results))
+        }
+        Command::Decide { json } => {
+            // Memory first: the speed measurements leave freed memory behind.
+            let memory = decide::measure_memory()?;
+            let result = (memory, decide::measure());
+            print(*json, &result, |(memory, speeds)| {
+                decide::table(speeds, memory)
+            })
+        }
+    }
+}
+
+/// Prints a result as JSON or as a table.
+fn print<T: Serialize>(json: bool, result: &T, table: impl Fn(&T) -> String) -> anyhow::Result<()> {
+    let text = if json {
+        serde_json::to_string_pretty(result)?
+    } else {
+        table(result)
+    };
+    println!("{text}");
+    Ok(())
+}
+
+/// Runs every combination of deployment, level and fault.
+fn run_policy(command: &Command) -> anyhow::Result<Vec<Comparison>> {
+    let Command::Policy {
+        workload,
+        seed,
+        level,
+        fault,
+        greedy,
+        minutes,
+        ..
+    } = command
+    else {
+        return Ok(vec![]);
+    };
+    let levels = if level.is_empty() { &LEVELS[..] } else { level };
+    let mut results = vec![];
+    for deployment in deployments(workload)? {
+        for level in levels {
+            for fault in faults(fault)? {
+                results.push(compare(&Settings {
+                    deployment: deployment.clone(),
+                    level: *level,
+                    greedy: *greedy,
+                    fault,
+                    seed: *seed,
+                    minutes: *minutes,
+                }));
+            }
         }
     }
+    Ok(results)
 }
 
 fn deployments(name: &str) -> anyhow::Result<Vec<Deployment>> {
--- /dev/null
+++ b/crates/bench/src/decide/fixture.rs
@@ -0,0 +1,138 @@
+//! States of an entry in which decisions are measured.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use sardinepath_core::decision::config::Config;
+use sardinepath_core::decision::config::TeamState;
+use sardinepath_core::decision::traffic::Ask;
+use sardinepath_core::decision::traffic::Traffic;
+use sardinepath_core::domain::declare::KeySpec;
+use sardinepath_core::domain::declare::PoolSpec;
+use sardinepath_core::domain::declare::Priority;
+use sardinepath_core::domain::declare::Scheme;
+use sardinepath_core::domain::declare::TargetKind;
+use sardinepath_core::domain::declare::TargetSpec;
+use sardinepath_core::domain::declare::TeamTree;
+use sardinepath_core::domain::declare::WorkspaceSpec;
+use sardinepath_core::domain::ids::Incarnation;
+use sardinepath_core::domain::ids::Revision;
+use sardinepath_core::domain::ids::WeightVersion;
+use sardinepath_core::domain::key::KeyDigest;
+use sardinepath_core::domain::name::PoolId;
+use sardinepath_core::domain::name::RouteId;
+use sardinepath_core::domain::name::WorkspaceId;
+use sardinepath_core::domain::target::Report;
+use sardinepath_core::domain::target::ServingState;
+use sardinepath_core::domain::time::Time;
+
+/// Requests that a target runs at once.
+pub(super) const SLOTS: u32 = 16;
+
+/// Limit that is never reached.
+const PLENTY: u32 = 1_000_000;
+
+/// Prefix hashes of one prompt.
+const PREFIXES: u64 = 16;
+
+/// Builds an entry whose targets report some running requests.
+pub(super) fn loaded(targets: usize, workspaces: usize, running: u32) -> Traffic {
+    let mut traffic = Traffic::new("dc0".into(), 1);
+    traffic.configure(Time(0), config(targets, workspaces, 0));
+    for target in 0..targets {
+        traffic.report(Time(0), report(target, running));
+    }
+    traffic
+}
+
+/// Builds a configuration with one pool.
+pub(super) fn config(targets: usize, workspaces: usize, keys: usize) -> Arc<Config> {
+    let target = |n: usize| {
+        let spec = TargetSpec {
+            agent: SocketAddr::from(([127, 0, 0, 1], 1)),
+            centre: format!("dc{}", n % 4).into(),
+            fences: true,
+        };
+        (format!("engine{n}").into(), spec)
+    };
+    let spec = WorkspaceSpec {
+        concurrency: PLENTY,
+        queue: PLENTY,
+        ..WorkspaceSpec::default()
+    };
+    let pool = PoolSpec {
+        kind: TargetKind::Model,
+        model: Some("small".into()),
+        targets: (0..targets).map(target).collect(),
+        floor: 0,
+    };
+    let key = |n: usize| {
+        let spec = KeySpec {
+            workspace: name(n % workspaces.max(1)).into(),
+            digest: KeyDigest::of(&n.to_le_bytes()),
+            withdrawn: false,
+        };
+        (format!("key{n}").into(), spec)
+    };
+    let tree = TeamTree {
+        scheme: Scheme::Slug,
+        workspaces: (0..workspaces)
+            .map(|n| (name(n).into(), spec.clone()))
+            .collect(),
+        keys: (0..keys).map(key).collect(),
+        pools: BTreeMap::from([("models".into(), pool)]),
+        routes: BTreeMap::new(),
+    };
+    let mut config = Config::default();
+    let state = TeamState {
+        revision: Revision(1),
+        tree: Some(Arc::new(tree)),
+    };
+    config.merge("team".into(), state);
+    Arc::new(config)
+}
+
+/// Builds the report of a target.
+pub(super) fn report(target: usize, running: u32) -> Report {
+    Report {
+        incarnation: Incarnation(1),
+        target: format!("engine{target}").into(),
+        version: WeightVersion(1),
+        running,
+        queued: 0,
+        capacity: SLOTS,
+        state: ServingState::Serving,
+        cached: vec![],
+        evicted: vec![],
+        cache_gap: false,
+    }
+}
+
+/// Builds a request of a workspace.
+pub(super) fn ask(workspace: usize) -> Ask {
+    Ask {
+        route: RouteId {
+            team: "team".into(),
+            name: "models".into(),
+        },
+        pool: PoolId {
+            team: "team".into(),
+            name: "models".into(),
+        },
+        workspace: WorkspaceId {
+            team: "team".into(),
+            name: name(workspace).into(),
+        },
+        key: None,
+        priority: Priority::Interactive,
+        prefixes: (0..PREFIXES).map(|n| (workspace as u64) << 8 | n).collect(),
+        tokens: 1000,
+        floor: WeightVersion(0),
+        deadline: Time(600_000),
+    }
+}
+
+fn name(workspace: usize) -> String {
+    format!("workspace{workspace}")
+}
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,4 +1,5 @@
 //! Measuring program for the decisions of sardinepath.
 
 pub mod cli;
+pub mod decide;
 pub mod policy;
