Choose targets without look-ups by name and search a full pool once

A choice looked each target up by name twice, added up all its recent starts, and was repeated for every waiting workspace of a full pool; the timers looked all targets up for each waiting request. Targets are now resolved once for each configuration, the recent starts are counted, and a floor that found no target is not tried again.

--- a/crates/core/src/decision/traffic/admit.rs
+++ b/crates/core/src/decision/traffic/admit.rs
@@ -13,6 +13,7 @@
 use crate::domain::declare::WorkspaceSpec;
 use crate::domain::error::ErrorKind;
 use crate::domain::error::Failure;
+use crate::domain::name::PoolId;
 use crate::domain::time::Time;
 
 impl Traffic {
@@ -97,21 +98,24 @@
         }
     }
 
-    /// Returns why a waiting request has to be refused now, if it has.
-    pub(super) fn lateness(&self, now: Time, key: TicketKey) -> Option<ErrorKind> {
+    /// Returns why a waiting request has to be refused now, if it has. `serving` tells whether a
+    /// target of its pool serves.
+    pub(super) fn lateness(&self, now: Time, key: TicketKey, serving: bool) -> Option<ErrorKind> {
         let ticket = self.tickets.get(key)?;
         if now >= ticket.ask.deadline {
             return Some(ErrorKind::DeadlineInQueue);
         }
         let patient = now.since(ticket.since) < NO_TARGET_WAIT;
-        let pool = self.config.pool(&ticket.ask.pool);
-        let serving = pool.is_some_and(|pool| {
-            let targets = pool.targets.keys().filter_map(|t| self.targets.get(t));
-            targets.into_iter().any(|target| target.is_serving(now))
-        });
         (!serving && !patient).then_some(ErrorKind::NoTarget)
     }
 
+    /// Returns true if a target of a pool serves.
+    pub(super) fn is_served(&self, now: Time, pool: &PoolId) -> bool {
+        let members = self.members.get(pool).into_iter().flatten();
+        let mut targets = members.filter_map(|member| self.targets.get(member.target));
+        targets.any(|target| target.is_serving(now))
+    }
+
     pub(super) fn is_withdrawn(&self, ask: &Ask) -> bool {
         ask.key
             .is_some_and(|digest| self.config.workspace_of(&digest) != Some(&ask.workspace))
--- a/crates/core/src/decision/traffic/choose.rs
+++ b/crates/core/src/decision/traffic/choose.rs
@@ -1,16 +1,14 @@
 //! Choice of a target.
 
-use std::collections::HashMap;
-
 use rand::Rng;
 use rand::RngExt;
+use slotmap::SlotMap;
 
 use crate::decision::traffic::Ask;
 use crate::decision::traffic::Choice;
+use crate::decision::traffic::members::Member;
 use crate::decision::traffic::target::Target;
-use crate::domain::declare::PoolSpec;
-use crate::domain::name::CentreName;
-use crate::domain::name::TargetName;
+use crate::decision::traffic::target::TargetKey;
 use crate::domain::time::Time;
 
 /// Gain of a prompt whose prefix is cached whole, in units of a target's full load. Half a load
@@ -24,9 +22,8 @@
 /// What the choice depends on beside the request.
 pub(super) struct View<'a> {
     pub(super) now: Time,
-    pub(super) pool: &'a PoolSpec,
-    pub(super) targets: &'a HashMap<TargetName, Target>,
-    pub(super) centre: &'a CentreName,
+    pub(super) members: &'a [Member],
+    pub(super) targets: &'a SlotMap<TargetKey, Target>,
 }
 
 /// Why no target was chosen.
@@ -38,64 +35,120 @@
     Full,
 }
 
+/// The best target so far.
+#[derive(Clone, Copy)]
+struct Best {
+    repeated: bool,
+    cost: f64,
+    member: usize,
+    /// Members of this rank so far.
+    equals: u32,
+}
+
 /// Chooses the target with the lowest cost: relative load, distance, and cached prefix.
 ///
 /// Targets in `tried` are chosen only if no other can take the request. Targets of equal cost
 /// are drawn at random, so that entries with the same view do not all choose the same one.
+/// Ejected targets are left out unless more than half of those that serve are ejected. Then a
+/// common cause is likelier than that many bad targets, and ejection would only overload the rest.
 pub(super) fn choose(
     view: &View<'_>,
     ask: &Ask,
-    tried: &[TargetName],
+    tried: &[TargetKey],
     random: &mut impl Rng,
-) -> Result<Choice, NoChoice> {
-    let mut best: Option<(bool, f64, u32, Choice)> = None;
-    let mut serving = false;
-    let guard = guards_pool(view);
-    for (name, spec) in &view.pool.targets {
-        let Some(target) = view.targets.get(name) else {
+) -> Result<(TargetKey, Choice), NoChoice> {
+    let (mut good, mut any) = (None, None);
+    let (mut serving, mut ejected, mut fit) = (0, 0, false);
+    for (number, member) in view.members.iter().enumerate() {
+        let Some(target) = view.targets.get(member.target) else {
             continue;
         };
-        if !target.is_serving(view.now) || too_old(target, view.now, ask) {
+        if !target.is_serving(view.now) {
             continue;
         }
-        serving = true;
+        serving += 1;
+        let out = target.is_ejected(view.now);
+        ejected += usize::from(out);
+        if too_old(target, view.now, ask) {
+            continue;
+        }
+        fit = true;
         let load = target.load();
         let limit = target.limit(view.now);
-        if load >= limit || (target.is_ejected(view.now) && !guard) {
+        if load >= limit {
             continue;
         }
-        let repeated = tried.contains(name);
-        let cost = cost(target, ask, load, limit, *view.centre != spec.centre);
-        let rank = (repeated, cost, random.random::<u32>());
-        let worse = best
-            .as_ref()
-            .is_some_and(|(r, c, d, _)| rank >= (*r, *c, *d));
-        if !worse {
-            let choice = Choice {
-                target: name.clone(),
-                agent: spec.agent,
-            };
-            best = Some((rank.0, rank.1, rank.2, choice));
+        let base = base_cost(load, limit, member.far);
+        let repeated = tried.contains(&member.target);
+        if !out {
+            improve(&mut good, (repeated, base, number), target, ask, random);
         }
+        improve(&mut any, (repeated, base, number), target, ask, random);
     }
-    match best {
-        Some((.., choice)) => Ok(choice),
-        None if serving => Err(NoChoice::Full),
+    let guard = ejected * 2 > serving;
+    match if guard { any } else { good } {
+        Some(best) => Ok(chosen(&view.members[best.member])),
+        None if fit => Err(NoChoice::Full),
         None => Err(NoChoice::None),
     }
 }
 
-/// Returns the cost of a target in units of a full load.
-fn cost(target: &Target, ask: &Ask, load: u32, limit: u32, far: bool) -> f64 {
-    let share = f64::from(load) / f64::from(limit);
-    let hit = match ask.prefixes.len() {
+/// Replaces the best target by a better one.
+fn improve(
+    best: &mut Option<Best>,
+    (repeated, base, member): (bool, f64, usize),
+    target: &Target,
+    ask: &Ask,
+    random: &mut impl Rng,
+) {
+    // The look-up of prefixes is the dearest step, so targets that cannot win skip it.
+    let bound = (repeated, base - PREFIX_GAIN);
+    if best.is_some_and(|old| bound > (old.repeated, old.cost)) {
+        return;
+    }
+    let cost = base - PREFIX_GAIN * hit(target, ask);
+    let equals = match best {
+        Some(old) if (repeated, cost) > (old.repeated, old.cost) => return,
+        Some(old) if (repeated, cost) == (old.repeated, old.cost) => {
+            old.equals += 1;
+            // Each of the equals is kept with the same probability.
+            if random.random_range(0..old.equals) != 0 {
+                return;
+            }
+            old.equals
+        }
+        _ => 1,
+    };
+    *best = Some(Best {
+        repeated,
+        cost,
+        member,
+        equals,
+    });
+}
+
+fn chosen(member: &Member) -> (TargetKey, Choice) {
+    let choice = Choice {
+        target: member.name.clone(),
+        agent: member.agent,
+    };
+    (member.target, choice)
+}
+
+/// Returns the cost of a target without its cached prefix, in units of a full load.
+fn base_cost(load: u32, limit: u32, far: bool) -> f64 {
+    let distance = if far { DISTANCE_PRICE } else { 0.0 };
+    f64::from(load) / f64::from(limit) + distance
+}
+
+/// Returns the part of the prompt that the target has cached.
+fn hit(target: &Target, ask: &Ask) -> f64 {
+    match ask.prefixes.len() {
         0 => 0.0,
         // Prompts have at most a few thousand blocks.
         #[allow(clippy::cast_precision_loss)]
         all => target.cached(&ask.prefixes) as f64 / all as f64,
-    };
-    let distance = if far { DISTANCE_PRICE } else { 0.0 };
-    share + distance - PREFIX_GAIN * hit
+    }
 }
 
 /// Returns true if the target's weights are older than the request allows.
@@ -104,20 +157,3 @@
         .fresh(now)
         .is_some_and(|report| report.version < ask.floor)
 }
-
-/// Returns true if more than half of the serving targets are ejected. Then a common cause is
-/// likelier than that many bad targets, and ejection would only overload the rest.
-fn guards_pool(view: &View<'_>) -> bool {
-    let serving = view
-        .pool
-        .targets
-        .keys()
-        .filter_map(|name| view.targets.get(name))
-        .filter(|target| target.is_serving(view.now));
-    let (mut all, mut ejected) = (0, 0);
-    for target in serving {
-        all += 1;
-        ejected += usize::from(target.is_ejected(view.now));
-    }
-    ejected * 2 > all
-}
--- a/crates/core/src/decision/traffic/mod.rs
+++ b/crates/core/src/decision/traffic/mod.rs
@@ -7,12 +7,14 @@
 mod admit;
 mod budget;
 mod choose;
+mod members;
 mod place;
 mod queue;
 mod rate;
 mod target;
 mod ticket;
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -24,9 +26,11 @@
 
 use crate::decision::config::Config;
 use crate::decision::traffic::budget::Budget;
+use crate::decision::traffic::members::Member;
 use crate::decision::traffic::queue::FairQueue;
 use crate::decision::traffic::rate::Bucket;
 use crate::decision::traffic::target::Target;
+use crate::decision::traffic::target::TargetKey;
 use crate::decision::traffic::ticket::Ticket;
 use crate::domain::error::ErrorKind;
 use crate::domain::error::Failure;
@@ -66,12 +70,14 @@
     draining: bool,
     tickets: SlotMap<TicketKey, Ticket>,
     waiting: usize,
-    queues: HashMap<PoolId, FairQueue>,
+    queues: BTreeMap<PoolId, FairQueue>,
     buckets: HashMap<WorkspaceId, Bucket>,
     /// Mean tokens of a workspace's answers.
     means: HashMap<WorkspaceId, u64>,
     budgets: HashMap<RouteId, Budget>,
-    targets: HashMap<TargetName, Target>,
+    targets: SlotMap<TargetKey, Target>,
+    names: HashMap<TargetName, TargetKey>,
+    members: HashMap<PoolId, Vec<Member>>,
     actions: VecDeque<Action>,
     random: ChaCha8Rng,
 }
@@ -86,11 +92,13 @@
             draining: false,
             tickets: SlotMap::with_key(),
             waiting: 0,
-            queues: HashMap::new(),
+            queues: BTreeMap::new(),
             buckets: HashMap::new(),
             means: HashMap::new(),
             budgets: HashMap::new(),
-            targets: HashMap::new(),
+            targets: SlotMap::with_key(),
+            names: HashMap::new(),
+            members: HashMap::new(),
             actions: VecDeque::new(),
             random: ChaCha8Rng::seed_from_u64(seed),
         }
@@ -119,7 +127,7 @@
     /// Puts a configuration in force. Requests whose key was withdrawn are ended.
     pub fn configure(&mut self, now: Time, config: Arc<Config>) {
         self.config = config;
-        self.forget_targets();
+        self.resolve_members();
         let withdrawn: Vec<_> = self
             .tickets
             .iter()
@@ -143,8 +151,10 @@
 
     /// Takes in a target's report.
     pub fn report(&mut self, now: Time, report: Report) {
-        let target = self.targets.entry(report.target.clone()).or_default();
-        target.take_report(now, report);
+        let key = self.target_key(&report.target);
+        if let Some(target) = self.targets.get_mut(key) {
+            target.take_report(now, report);
+        }
         self.pump_all(now);
     }
 
@@ -209,12 +219,12 @@
 
     /// Refuses requests that have waited too long, and starts those that can go.
     pub fn tick(&mut self, now: Time) {
-        let late: Vec<_> = self
-            .queues
-            .values()
-            .flat_map(FairQueue::keys)
-            .filter_map(|key| Some((key, self.lateness(now, key)?)))
-            .collect();
+        let mut late = vec![];
+        for (pool, queue) in &self.queues {
+            let serving = self.is_served(now, pool);
+            let lateness = |key| Some((key, self.lateness(now, key, serving)?));
+            late.extend(queue.keys().into_iter().filter_map(lateness));
+        }
         for (key, kind) in late {
             self.refuse(key, Failure::from(kind));
         }
@@ -234,14 +244,4 @@
         }
         self.actions.push_back(Action::Refuse(key, failure));
     }
-
-    /// Drops the state of targets that no pool names.
-    fn forget_targets(&mut self) {
-        let config = &self.config;
-        let trees = config.teams().values().filter_map(|t| t.tree.as_deref());
-        let pools: Vec<_> = trees.flat_map(|tree| tree.pools.values()).collect();
-        let named = |name: &TargetName| pools.iter().any(|pool| pool.targets.contains_key(name));
-        self.targets
-            .retain(|name, target| named(name) || !target.is_unused());
-    }
 }
--- a/crates/core/src/decision/traffic/place.rs
+++ b/crates/core/src/decision/traffic/place.rs
@@ -7,13 +7,14 @@
 use crate::decision::traffic::choose::NoChoice;
 use crate::decision::traffic::choose::View;
 use crate::decision::traffic::choose::choose;
+use crate::decision::traffic::target::TargetKey;
 use crate::decision::traffic::ticket::Action;
 use crate::decision::traffic::ticket::Choice;
 use crate::decision::traffic::ticket::State;
 use crate::decision::traffic::ticket::TicketKey;
 use crate::domain::error::ErrorKind;
+use crate::domain::ids::WeightVersion;
 use crate::domain::name::PoolId;
-use crate::domain::name::WorkspaceId;
 use crate::domain::time::Time;
 
 impl Traffic {
@@ -39,52 +40,70 @@
         let Some(queue) = self.queues.get(pool) else {
             return false;
         };
-        for workspace in queue.order() {
-            let Some(key) = self.startable(pool, &workspace) else {
+        // Targets that are fit for a floor are fit for lower ones too. What found no target with
+        // one floor finds none with the same or a higher one, so a full pool is searched once.
+        let mut failed: Option<WeightVersion> = None;
+        for key in queue.heads() {
+            let Some(floor) = self.tickets.get(key).map(|ticket| ticket.ask.floor) else {
                 continue;
             };
+            if failed.is_some_and(|failed| floor >= failed) || !self.is_startable(key) {
+                continue;
+            }
             if let Ok(choice) = self.choice(now, key) {
                 self.dequeue(key);
                 self.grant(now, key, choice, Duration::ZERO);
                 return true;
             }
+            failed = Some(floor);
         }
         false
     }
 
-    /// Returns the next request of a workspace, unless the workspace runs as many as it may.
-    pub(super) fn startable(&self, pool: &PoolId, workspace: &WorkspaceId) -> Option<TicketKey> {
-        let queue = self.queues.get(pool)?;
-        let spec = self.config.workspace(workspace)?;
-        let most = divided(spec.concurrency, self.entries);
-        let running: u32 = self.queues.values().map(|q| q.running(workspace)).sum();
-        (running < most).then(|| queue.head(workspace)).flatten()
+    /// Returns true unless the workspace of a request runs as many as it may.
+    pub(super) fn is_startable(&self, key: TicketKey) -> bool {
+        let Some(workspace) = self.tickets.get(key).map(|ticket| &ticket.ask.workspace) else {
+            return false;
+        };
+        let queues = self.queues.values();
+        let running: u32 = queues.map(|queue| queue.running(workspace)).sum();
+        let spec = self.config.workspace(workspace);
+        spec.is_some_and(|spec| running < divided(spec.concurrency, self.entries))
     }
 
     /// Chooses a target for a ticket.
-    pub(super) fn choice(&mut self, now: Time, key: TicketKey) -> Result<Choice, NoChoice> {
+    pub(super) fn choice(
+        &mut self,
+        now: Time,
+        key: TicketKey,
+    ) -> Result<(TargetKey, Choice), NoChoice> {
         let ticket = self.tickets.get(key).ok_or(NoChoice::None)?;
-        let pool = self.config.pool(&ticket.ask.pool).ok_or(NoChoice::None)?;
+        let members = self.members.get(&ticket.ask.pool);
         let view = View {
             now,
-            pool,
+            members: members.ok_or(NoChoice::None)?,
             targets: &self.targets,
-            centre: &self.centre,
         };
         choose(&view, &ticket.ask, &ticket.tried, &mut self.random)
     }
 
     /// Sends a ticket to a target.
-    pub(super) fn grant(&mut self, now: Time, key: TicketKey, choice: Choice, delay: Duration) {
+    pub(super) fn grant(
+        &mut self,
+        now: Time,
+        key: TicketKey,
+        (at, choice): (TargetKey, Choice),
+        delay: Duration,
+    ) {
         let Some(ticket) = self.tickets.get_mut(key) else {
             return;
         };
-        if let Some(target) = self.targets.get_mut(&choice.target) {
+        if let Some(target) = self.targets.get_mut(at) {
             target.start(now, &ticket.ask.prefixes);
         }
         let first = ticket.tried.is_empty();
-        ticket.tried.push(choice.target.clone());
-        ticket.state = State::Running(choice.target.clone());
+        ticket.tried.push(at);
+        ticket.state = State::Running(at);
         if first {
             self.charge(key);
         }
@@ -96,8 +115,8 @@
         let Some(ticket) = self.tickets.get_mut(key) else {
             return;
         };
-        if let State::Running(name) = &ticket.state {
-            if let Some(target) = self.targets.get_mut(name) {
+        if let State::Running(at) = ticket.state {
+            if let Some(target) = self.targets.get_mut(at) {
                 target.end(now, failure);
             }
             ticket.state = State::Between;
--- a/crates/core/src/decision/traffic/queue.rs
+++ b/crates/core/src/decision/traffic/queue.rs
@@ -43,26 +43,20 @@
         flow.waiting[class(priority)].push_back(key);
     }
 
-    /// Returns the workspaces with waiting requests, the one to be served next first.
-    pub(super) fn order(&self) -> Vec<WorkspaceId> {
-        let waiting = self.flows.iter().filter(|(_, flow)| flow.len() > 0);
-        let mut order: Vec<_> = waiting.map(|(id, flow)| (flow.time, id)).collect();
-        order.sort();
-        order.into_iter().map(|(_, id)| id.clone()).collect()
-    }
-
-    /// Returns the request of a workspace that goes next.
-    pub(super) fn head(&self, workspace: &WorkspaceId) -> Option<TicketKey> {
-        let flow = self.flows.get(workspace)?;
-        flow.waiting.iter().find_map(|class| class.front().copied())
+    /// Returns the next request of each workspace, that of the workspace to be served next first.
+    pub(super) fn heads(&self) -> Vec<TicketKey> {
+        let heads = self.flows.values();
+        let heads = heads.filter_map(|flow| Some((flow.time, flow.head()?)));
+        let mut heads: Vec<_> = heads.collect();
+        // Stable, so workspaces of equal time keep the order of their names.
+        heads.sort_by_key(|(time, _)| *time);
+        heads.into_iter().map(|(_, key)| key).collect()
     }
 
     /// Takes a waiting request out.
     pub(super) fn remove(&mut self, workspace: &WorkspaceId, key: TicketKey) {
         if let Some(flow) = self.flows.get_mut(workspace) {
-            for class in &mut flow.waiting {
-                class.retain(|other| *other != key);
-            }
+            flow.take(key);
         }
         self.forget(workspace);
     }
@@ -135,6 +129,25 @@
         self.waiting.iter().map(VecDeque::len).sum()
     }
 
+    /// Returns the request that goes next.
+    fn head(&self) -> Option<TicketKey> {
+        let mut classes = self.waiting.iter();
+        classes.find_map(|class| class.front().copied())
+    }
+
+    /// Takes a request out. Nearly always it is the first of its class.
+    fn take(&mut self, key: TicketKey) {
+        for class in &mut self.waiting {
+            if class.front() == Some(&key) {
+                class.pop_front();
+                return;
+            }
+        }
+        for class in &mut self.waiting {
+            class.retain(|other| *other != key);
+        }
+    }
+
     fn is_idle(&self) -> bool {
         self.running == 0 && self.len() == 0
     }
--- a/crates/core/src/decision/traffic/target.rs
+++ b/crates/core/src/decision/traffic/target.rs
@@ -4,6 +4,8 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use slotmap::new_key_type;
+
 use crate::domain::error::ErrorKind;
 use crate::domain::target::Report;
 use crate::domain::target::ServingState;
@@ -37,6 +39,11 @@
 /// Capacity of a target that reports none.
 const DEFAULT_CAPACITY: u32 = 16;
 
+new_key_type! {
+    /// Names a target within one entry.
+    pub(super) struct TargetKey;
+}
+
 /// Whether a target takes requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Health {
@@ -57,6 +64,8 @@
     own: u32,
     /// Starts (true) and ends (false) of own requests that a report may not show yet.
     recent: VecDeque<(Time, bool)>,
+    /// Starts less ends in `recent`. Summing them up in each choice cost more than the choice.
+    unseen: i64,
     /// Start of the time in which the share grows, or none once it is full.
     warming: Option<Time>,
     prefixes: HashSet<u64>,
@@ -70,6 +79,7 @@
             health: Health::Good(0),
             own: 0,
             recent: VecDeque::new(),
+            unseen: 0,
             warming: None,
             prefixes: HashSet::new(),
             ages: VecDeque::new(),
@@ -99,8 +109,8 @@
         }
         self.remember(&report.cached);
         let shown = |time: &Time| *time + REPORT_LAG <= now;
-        while self.recent.front().is_some_and(|(time, _)| shown(time)) {
-            self.recent.pop_front();
+        while let Some((_, start)) = self.recent.pop_front_if(|(time, _)| shown(time)) {
+            self.unseen -= if start { 1 } else { -1 };
         }
         self.report = Some((now, report));
     }
@@ -123,12 +133,7 @@
         let reported = self.report.as_ref().map_or(0, |(_, report)| {
             i64::from(report.running) + i64::from(report.queued)
         });
-        let unseen: i64 = self
-            .recent
-            .iter()
-            .map(|(_, start)| if *start { 1 } else { -1 })
-            .sum();
-        let estimate = (reported + unseen).max(i64::from(self.own));
+        let estimate = (reported + self.unseen).max(i64::from(self.own));
         u32::try_from(estimate).unwrap_or(u32::MAX)
     }
 
@@ -164,6 +169,7 @@
         }
         self.own += 1;
         self.recent.push_back((now, true));
+        self.unseen += 1;
         self.remember(prefixes);
     }
 
@@ -171,6 +177,7 @@
     pub(super) fn end(&mut self, now: Time, failure: Option<ErrorKind>) {
         self.own = self.own.saturating_sub(1);
         self.recent.push_back((now, false));
+        self.unseen -= 1;
         match failure {
             None => self.recover(now),
             Some(kind) if blames_target(kind) => self.fail(now),
--- a/crates/core/src/decision/traffic/ticket.rs
+++ b/crates/core/src/decision/traffic/ticket.rs
@@ -5,6 +5,7 @@
 
 use slotmap::new_key_type;
 
+use crate::decision::traffic::target::TargetKey;
 use crate::domain::declare::Priority;
 use crate::domain::error::Failure;
 use crate::domain::ids::WeightVersion;
@@ -78,7 +79,7 @@
     /// In the queue of its pool.
     Waiting,
     /// On this target.
-    Running(TargetName),
+    Running(TargetKey),
     /// Between the queue and a target, within one step of the control thread.
     Between,
 }
@@ -90,7 +91,7 @@
     pub(super) since: Time,
     pub(super) state: State,
     /// Targets of all attempts.
-    pub(super) tried: Vec<TargetName>,
+    pub(super) tried: Vec<TargetKey>,
     /// Tokens charged at the first attempt.
     pub(super) charged: Option<u64>,
 }
