Give a workspace that comes back the next slots up to its share

A workspace that came back to a full pool started at the virtual time of requests charged ahead of their service, so it took a full turnover of the pool to reach its share. The queue's virtual time now leaves out what still runs.

Seen failing before the change: the new test counted 2 of the next 4 slots.

--- a/crates/core/src/decision/traffic/queue.rs
+++ b/crates/core/src/decision/traffic/queue.rs
@@ -2,7 +2,9 @@
 //!
 //! Start-time fair queueing over workspaces: a workspace's virtual time grows by the tokens it was
 //! served divided by its weight, and the one with the lowest virtual time goes next. A workspace
-//! that was idle starts at the queue's virtual time, so that it cannot save up service.
+//! that was idle starts at the queue's virtual time, so that it cannot save up service. The queue's
+//! virtual time does not count what still runs: a workspace that comes back to a full pool gets
+//! the next slots until it has its share of them.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -23,6 +25,8 @@
     waiting: [VecDeque<TicketKey>; CLASSES],
     time: u64,
     running: u32,
+    /// Virtual time charged for what runs.
+    ahead: u64,
 }
 
 /// The queue of one pool.
@@ -35,6 +39,10 @@
 impl FairQueue {
     /// Adds a request behind those of the same workspace and class.
     pub(super) fn push(&mut self, workspace: &WorkspaceId, priority: Priority, key: TicketKey) {
+        let known = self.flows.get(workspace);
+        if known.is_none_or(Flow::is_idle) {
+            self.advance();
+        }
         let idle = self.time;
         let flow = self.flows.entry(workspace.clone()).or_default();
         if flow.is_idle() {
@@ -67,13 +75,12 @@
         let flow = self.flows.entry(workspace.clone()).or_default();
         flow.running += 1;
         // The state of a workspace may have been dropped since its request was queued.
-        let start = if flow.running == 1 {
-            flow.time.max(idle)
-        } else {
-            flow.time
-        };
-        self.time = self.time.max(start);
-        flow.time = start.saturating_add(cost(tokens, weight));
+        if flow.running == 1 {
+            flow.time = flow.time.max(idle);
+        }
+        let cost = cost(tokens, weight);
+        flow.time = flow.time.saturating_add(cost);
+        flow.ahead = flow.ahead.saturating_add(cost);
     }
 
     /// Notes that a request ended, and corrects the charge from the expected to the served tokens.
@@ -82,7 +89,13 @@
             flow.running = flow.running.saturating_sub(1);
             flow.time = flow.time.saturating_add(cost(served, weight));
             flow.time = flow.time.saturating_sub(cost(expected, weight));
+            flow.ahead = flow.ahead.saturating_sub(cost(expected, weight));
+            // The weight may have changed since the start.
+            if flow.running == 0 {
+                flow.ahead = 0;
+            }
         }
+        self.advance();
         self.forget(workspace);
     }
 
@@ -114,6 +127,16 @@
         })
     }
 
+    /// Moves the queue's virtual time up to the lowest one of the workspaces that have requests,
+    /// without what runs. When none has, all claims are settled.
+    fn advance(&mut self) {
+        let busy = self.flows.values().filter(|flow| !flow.is_idle());
+        let lowest = busy.map(|flow| flow.time.saturating_sub(flow.ahead)).min();
+        let settled = || self.flows.values().map(|flow| flow.time).max();
+        let time = lowest.or_else(settled).unwrap_or(0);
+        self.time = self.time.max(time);
+    }
+
     /// Drops the state of a workspace that has no claim left to remember.
     fn forget(&mut self, workspace: &WorkspaceId) {
         let time = self.time;
--- a/crates/core/tests/traffic.rs
+++ b/crates/core/tests/traffic.rs
@@ -221,6 +221,35 @@
     assert!((1.8..2.2).contains(&share), "shares are {served:?}");
 }
 
+/// Guards against a workspace that comes back to a full pool and reaches its share only after all
+/// running requests of others have ended once: the next freed slots are its own.
+#[test]
+fn workspace_that_comes_back_gets_the_next_slots_up_to_its_share() {
+    let spec = WorkspaceSpec {
+        queue: 1000,
+        ..WorkspaceSpec::default()
+    };
+    let mut traffic = traffic(1, 8, &[("busy", spec.clone()), ("quiet", spec)]);
+    for _ in 0..100 {
+        traffic.ask(Time(0), ask("busy", FAR));
+    }
+    let running = actions(&mut traffic).into_iter().map(|a| verdict(a).0);
+    let running: Vec<_> = running.collect();
+    let quiet: HashSet<_> = (0..20)
+        .map(|_| traffic.ask(Time(1), ask("quiet", FAR)))
+        .collect();
+
+    let mut next = vec![];
+    for ticket in &running[..4] {
+        traffic.ended(Time(2), *ticket, &Outcome::Whole(16));
+        traffic.report(Time(2), report(0, 8));
+        next.extend(actions(&mut traffic).into_iter().map(|a| verdict(a).0));
+    }
+
+    let own = next.iter().filter(|ticket| quiet.contains(ticket)).count();
+    assert_eq!((own, next.len()), (4, 4), "quiet requests among the next");
+}
+
 /// Guards against a retry storm: when every attempt fails, attempts stay below 1.1 times the
 /// requests, but for the few retries that a quiet route has at hand.
 #[test]
