Refuse waiting requests that have no time for their answer

With a full queue every request was started just before its deadline and cut off by it, so slots went to answers that were never whole. A request is now refused when the time left is less than the mean time of its workspace's answers, those cut off included.

Seen failing before the change: the new test got a grant in place of the refusal.

--- a/crates/core/src/decision/traffic/admit.rs
+++ b/crates/core/src/decision/traffic/admit.rs
@@ -6,8 +6,10 @@
 use crate::decision::traffic::NO_TARGET_WAIT;
 use crate::decision::traffic::Traffic;
 use crate::decision::traffic::WAITING;
+use crate::decision::traffic::mean::Mean;
 use crate::decision::traffic::rate::Bucket;
 use crate::decision::traffic::ticket::Ask;
+use crate::decision::traffic::ticket::Outcome;
 use crate::decision::traffic::ticket::Ticket;
 use crate::decision::traffic::ticket::TicketKey;
 use crate::domain::declare::WorkspaceSpec;
@@ -65,10 +67,9 @@
             return;
         };
         let workspace = &ticket.ask.workspace;
-        let mean = self.means.get(workspace).copied().unwrap_or(LEAST_TOKENS);
-        let most = u64::from(ticket.ask.tokens).max(LEAST_TOKENS);
-        ticket.charged = Some(mean.clamp(LEAST_TOKENS, most));
-        let expected = ticket.charged.unwrap_or_default();
+        let mean = self.means.get(workspace).copied().unwrap_or_default();
+        let expected = mean.tokens(ticket.ask.tokens.into());
+        ticket.charged = Some(expected);
         let weight = weight(self.config.workspace(workspace));
         let queue = self.queues.entry(ticket.ask.pool.clone()).or_default();
         queue.start(workspace, expected, weight);
@@ -92,9 +93,22 @@
             let more = i64::try_from(tokens).unwrap_or(i64::MAX);
             bucket.charge(more.saturating_sub(i64::try_from(expected).unwrap_or(i64::MAX)));
         }
-        if tokens > 0 {
-            let mean = self.means.entry(workspace.clone()).or_insert(tokens);
-            *mean = (*mean * 7 + tokens) / 8;
+    }
+
+    /// Learns from an ended request what the answers of its workspace cost.
+    pub(super) fn learn(&mut self, now: Time, ticket: &Ticket, outcome: &Outcome) {
+        let Some(granted) = ticket.granted else {
+            return;
+        };
+        let mean = self.means.entry(ticket.ask.workspace.clone()).or_default();
+        let time = now.since(granted);
+        match outcome {
+            Outcome::Whole(0) => {}
+            Outcome::Whole(tokens) => mean.add(*tokens, time),
+            Outcome::Failed(failure) if failure.kind == ErrorKind::DeadlinePassed => {
+                mean.add_time(time);
+            }
+            Outcome::Failed(_) => {}
         }
     }
 
@@ -102,7 +116,10 @@
     /// target of its pool serves.
     pub(super) fn lateness(&self, now: Time, key: TicketKey, serving: bool) -> Option<ErrorKind> {
         let ticket = self.tickets.get(key)?;
-        if now >= ticket.ask.deadline {
+        let mean = self.means.get(&ticket.ask.workspace);
+        let expected = mean.map_or(Duration::ZERO, Mean::time);
+        // Work that its deadline would cut off takes slots from requests with enough time.
+        if now + expected >= ticket.ask.deadline {
             return Some(ErrorKind::DeadlineInQueue);
         }
         let patient = now.since(ticket.since) < NO_TARGET_WAIT;
--- a/crates/core/src/decision/traffic/mod.rs
+++ b/crates/core/src/decision/traffic/mod.rs
@@ -7,6 +7,7 @@
 mod admit;
 mod budget;
 mod choose;
+mod mean;
 mod members;
 mod place;
 mod queue;
@@ -26,6 +27,7 @@
 
 use crate::decision::config::Config;
 use crate::decision::traffic::budget::Budget;
+use crate::decision::traffic::mean::Mean;
 use crate::decision::traffic::members::Member;
 use crate::decision::traffic::queue::FairQueue;
 use crate::decision::traffic::rate::Bucket;
@@ -72,8 +74,7 @@
     waiting: usize,
     queues: BTreeMap<PoolId, FairQueue>,
     buckets: HashMap<WorkspaceId, Bucket>,
-    /// Mean tokens of a workspace's answers.
-    means: HashMap<WorkspaceId, u64>,
+    means: HashMap<WorkspaceId, Mean>,
     budgets: HashMap<RouteId, Budget>,
     targets: SlotMap<TargetKey, Target>,
     names: HashMap<TargetName, TargetKey>,
@@ -213,6 +214,7 @@
             Outcome::Whole(tokens) => *tokens,
             Outcome::Failed(_) => 0,
         };
+        self.learn(now, &ticket, outcome);
         self.settle(&ticket, tokens);
         self.pump(now, &ticket.ask.pool);
     }
--- a/crates/core/src/decision/traffic/place.rs
+++ b/crates/core/src/decision/traffic/place.rs
@@ -103,6 +103,7 @@
         }
         let first = ticket.tried.is_empty();
         ticket.tried.push(at);
+        ticket.granted = Some(now + delay);
         ticket.state = State::Running(at);
         if first {
             self.charge(key);
--- a/crates/core/src/decision/traffic/ticket.rs
+++ b/crates/core/src/decision/traffic/ticket.rs
@@ -92,6 +92,8 @@
     pub(super) state: State,
     /// Targets of all attempts.
     pub(super) tried: Vec<TargetKey>,
+    /// Time of the last grant.
+    pub(super) granted: Option<Time>,
     /// Tokens charged at the first attempt.
     pub(super) charged: Option<u64>,
 }
@@ -103,6 +105,7 @@
             since: now,
             state: State::Between,
             tried: Vec::new(),
+            granted: None,
             charged: None,
         }
     }
--- a/crates/core/tests/traffic.rs
+++ b/crates/core/tests/traffic.rs
@@ -250,6 +250,34 @@
     assert_eq!((own, next.len()), (4, 4), "quiet requests among the next");
 }
 
+/// Guards against slots that are spent on answers which cannot be whole by their deadline while
+/// requests with enough time wait.
+#[test]
+fn request_without_time_for_its_answer_is_not_started() {
+    let mut traffic = traffic(1, 1, &[("app", WorkspaceSpec::default())]);
+    let mut now = Time(0);
+    for _ in 0..8 {
+        let ticket = traffic.ask(now, ask("app", FAR));
+        granted(&mut traffic, ticket);
+        now = Time(now.0 + 2 * SECOND);
+        traffic.report(now, report(0, 1));
+        traffic.ended(now, ticket, &Outcome::Whole(100));
+    }
+    let running = traffic.ask(now, ask("app", FAR));
+    granted(&mut traffic, running);
+    let hopeless = traffic.ask(now, ask("app", now.0 + SECOND));
+    let patient = traffic.ask(now, ask("app", FAR));
+
+    let later = Time(now.0 + 900);
+    traffic.tick(later);
+    traffic.report(later, report(0, 1));
+    traffic.ended(later, running, &Outcome::Whole(100));
+
+    let refusal = Action::Refuse(hopeless, Failure::from(ErrorKind::DeadlineInQueue));
+    assert_eq!(traffic.next_action(), Some(refusal));
+    granted(&mut traffic, patient);
+}
+
 /// Guards against a retry storm: when every attempt fails, attempts stay below 1.1 times the
 /// requests, but for the few retries that a quiet route has at hand.
 #[test]
