Divide a full pool among entries by the demand at each

A trainer's step runs at one entry, and an entry divided only the slots that it happened to hold, so a large trainer got a quarter of its share. Entries now exchange their open requests by workspace. While a pool is full, each entry uses the part that its requests are due, of each target, and weighs a workspace by the part of its requests that it has. Without an exchange nothing changes; the control thread does not send it yet.

--- a/crates/bench/src/policy/entries.rs
+++ b/crates/bench/src/policy/entries.rs
@@ -1,9 +1,11 @@
 //! The product's policy: one `Traffic` for each entry.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use sardinepath_core::decision::traffic::Action;
 use sardinepath_core::decision::traffic::Ask;
+use sardinepath_core::decision::traffic::Demand;
 use sardinepath_core::decision::traffic::Outcome;
 use sardinepath_core::decision::traffic::TicketKey;
 use sardinepath_core::decision::traffic::Traffic;
@@ -16,6 +18,9 @@
 use crate::policy::port::Policy;
 use crate::policy::port::Step;
 
+/// Interval at which entries exchange demand. It reaches the others one interval late.
+const EXCHANGE: Duration = Duration::from_secs(1);
+
 /// One entry with the jobs behind its tickets.
 struct Entry {
     traffic: Traffic,
@@ -33,6 +38,10 @@
 pub struct Entries {
     entries: Vec<Entry>,
     tickets: HashMap<JobId, (usize, TicketKey)>,
+    /// Time of the next exchange of demand.
+    exchange: Time,
+    /// Demand that was collected at the last exchange and is on its way to the entries.
+    demand: Demand,
 }
 
 impl Entries {
@@ -53,8 +62,25 @@
         Self {
             entries: (0..count).map(entry).collect(),
             tickets: HashMap::new(),
+            exchange: Time(0),
+            demand: Demand::default(),
         }
     }
+
+    /// Gives the entries the demand that was collected one interval ago, and collects it again.
+    fn exchange_demand(&mut self, now: Time) {
+        let mut sum = Demand::default();
+        for entry in &mut self.entries {
+            entry.traffic.set_demand(now, &self.demand);
+            for (pool, open) in entry.traffic.demand() {
+                let pool = sum.entry(pool).or_default();
+                for (workspace, count) in open {
+                    *pool.entry(workspace).or_default() += count;
+                }
+            }
+        }
+        self.demand = sum;
+    }
 }
 
 impl Policy for Entries {
@@ -88,6 +114,10 @@
     }
 
     fn tick(&mut self, now: Time) {
+        if now >= self.exchange {
+            self.exchange = now + EXCHANGE;
+            self.exchange_demand(now);
+        }
         for entry in &mut self.entries {
             entry.traffic.tick(now);
         }
--- a/crates/core/src/decision/traffic/admit.rs
+++ b/crates/core/src/decision/traffic/admit.rs
@@ -63,19 +63,20 @@
 
     /// Charges the expected tokens of a request to its workspace.
     pub(super) fn charge(&mut self, key: TicketKey) {
-        let Some(ticket) = self.tickets.get_mut(key) else {
+        let Some(ask) = self.tickets.get(key).map(|ticket| &ticket.ask) else {
             return;
         };
-        let workspace = &ticket.ask.workspace;
-        let mean = self.means.get(workspace).copied().unwrap_or_default();
-        let expected = mean.tokens(ticket.ask.tokens.into());
-        ticket.charged = Some(expected);
-        let weight = weight(self.config.workspace(workspace));
-        let queue = self.queues.entry(ticket.ask.pool.clone()).or_default();
-        queue.start(workspace, expected, weight);
-        if let Some(bucket) = self.buckets.get_mut(workspace) {
+        let mean = self.means.get(&ask.workspace).copied().unwrap_or_default();
+        let expected = mean.tokens(ask.tokens.into());
+        let weight = self.part_weight(&ask.pool, &ask.workspace);
+        let queue = self.queues.entry(ask.pool.clone()).or_default();
+        queue.start(&ask.workspace, expected, weight);
+        if let Some(bucket) = self.buckets.get_mut(&ask.workspace) {
             bucket.charge(i64::try_from(expected).unwrap_or(i64::MAX));
         }
+        if let Some(ticket) = self.tickets.get_mut(key) {
+            ticket.charged = Some(expected);
+        }
     }
 
     /// Corrects the charge of a request that has ended.
@@ -85,7 +86,7 @@
         };
         let workspace = &ticket.ask.workspace;
         let served = tokens.max(LEAST_TOKENS);
-        let weight = weight(self.config.workspace(workspace));
+        let weight = self.part_weight(&ticket.ask.pool, workspace);
         if let Some(queue) = self.queues.get_mut(&ticket.ask.pool) {
             queue.end(workspace, expected, served, weight);
         }
--- a/crates/core/src/decision/traffic/choose.rs
+++ b/crates/core/src/decision/traffic/choose.rs
@@ -19,11 +19,24 @@
 /// an answer's time, so it decides only between targets of like load.
 const DISTANCE_PRICE: f64 = 0.1;
 
+/// One request in this many may wait at a target for a slot that another entry yields.
+const DUE_PART: u32 = 4;
+
 /// What the choice depends on beside the request.
 pub(super) struct View<'a> {
     pub(super) now: Time,
     pub(super) members: &'a [Member],
     pub(super) targets: &'a SlotMap<TargetKey, Target>,
+    pub(super) room: Room,
+}
+
+/// How far targets may be filled.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Room {
+    /// Up to their limit, whoever uses it.
+    Free,
+    /// Up to this part of the limit with requests of this entry. Other entries have the rest.
+    Part(f64),
 }
 
 /// Why no target was chosen.
@@ -35,6 +48,24 @@
     Full,
 }
 
+impl Room {
+    /// Returns the load of a target and the load that it may have, unless it is full.
+    fn on(self, target: &Target, now: Time) -> Option<(u32, u32)> {
+        let (load, limit) = (target.load(), target.limit(now));
+        match self {
+            Self::Free => (load < limit).then_some((load, limit)),
+            Self::Part(part) => {
+                // Part of a limit, rounded up so that small parts can be used.
+                #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+                let own_limit = (f64::from(limit) * part).ceil() as u32;
+                let own = target.own();
+                let most = limit + (limit / DUE_PART).max(1);
+                (own < own_limit && load < most).then_some((own, own_limit))
+            }
+        }
+    }
+}
+
 /// The best target so far.
 #[derive(Clone, Copy)]
 struct Best {
@@ -73,11 +104,9 @@
             continue;
         }
         fit = true;
-        let load = target.load();
-        let limit = target.limit(view.now);
-        if load >= limit {
+        let Some((load, limit)) = view.room.on(target, view.now) else {
             continue;
-        }
+        };
         let base = base_cost(load, limit, member.far);
         let repeated = tried.contains(&member.target);
         if !out {
--- a/crates/core/src/decision/traffic/mod.rs
+++ b/crates/core/src/decision/traffic/mod.rs
@@ -12,6 +12,7 @@
 mod place;
 mod queue;
 mod rate;
+mod slice;
 mod target;
 mod ticket;
 
@@ -31,6 +32,7 @@
 use crate::decision::traffic::members::Member;
 use crate::decision::traffic::queue::FairQueue;
 use crate::decision::traffic::rate::Bucket;
+use crate::decision::traffic::slice::Slice;
 use crate::decision::traffic::target::Target;
 use crate::decision::traffic::target::TargetKey;
 use crate::decision::traffic::ticket::Ticket;
@@ -45,6 +47,7 @@
 use crate::domain::target::Report;
 use crate::domain::time::Time;
 
+pub use slice::Demand;
 pub use ticket::Action;
 pub use ticket::Ask;
 pub use ticket::Choice;
@@ -73,6 +76,9 @@
     tickets: SlotMap<TicketKey, Ticket>,
     waiting: usize,
     queues: BTreeMap<PoolId, FairQueue>,
+    slices: HashMap<PoolId, Slice>,
+    /// Open requests of this entry at its last count.
+    counted: Demand,
     buckets: HashMap<WorkspaceId, Bucket>,
     means: HashMap<WorkspaceId, Mean>,
     budgets: HashMap<RouteId, Budget>,
@@ -94,6 +100,8 @@
             tickets: SlotMap::with_key(),
             waiting: 0,
             queues: BTreeMap::new(),
+            slices: HashMap::new(),
+            counted: Demand::new(),
             buckets: HashMap::new(),
             means: HashMap::new(),
             budgets: HashMap::new(),
--- a/crates/core/src/decision/traffic/place.rs
+++ b/crates/core/src/decision/traffic/place.rs
@@ -5,8 +5,10 @@
 use crate::decision::traffic::Traffic;
 use crate::decision::traffic::admit::divided;
 use crate::decision::traffic::choose::NoChoice;
+use crate::decision::traffic::choose::Room;
 use crate::decision::traffic::choose::View;
 use crate::decision::traffic::choose::choose;
+use crate::decision::traffic::queue::FairQueue;
 use crate::decision::traffic::target::TargetKey;
 use crate::decision::traffic::ticket::Action;
 use crate::decision::traffic::ticket::Choice;
@@ -79,14 +81,26 @@
     ) -> Result<(TargetKey, Choice), NoChoice> {
         let ticket = self.tickets.get(key).ok_or(NoChoice::None)?;
         let members = self.members.get(&ticket.ask.pool);
+        let room = self.room(&ticket.ask.pool).ok_or(NoChoice::Full)?;
         let view = View {
             now,
             members: members.ok_or(NoChoice::None)?,
             targets: &self.targets,
+            room,
         };
         choose(&view, &ticket.ask, &ticket.tried, &mut self.random)
     }
 
+    /// Returns how far targets may be filled, or none if this entry uses its part of a full pool.
+    fn room(&self, pool: &PoolId) -> Option<Room> {
+        let slice = self.slices.get(pool);
+        let Some(allowance) = slice.and_then(|slice| slice.allowance) else {
+            return Some(Room::Free);
+        };
+        let running = self.queues.get(pool).map_or(0, FairQueue::all_running);
+        (running < allowance.slots).then_some(Room::Part(allowance.part))
+    }
+
     /// Sends a ticket to a target.
     pub(super) fn grant(
         &mut self,
--- a/crates/core/src/decision/traffic/queue.rs
+++ b/crates/core/src/decision/traffic/queue.rs
@@ -13,8 +13,8 @@
 use crate::domain::declare::Priority;
 use crate::domain::name::WorkspaceId;
 
-/// Virtual time of one token at weight one.
-const TOKEN: u64 = 1 << 10;
+/// Virtual time of one token at weight one, times the parts of a weight.
+const TOKEN: u64 = 1 << 20;
 
 /// Number of priority classes.
 const CLASSES: usize = 3;
@@ -104,6 +104,17 @@
         self.flows.get(workspace).map_or(0, |flow| flow.running)
     }
 
+    /// Returns the requests that run or wait by workspace.
+    pub(super) fn open(&self) -> BTreeMap<WorkspaceId, u32> {
+        let open = |(id, flow): (&WorkspaceId, &Flow)| (id.clone(), flow.open());
+        self.flows.iter().map(open).collect()
+    }
+
+    /// Returns the number of requests that run.
+    pub(super) fn all_running(&self) -> u32 {
+        self.flows.values().map(|flow| flow.running).sum()
+    }
+
     /// Returns the number of requests of a workspace that wait.
     pub(super) fn waiting(&self, workspace: &WorkspaceId) -> usize {
         self.flows.get(workspace).map_or(0, Flow::len)
@@ -171,6 +182,11 @@
         }
     }
 
+    fn open(&self) -> u32 {
+        let waiting = u32::try_from(self.len()).unwrap_or(u32::MAX);
+        self.running.saturating_add(waiting)
+    }
+
     fn is_idle(&self) -> bool {
         self.running == 0 && self.len() == 0
     }
--- a/crates/core/src/decision/traffic/target.rs
+++ b/crates/core/src/decision/traffic/target.rs
@@ -137,6 +137,11 @@
         u32::try_from(estimate).unwrap_or(u32::MAX)
     }
 
+    /// Returns the requests of this entry that run on the target.
+    pub(super) fn own(&self) -> u32 {
+        self.own
+    }
+
     /// Returns the requests that the target may have now, less during a slow start.
     pub(super) fn limit(&self, now: Time) -> u32 {
         let reported = self.report.as_ref().map_or(0, |(_, r)| r.capacity);
