Drop the demand of other entries when it is old, and test the parts

An entry that no longer hears from the others would have kept its last part of a full pool, and one without requests at the last count had no slot at all. Demand older than 5 s is not used, and an entry always has one slot.

Seen failing: the test of parts with the limit taken out (16 slots in place of 8), the test of old demand without the age limit (0 in place of 7 grants).

--- a/crates/core/src/decision/traffic/choose.rs
+++ b/crates/core/src/decision/traffic/choose.rs
@@ -57,7 +57,7 @@
             Self::Part(part) => {
                 // Part of a limit, rounded up so that small parts can be used.
                 #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-                let own_limit = (f64::from(limit) * part).ceil() as u32;
+                let own_limit = ((f64::from(limit) * part).ceil() as u32).max(1);
                 let own = target.own();
                 let most = limit + (limit / DUE_PART).max(1);
                 (own < own_limit && load < most).then_some((own, own_limit))
--- a/crates/core/src/decision/traffic/mod.rs
+++ b/crates/core/src/decision/traffic/mod.rs
@@ -77,6 +77,8 @@
     waiting: usize,
     queues: BTreeMap<PoolId, FairQueue>,
     slices: HashMap<PoolId, Slice>,
+    /// Time of the last exchange of demand.
+    exchanged: Time,
     /// Open requests of this entry at its last count.
     counted: Demand,
     buckets: HashMap<WorkspaceId, Bucket>,
@@ -101,6 +103,7 @@
             waiting: 0,
             queues: BTreeMap::new(),
             slices: HashMap::new(),
+            exchanged: Time(0),
             counted: Demand::new(),
             buckets: HashMap::new(),
             means: HashMap::new(),
--- a/crates/core/src/decision/traffic/place.rs
+++ b/crates/core/src/decision/traffic/place.rs
@@ -81,7 +81,7 @@
     ) -> Result<(TargetKey, Choice), NoChoice> {
         let ticket = self.tickets.get(key).ok_or(NoChoice::None)?;
         let members = self.members.get(&ticket.ask.pool);
-        let room = self.room(&ticket.ask.pool).ok_or(NoChoice::Full)?;
+        let room = self.room(now, &ticket.ask.pool).ok_or(NoChoice::Full)?;
         let view = View {
             now,
             members: members.ok_or(NoChoice::None)?,
@@ -92,9 +92,8 @@
     }
 
     /// Returns how far targets may be filled, or none if this entry uses its part of a full pool.
-    fn room(&self, pool: &PoolId) -> Option<Room> {
-        let slice = self.slices.get(pool);
-        let Some(allowance) = slice.and_then(|slice| slice.allowance) else {
+    fn room(&self, now: Time, pool: &PoolId) -> Option<Room> {
+        let Some(allowance) = self.allowance(now, pool) else {
             return Some(Room::Free);
         };
         let running = self.queues.get(pool).map_or(0, FairQueue::all_running);
--- a/crates/core/src/decision/traffic/slice.rs
+++ b/crates/core/src/decision/traffic/slice.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::time::Duration;
 
 use crate::decision::traffic::Traffic;
 use crate::decision::traffic::admit::weight;
@@ -19,6 +20,9 @@
 /// Open requests by pool and workspace.
 pub type Demand = BTreeMap<PoolId, BTreeMap<WorkspaceId, u32>>;
 
+/// Demand older than this is not used. Entries exchange it every second.
+const DEMAND_LIMIT: Duration = Duration::from_secs(5);
+
 /// Parts of a weight of one. A workspace's weight at one entry can be a small part of its share.
 pub(super) const WEIGHT_PARTS: u64 = 1024;
 
@@ -26,7 +30,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Slice {
     /// What this entry may use, or none while the pool has room for all.
-    pub(super) allowance: Option<Allowance>,
+    allowance: Option<Allowance>,
     /// Weights of the workspaces at this entry.
     weights: HashMap<WorkspaceId, u64>,
 }
@@ -65,6 +69,7 @@
             (pool.clone(), self.slice(now, pool, open))
         };
         self.slices = all.iter().map(slice).collect();
+        self.exchanged = now;
         self.pump_all(now);
     }
 
@@ -76,6 +81,13 @@
         known.copied().unwrap_or_else(whole)
     }
 
+    /// Returns what this entry may use of a pool, or none while nothing limits it.
+    pub(super) fn allowance(&self, now: Time, pool: &PoolId) -> Option<Allowance> {
+        let recent = now.since(self.exchanged) < DEMAND_LIMIT;
+        let slice = self.slices.get(pool).filter(|_| recent);
+        slice.and_then(|slice| slice.allowance)
+    }
+
     fn slice(&self, now: Time, pool: &PoolId, open: &BTreeMap<WorkspaceId, u32>) -> Slice {
         let claims = open.iter().map(|(workspace, all)| {
             // The parts of all entries add up to one only if all are from the same count.
@@ -127,9 +139,9 @@
         weights -= claim.weight;
         own += slots * part(&claim);
     }
-    // At most the slots of a pool, rounded up so that every entry with demand gets one.
+    // At most the slots of a pool. An entry whose first requests have just come gets one.
     #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let slots = own.ceil() as u32;
+    let slots = (own.ceil() as u32).max(1);
     Allowance {
         slots,
         part: own / f64::from(all.max(1)),
--- a/crates/core/tests/traffic.rs
+++ b/crates/core/tests/traffic.rs
@@ -278,6 +278,54 @@
     granted(&mut traffic, patient);
 }
 
+/// Guards against an entry that holds more of a full pool than its requests are due: of two
+/// entries with equal demand, neither fills the pool alone.
+#[test]
+fn entry_uses_its_part_of_a_full_pool() {
+    let spec = WorkspaceSpec {
+        concurrency: 1000,
+        ..WorkspaceSpec::default()
+    };
+    let workspaces = [("here", spec.clone()), ("there", spec)];
+    let mut traffic = traffic(2, 8, &workspaces);
+    let pool = ask("here", FAR).pool;
+    let other = BTreeMap::from([(workspace("there"), 50)]);
+    traffic.demand();
+    traffic.set_demand(Time(0), &BTreeMap::from([(pool.clone(), other.clone())]));
+
+    let asks: Vec<_> = (0..50).map(|_| ask("here", FAR)).collect();
+    let before = asks.into_iter().map(|ask| traffic.ask(Time(0), ask));
+    let before: Vec<_> = before.collect();
+    let early = actions(&mut traffic).len();
+    let mut all = traffic.demand();
+    all.get_mut(&pool).unwrap().extend(other);
+    traffic.set_demand(Time(1), &all);
+    for ticket in &before[..early] {
+        traffic.ended(Time(2), *ticket, &Outcome::Whole(16));
+    }
+    (0..2).for_each(|t| traffic.report(Time(2), report(t, 8)));
+
+    let late = actions(&mut traffic);
+    assert_eq!(late.len(), 8, "half of 16 slots: {late:?}");
+}
+
+/// Guards against an entry that stays limited by the demand of entries it no longer hears from.
+#[test]
+fn old_demand_does_not_limit_an_entry() {
+    let mut traffic = traffic(1, 8, &[("here", WorkspaceSpec::default())]);
+    let other = BTreeMap::from([(workspace("there"), 50)]);
+    let pool = ask("here", FAR).pool;
+    traffic.set_demand(Time(0), &BTreeMap::from([(pool, other)]));
+    for _ in 0..8 {
+        traffic.ask(Time(0), ask("here", FAR));
+    }
+    let limited = actions(&mut traffic).len();
+
+    traffic.report(Time(6 * SECOND), report(0, 8));
+
+    assert_eq!((limited, actions(&mut traffic).len()), (1, 7));
+}
+
 /// Guards against a retry storm: when every attempt fails, attempts stay below 1.1 times the
 /// requests, but for the few retries that a quiet route has at hand.
 #[test]
