--- a/crates/bench/src/policy/mod.rs
+++ b/crates/bench/src/policy/mod.rs
@@ -1,6 +1,7 @@
 //! Runs the decisions of entries in virtual time against simple service-time models of targets.
 
 pub mod baseline;
+mod claims;
 pub mod demand;
 pub mod deployment;
 mod disturb;
--- a/crates/bench/src/policy/world.rs
+++ b/crates/bench/src/policy/world.rs
@@ -13,7 +13,6 @@
 
 use crate::policy::Settings;
 use crate::policy::demand::offered;
-use crate::policy::deployment::Client;
 use crate::policy::deployment::Demand;
 use crate::policy::event::Agenda;
 use crate::policy::event::Event;
@@ -26,10 +25,8 @@
 use crate::policy::measure::Summary;
 use crate::policy::port::Policy;
 use crate::policy::port::Step;
-use crate::policy::share::Claim;
 use crate::policy::source::Draft;
 use crate::policy::source::Source;
-use crate::policy::target;
 use crate::policy::target::Health;
 use crate::policy::target::Target;
 use crate::policy::target::rank;
@@ -45,9 +42,6 @@
 /// Interval at which loads are sampled for reports and for the spread.
 const SAMPLE: Duration = Duration::from_millis(100);
 
-/// A request younger than this is on its way and is not counted as waiting.
-const ON_ITS_WAY: Duration = Duration::from_millis(200);
-
 /// Interval of new weights.
 const PUBLISH: Duration = Duration::from_secs(180);
 
@@ -71,11 +65,11 @@
     pub(super) agenda: Agenda,
     pub(super) now: Time,
     end: Time,
-    jobs: Vec<Job>,
+    pub(super) jobs: Vec<Job>,
     pub(super) targets: Vec<Target>,
-    sources: Vec<Source>,
+    pub(super) sources: Vec<Source>,
     trainers: Vec<Trainer>,
-    recorder: Recorder,
+    pub(super) recorder: Recorder,
     /// Latest published weight version.
     version: u64,
     /// Counts the reports, for gaps in every second one.
@@ -84,7 +78,7 @@
     pub(super) broken: bool,
     arrivals: usize,
     /// Jobs of each client that are asked for and do not run.
-    waiting: Vec<BTreeSet<JobId>>,
+    pub(super) waiting: Vec<BTreeSet<JobId>>,
 }
 
 impl<'a, P: Policy> World<'a, P> {
@@ -396,38 +390,4 @@
         }
         self.agenda.add(self.now + PUBLISH, Event::Publish);
     }
-
-    /// Returns which slots the clients of one kind of target use and could use.
-    fn claims(&self, kind: TargetKind) -> Vec<(usize, Claim)> {
-        let same = |target: &&Target| target.kind == kind;
-        let mut running = vec![0_u32; self.sources.len()];
-        for (id, _) in self.targets.iter().filter(same).flat_map(|t| &t.running) {
-            running[self.jobs[*id].client] += 1;
-        }
-        let slots = self.targets.len() * target::capacity(kind) as usize;
-        let clients = self.settings.deployment.clients.iter().enumerate();
-        let clients = clients.filter(|(_, client)| client.kind() == kind);
-        let claim = |(number, client): (usize, &Client)| {
-            let late = |id: &&JobId| self.jobs[**id].born + ON_ITS_WAY <= self.now;
-            let waiting = self.waiting[number].iter().take(slots).filter(late).count();
-            let claim = Claim {
-                weight: f64::from(client.share),
-                running: f64::from(running[number]),
-                waiting: f64::from(u32::try_from(waiting).unwrap_or(u32::MAX)),
-            };
-            (number, claim)
-        };
-        clients.map(claim).collect()
-    }
-
-    /// Notes the slot time of an attempt that fails, if it has begun to run.
-    pub(super) fn note_waste(&mut self, id: JobId, attempt: u32) {
-        let job = &self.jobs[id];
-        let runs = !self.waiting[job.client].contains(&id);
-        if job.attempt == attempt && runs {
-            let time = self.now.since(job.start);
-            self.recorder.waste(job.client, time);
-            self.waiting[job.client].insert(id);
-        }
-    }
 }
