--- a/crates/core/src/decision/traffic/admit.rs
+++ b/crates/core/src/decision/traffic/admit.rs
@@ -6,15 +6,22 @@
 use crate::decision::traffic::NO_TARGET_WAIT;
 use crate::decision::traffic::Traffic;
 use crate::decision::traffic::WAITING;
+use crate::decision::traffic::mean::Mean;
 use crate::decision::traffic::rate::Bucket;
 use crate::decision::traffic::ticket::Ask;
+use crate::decision::traffic::ticket::Outcome;
 use crate::decision::traffic::ticket::Ticket;
 use crate::decision::traffic::ticket::TicketKey;
 use crate::domain::declare::WorkspaceSpec;
 use crate::domain::error::ErrorKind;
 use crate::domain::error::Failure;
+use crate::domain::name::PoolId;
 use crate::domain::time::Time;
 
+/// Time of a long answer over the mean. Among log-normal lengths with a spread of one, 5 % are
+/// longer than three times the mean, and 31 % are longer than the mean.
+const TAIL: u32 = 3;
+
 impl Traffic {
     /// Returns why a request cannot be admitted, if it cannot.
     pub(super) fn refusal(&mut self, now: Time, ask: &Ask) -> Option<Failure> {
@@ -60,20 +67,20 @@
 
     /// Charges the expected tokens of a request to its workspace.
     pub(super) fn charge(&mut self, key: TicketKey) {
-        let Some(ticket) = self.tickets.get_mut(key) else {
+        let Some(ask) = self.tickets.get(key).map(|ticket| &ticket.ask) else {
             return;
         };
-        let workspace = &ticket.ask.workspace;
-        let mean = self.means.get(workspace).copied().unwrap_or(LEAST_TOKENS);
-        let most = u64::from(ticket.ask.tokens).max(LEAST_TOKENS);
-        ticket.charged = Some(mean.clamp(LEAST_TOKENS, most));
-        let expected = ticket.charged.unwrap_or_default();
-        let weight = weight(self.config.workspace(workspace));
-        let queue = self.queues.entry(ticket.ask.pool.clone()).or_default();
-        queue.start(workspace, expected, weight);
-        if let Some(bucket) = self.buckets.get_mut(workspace) {
+        let mean = self.means.get(&ask.workspace).copied().unwrap_or_default();
+        let expected = mean.tokens(ask.tokens.into());
+        let weight = self.part_weight(&ask.pool, &ask.workspace);
+        let queue = self.queues.entry(ask.pool.clone()).or_default();
+        queue.start(&ask.workspace, expected, weight);
+        if let Some(bucket) = self.buckets.get_mut(&ask.workspace) {
             bucket.charge(i64::try_from(expected).unwrap_or(i64::MAX));
         }
+        if let Some(ticket) = self.tickets.get_mut(key) {
+            ticket.charged = Some(expected);
+        }
     }
 
     /// Corrects the charge of a request that has ended.
@@ -83,7 +90,7 @@
         };
         let workspace = &ticket.ask.workspace;
         let served = tokens.max(LEAST_TOKENS);
-        let weight = weight(self.config.workspace(workspace));
+        let weight = self.part_weight(&ticket.ask.pool, workspace);
         if let Some(queue) = self.queues.get_mut(&ticket.ask.pool) {
             queue.end(workspace, expected, served, weight);
         }
@@ -91,27 +98,50 @@
             let more = i64::try_from(tokens).unwrap_or(i64::MAX);
             bucket.charge(more.saturating_sub(i64::try_from(expected).unwrap_or(i64::MAX)));
         }
-        if tokens > 0 {
-            let mean = self.means.entry(workspace.clone()).or_insert(tokens);
-            *mean = (*mean * 7 + tokens) / 8;
+    }
+
+    /// Learns from an ended request what the answers of its workspace cost.
+    pub(super) fn learn(&mut self, now: Time, ticket: &Ticket, outcome: &Outcome) {
+        let Some(granted) = ticket.granted else {
+            return;
+        };
+        let mean = self.means.entry(ticket.ask.workspace.clone()).or_default();
+        let time = now.since(granted);
+        match outcome {
+            Outcome::Whole(0) => {}
+            Outcome::Whole(tokens) => mean.add(*tokens, time),
+            Outcome::Failed(failure) if failure.kind == ErrorKind::DeadlinePassed => {
+                mean.add_time(time);
+            }
+            Outcome::Failed(_) => {}
         }
     }
 
-    /// Returns why a waiting request has to be refused now, if it has.
-    pub(super) fn lateness(&self, now: Time, key: TicketKey) -> Option<ErrorKind> {
+    /// Returns why a waiting request has to be refused now, if it has. `serving` tells whether a
+    /// target of its pool serves.
+    pub(super) fn lateness(&self, now: Time, key: TicketKey, serving: bool) -> Option<ErrorKind> {
         let ticket = self.tickets.get(key)?;
-        if now >= ticket.ask.deadline {
+        let mean = self.means.get(&ticket.ask.workspace);
+        let expected = mean.map_or(Duration::ZERO, Mean::time);
+        let left = ticket.ask.deadline.since(now);
+        // Work that its deadline would cut off takes slots from requests with enough time. After
+        // half of its time in the queue a request has such requests behind it.
+        let queued = now.since(ticket.since) > left;
+        let needed = if queued { expected * TAIL } else { expected };
+        if left <= needed {
             return Some(ErrorKind::DeadlineInQueue);
         }
         let patient = now.since(ticket.since) < NO_TARGET_WAIT;
-        let pool = self.config.pool(&ticket.ask.pool);
-        let serving = pool.is_some_and(|pool| {
-            let targets = pool.targets.keys().filter_map(|t| self.targets.get(t));
-            targets.into_iter().any(|target| target.is_serving(now))
-        });
         (!serving && !patient).then_some(ErrorKind::NoTarget)
     }
 
+    /// Returns true if a target of a pool serves.
+    pub(super) fn is_served(&self, now: Time, pool: &PoolId) -> bool {
+        let members = self.members.get(pool).into_iter().flatten();
+        let mut targets = members.filter_map(|member| self.targets.get(member.target));
+        targets.any(|target| target.is_serving(now))
+    }
+
     pub(super) fn is_withdrawn(&self, ask: &Ask) -> bool {
         ask.key
             .is_some_and(|digest| self.config.workspace_of(&digest) != Some(&ask.workspace))
--- a/crates/core/src/decision/traffic/queue.rs
+++ b/crates/core/src/decision/traffic/queue.rs
@@ -2,7 +2,9 @@
 //!
 //! Start-time fair queueing over workspaces: a workspace's virtual time grows by the tokens it was
 //! served divided by its weight, and the one with the lowest virtual time goes next. A workspace
-//! that was idle starts at the queue's virtual time, so that it cannot save up service.
+//! that was idle starts at the queue's virtual time, so that it cannot save up service. The queue's
+//! virtual time does not count what still runs: a workspace that comes back to a full pool gets
+//! the next slots until it has its share of them.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -11,8 +13,8 @@
 use crate::domain::declare::Priority;
 use crate::domain::name::WorkspaceId;
 
-/// Virtual time of one token at weight one.
-const TOKEN: u64 = 1 << 10;
+/// Virtual time of one token at weight one, times the parts of a weight.
+const TOKEN: u64 = 1 << 20;
 
 /// Number of priority classes.
 const CLASSES: usize = 3;
@@ -23,6 +25,8 @@
     waiting: [VecDeque<TicketKey>; CLASSES],
     time: u64,
     running: u32,
+    /// Virtual time charged for what runs.
+    ahead: u64,
 }
 
 /// The queue of one pool.
@@ -42,6 +46,10 @@
         key: TicketKey,
         back: bool,
     ) {
+        let known = self.flows.get(workspace);
+        if known.is_none_or(Flow::is_idle) {
+            self.advance();
+        }
         let idle = self.time;
         let flow = self.flows.entry(workspace.clone()).or_default();
         if flow.is_idle() {
@@ -55,26 +63,20 @@
         }
     }
 
-    /// Returns the workspaces with waiting requests, the one to be served next first.
-    pub(super) fn order(&self) -> Vec<WorkspaceId> {
-        let waiting = self.flows.iter().filter(|(_, flow)| flow.len() > 0);
-        let mut order: Vec<_> = waiting.map(|(id, flow)| (flow.time, id)).collect();
-        order.sort();
-        order.into_iter().map(|(_, id)| id.clone()).collect()
-    }
-
-    /// Returns the request of a workspace that goes next.
-    pub(super) fn head(&self, workspace: &WorkspaceId) -> Option<TicketKey> {
-        let flow = self.flows.get(workspace)?;
-        flow.waiting.iter().find_map(|class| class.front().copied())
+    /// Returns the next request of each workspace, that of the workspace to be served next first.
+    pub(super) fn heads(&self) -> Vec<TicketKey> {
+        let heads = self.flows.values();
+        let heads = heads.filter_map(|flow| Some((flow.time, flow.head()?)));
+        let mut heads: Vec<_> = heads.collect();
+        // Stable, so workspaces of equal time keep the order of their names.
+        heads.sort_by_key(|(time, _)| *time);
+        heads.into_iter().map(|(_, key)| key).collect()
     }
 
     /// Takes a waiting request out.
     pub(super) fn remove(&mut self, workspace: &WorkspaceId, key: TicketKey) {
         if let Some(flow) = self.flows.get_mut(workspace) {
-            for class in &mut flow.waiting {
-                class.retain(|other| *other != key);
-            }
+            flow.take(key);
         }
         self.forget(workspace);
     }
@@ -85,13 +87,12 @@
         let flow = self.flows.entry(workspace.clone()).or_default();
         flow.running += 1;
         // The state of a workspace may have been dropped since its request was queued.
-        let start = if flow.running == 1 {
-            flow.time.max(idle)
-        } else {
-            flow.time
-        };
-        self.time = self.time.max(start);
-        flow.time = start.saturating_add(cost(tokens, weight));
+        if flow.running == 1 {
+            flow.time = flow.time.max(idle);
+        }
+        let cost = cost(tokens, weight);
+        flow.time = flow.time.saturating_add(cost);
+        flow.ahead = flow.ahead.saturating_add(cost);
     }
 
     /// Notes that a request ended, and corrects the charge from the expected to the served tokens.
@@ -100,7 +101,13 @@
             flow.running = flow.running.saturating_sub(1);
             flow.time = flow.time.saturating_add(cost(served, weight));
             flow.time = flow.time.saturating_sub(cost(expected, weight));
+            flow.ahead = flow.ahead.saturating_sub(cost(expected, weight));
+            // The weight may have changed since the start.
+            if flow.running == 0 {
+                flow.ahead = 0;
+            }
         }
+        self.advance();
         self.forget(workspace);
     }
 
@@ -109,6 +116,17 @@
         self.flows.get(workspace).map_or(0, |flow| flow.running)
     }
 
+    /// Returns the requests that run or wait by workspace.
+    pub(super) fn open(&self) -> BTreeMap<WorkspaceId, u32> {
+        let open = |(id, flow): (&WorkspaceId, &Flow)| (id.clone(), flow.open());
+        self.flows.iter().map(open).collect()
+    }
+
+    /// Returns the number of requests that run.
+    pub(super) fn all_running(&self) -> u32 {
+        self.flows.values().map(|flow| flow.running).sum()
+    }
+
     /// Returns the number of requests of a workspace that wait.
     pub(super) fn waiting(&self, workspace: &WorkspaceId) -> usize {
         self.flows.get(workspace).map_or(0, Flow::len)
@@ -132,6 +150,16 @@
         })
     }
 
+    /// Moves the queue's virtual time up to the lowest one of the workspaces that have requests,
+    /// without what runs. When none has, all claims are settled.
+    fn advance(&mut self) {
+        let busy = self.flows.values().filter(|flow| !flow.is_idle());
+        let lowest = busy.map(|flow| flow.time.saturating_sub(flow.ahead)).min();
+        let settled = || self.flows.values().map(|flow| flow.time).max();
+        let time = lowest.or_else(settled).unwrap_or(0);
+        self.time = self.time.max(time);
+    }
+
     /// Drops the state of a workspace that has no claim left to remember.
     fn forget(&mut self, workspace: &WorkspaceId) {
         let time = self.time;
@@ -147,6 +175,30 @@
         self.waiting.iter().map(VecDeque::len).sum()
     }
 
+    /// Returns the request that goes next.
+    fn head(&self) -> Option<TicketKey> {
+        let mut classes = self.waiting.iter();
+        classes.find_map(|class| class.front().copied())
+    }
+
+    /// Takes a request out. Nearly always it is the first of its class.
+    fn take(&mut self, key: TicketKey) {
+        for class in &mut self.waiting {
+            if class.front() == Some(&key) {
+                class.pop_front();
+                return;
+            }
+        }
+        for class in &mut self.waiting {
+            class.retain(|other| *other != key);
+        }
+    }
+
+    fn open(&self) -> u32 {
+        let waiting = u32::try_from(self.len()).unwrap_or(u32::MAX);
+        self.running.saturating_add(waiting)
+    }
+
     fn is_idle(&self) -> bool {
         self.running == 0 && self.len() == 0
     }
--- a/crates/core/tests/traffic.rs
+++ b/crates/core/tests/traffic.rs
@@ -221,6 +221,111 @@
     assert!((1.8..2.2).contains(&share), "shares are {served:?}");
 }
 
+/// Guards against a workspace that comes back to a full pool and reaches its share only after all
+/// running requests of others have ended once: the next freed slots are its own.
+#[test]
+fn workspace_that_comes_back_gets_the_next_slots_up_to_its_share() {
+    let spec = WorkspaceSpec {
+        queue: 1000,
+        ..WorkspaceSpec::default()
+    };
+    let mut traffic = traffic(1, 8, &[("busy", spec.clone()), ("quiet", spec)]);
+    for _ in 0..100 {
+        traffic.ask(Time(0), ask("busy", FAR));
+    }
+    let running = actions(&mut traffic).into_iter().map(|a| verdict(a).0);
+    let running: Vec<_> = running.collect();
+    let quiet: HashSet<_> = (0..20)
+        .map(|_| traffic.ask(Time(1), ask("quiet", FAR)))
+        .collect();
+
+    let mut next = vec![];
+    for ticket in &running[..4] {
+        traffic.ended(Time(2), *ticket, &Outcome::Whole(16));
+        traffic.report(Time(2), report(0, 8));
+        next.extend(actions(&mut traffic).into_iter().map(|a| verdict(a).0));
+    }
+
+    let own = next.iter().filter(|ticket| quiet.contains(ticket)).count();
+    assert_eq!((own, next.len()), (4, 4), "quiet requests among the next");
+}
+
+/// Guards against slots that are spent on answers which cannot be whole by their deadline while
+/// requests with enough time wait.
+#[test]
+fn request_without_time_for_its_answer_is_not_started() {
+    let mut traffic = traffic(1, 1, &[("app", WorkspaceSpec::default())]);
+    let mut now = Time(0);
+    for _ in 0..8 {
+        let ticket = traffic.ask(now, ask("app", FAR));
+        granted(&mut traffic, ticket);
+        now = Time(now.0 + 2 * SECOND);
+        traffic.report(now, report(0, 1));
+        traffic.ended(now, ticket, &Outcome::Whole(100));
+    }
+    let running = traffic.ask(now, ask("app", FAR));
+    granted(&mut traffic, running);
+    let hopeless = traffic.ask(now, ask("app", now.0 + SECOND));
+    let patient = traffic.ask(now, ask("app", FAR));
+
+    let later = Time(now.0 + 900);
+    traffic.tick(later);
+    traffic.report(later, report(0, 1));
+    traffic.ended(later, running, &Outcome::Whole(100));
+
+    let refusal = Action::Refuse(hopeless, Failure::from(ErrorKind::DeadlineInQueue));
+    assert_eq!(traffic.next_action(), Some(refusal));
+    granted(&mut traffic, patient);
+}
+
+/// Guards against an entry that holds more of a full pool than its requests are due: of two
+/// entries with equal demand, neither fills the pool alone.
+#[test]
+fn entry_uses_its_part_of_a_full_pool() {
+    let spec = WorkspaceSpec {
+        concurrency: 1000,
+        ..WorkspaceSpec::default()
+    };
+    let workspaces = [("here", spec.clone()), ("there", spec)];
+    let mut traffic = traffic(2, 8, &workspaces);
+    let pool = ask("here", FAR).pool;
+    let other = BTreeMap::from([(workspace("there"), 50)]);
+    traffic.demand();
+    traffic.set_demand(Time(0), &BTreeMap::from([(pool.clone(), other.clone())]));
+
+    let asks: Vec<_> = (0..50).map(|_| ask("here", FAR)).collect();
+    let before = asks.into_iter().map(|ask| traffic.ask(Time(0), ask));
+    let before: Vec<_> = before.collect();
+    let early = actions(&mut traffic).len();
+    let mut all = traffic.demand();
+    all.get_mut(&pool).unwrap().extend(other);
+    traffic.set_demand(Time(1), &all);
+    for ticket in &before[..early] {
+        traffic.ended(Time(2), *ticket, &Outcome::Whole(16));
+    }
+    (0..2).for_each(|t| traffic.report(Time(2), report(t, 8)));
+
+    let late = actions(&mut traffic);
+    assert_eq!(late.len(), 8, "half of 16 slots: {late:?}");
+}
+
+/// Guards against an entry that stays limited by the demand of entries it no longer hears from.
+#[test]
+fn old_demand_does_not_limit_an_entry() {
+    let mut traffic = traffic(1, 8, &[("here", WorkspaceSpec::default())]);
+    let other = BTreeMap::from([(workspace("there"), 50)]);
+    let pool = ask("here", FAR).pool;
+    traffic.set_demand(Time(0), &BTreeMap::from([(pool, other)]));
+    for _ in 0..8 {
+        traffic.ask(Time(0), ask("here", FAR));
+    }
+    let limited = actions(&mut traffic).len();
+
+    traffic.report(Time(6 * SECOND), report(0, 8));
+
+    assert_eq!((limited, actions(&mut traffic).len()), (1, 7));
+}
+
 /// Guards against a retry storm: when every attempt fails, attempts stay below 1.1 times the
 /// requests, but for the few retries that a quiet route has at hand.
 #[test]
