Apply faults of stand-in services only to calls that can fail

Cause: the stand-ins delayed and held every call, also `/status`. With a delay above 2 s the agent's reading of the status timed out, so the agent reported that its target does not serve, and entries answered `no_target`. Change: hold and delay apply where `can_fail` says that faults apply. The new test of the status was not run against the code before the change.

--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -123,6 +123,15 @@
         self.protocol.can_fail(seen) && take(&mut self.faults.refuse)
     }
 
+    /// Returns the faults that apply to a call.
+    fn faults_of(&self, seen: &Seen) -> Faults {
+        if self.protocol.can_fail(seen) {
+            self.faults
+        } else {
+            Faults::default()
+        }
+    }
+
     fn handle(&mut self, seen: &Seen) -> Outcome {
         let reply = self.protocol.handle(seen, Instant::now());
         if !self.protocol.can_fail(seen) {
@@ -149,7 +158,8 @@
     let (seen, refused, faults) = control
         .ask_async(move |state| {
             let refused = state.refuses(&seen);
-            (seen, refused, state.faults)
+            let faults = state.faults_of(&seen);
+            (seen, refused, faults)
         })
         .await;
     if refused {
--- a/crates/standins/tests/services.rs
+++ b/crates/standins/tests/services.rs
@@ -92,6 +92,19 @@
     assert_eq!(paths, ["/failed", "/lost", "/fine"]);
 }
 
+/// Guards against a slow service whose status is slow too. Its agent would then report that the
+/// target does not serve, and tests of slow calls would fail on a busy machine.
+#[test]
+fn delays_of_calls_leave_the_status_alone() {
+    let service = PlainService::start().unwrap();
+    service.set_faults(|faults| faults.delay = Duration::from_secs(600));
+    let url = format!("http://{}/status?after=0", service.address);
+
+    let answer = minreq::get(url).with_timeout(60).send().unwrap();
+
+    assert_eq!(answer.status_code, 200);
+}
+
 /// Guards against a repeated intent that acts twice, and an old fence that acts at all.
 #[test]
 fn order_book_tells_applied_repeated_and_fenced() {
