Prove the path with entries and agents as separate processes

Change: fixtures that start several `sardinepath entry` and `agent` processes around stand-ins, callers that send a non-idempotent route, and a judge that reads the stand-ins' logs: no call ran twice, each answer belongs to its call, each stated run state is true, no target saw the key. Scenarios: kill and pause of an agent and of an entry, drain of both, a silent connection in one and in both directions, key withdrawal while callers stream, withdrawal during a pause, a race of two operators. The serving event also names the address for other entries.

Seen failing with a rule taken out for a moment: - repeats of non-idempotent calls allowed: killed and paused agent fail ("ran 2 times") - a lost agent told as unreachable: killed agent fails ("ran 2 times") - drain that does not wait: both drain tests fail - no revocation of running streams: withdrawn key fails - object writes without condition: the race has two winners Not seen failing: paused entry (passes with repeats allowed), killed entry and whole path (only with the key forwarded, which stops the fleet from serving), entry paused during a withdrawal (passes with keys always fresh, since the watch answers before the waiting calls are checked), and the silent connection (without pings it passed with one direction frozen, because the progress time-outs and the other side's pings end the connection; both directions were not tried without pings).

--- a/crates/sardinepath/src/role.rs
+++ b/crates/sardinepath/src/role.rs
@@ -32,6 +32,7 @@
         ("role", &"entry"),
         ("host", &settings.host),
         ("address", &entry.address),
+        ("peer", &entry.peer),
         ("admin", &entry.admin),
     ]);
     run(process.serve(), signals, |process| {
--- /dev/null
+++ b/crates/sardinepath/tests/process_support/node.rs
@@ -0,0 +1,142 @@
+//! One process of the system.
+
+use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::thread;
+
+use flume::Receiver;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use sardinepath_core::domain::event::Event;
+use sardinepath_standins::relay::Relay;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::process_support::PATIENCE;
+use crate::process_support::await_true;
+use crate::process_support::scratch;
+
+/// A running entry or agent. Its process is killed when dropped.
+pub struct Node {
+    pub address: SocketAddr,
+    pub admin: SocketAddr,
+    /// Address for other entries, on an entry.
+    pub peer: Option<SocketAddr>,
+    /// Relay before the address for other entries.
+    pub relay: Option<Relay>,
+    child: Child,
+    log: Receiver<Value>,
+}
+
+impl Node {
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.child), signal).unwrap();
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
+    /// Waits until the process has ended by itself.
+    pub fn wait(&mut self) -> ExitStatus {
+        let mut status = None;
+        await_true("a process to end", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        status.unwrap()
+    }
+
+    /// Waits for a log event.
+    pub fn await_event(&self, event: Event) {
+        let number = u64::from(event.info().number);
+        await_true(event.info().name, || {
+            let line = self.log.recv_timeout(PATIENCE).unwrap();
+            line["event"].as_u64() == Some(number)
+        });
+    }
+
+    /// Id of the process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // The process may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Starts an agent beside a target and waits until it is ready.
+pub fn start_agent(name: &str, index: usize, target: SocketAddr) -> Node {
+    let settings = json!({
+        "role": "agent", "host": format!("agent-{index}"), "centre": "cx1",
+        "listen": "127.0.0.1:0", "admin": "127.0.0.1:0",
+        "target": format!("target-{index}"), "address": target, "drain_limit": 60,
+    });
+    let node = start("agent", &format!("{name}-agent-{index}"), &settings);
+    let ready = format!("http://{}/readyz", node.admin);
+    // An agent that reports `Starting` to a new entry is not chosen until its next report.
+    await_true("an agent to be ready", || {
+        let answer = minreq::get(&ready).with_timeout(PATIENCE.as_secs()).send();
+        answer.is_ok_and(|answer| answer.status_code == 200)
+    });
+    node
+}
+
+/// Starts an entry with further settings and waits until it listens.
+pub fn start_entry(name: &str, index: usize, objects: SocketAddr, more: &Value) -> Node {
+    let mut settings = json!({
+        "role": "entry", "host": format!("entry-{index}"), "centre": "cx1",
+        "listen": "127.0.0.1:0", "peer": "127.0.0.1:0", "admin": "127.0.0.1:0",
+        "objects": objects, "drain_limit": 60,
+    });
+    let fields = settings.as_object_mut().unwrap();
+    fields.extend(more.as_object().unwrap().clone());
+    start("entry", &format!("{name}-entry-{index}"), &settings)
+}
+
+fn start(role: &str, name: &str, settings: &Value) -> Node {
+    let file = scratch(name);
+    fs::write(&file, settings.to_string()).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_sardinepath"))
+        .args([role, "--settings"])
+        .arg(&file)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+    let (sender, log) = flume::unbounded::<Value>();
+    thread::spawn(move || {
+        for line in lines.map_while(Result::ok) {
+            // The test may have ended.
+            let _ = sender.send(serde_json::from_str(&line).unwrap());
+        }
+    });
+    let serving = log.recv_timeout(PATIENCE).unwrap();
+    let address = |field: &str| {
+        let text = serving[field].as_str();
+        text.map(|text| text.parse().unwrap())
+    };
+    Node {
+        address: address("address").unwrap(),
+        admin: address("admin").unwrap(),
+        peer: address("peer"),
+        relay: None,
+        child,
+        log,
+    }
+}
