Learn of other entries and of leaving hosts from the host list

Cause: entries knew each other only from their settings, the number of live entries was always 1, and a target on a leaving host got work until its own agent drained. The control thread tells the distribution of changes and the traffic of the number of live entries, and corrects reports of targets whose host leaves. The setting `hosts` names the list; without it nothing is read.

--- a/crates/core/src/decision/freshness.rs
+++ b/crates/core/src/decision/freshness.rs
@@ -29,7 +29,7 @@
 
 /// Entries that a node in contact with the platform asks in one round. A few are enough to learn
 /// of a higher revision, and all of them would cost each node 350 calls a second at target size.
-const ASKED_IN_CONTACT: usize = 3;
+pub const ASKED_IN_CONTACT: usize = 3;
 
 /// Revisions that a node remembers until it reaches them. Further ones replace the last.
 const UNMET_MOST: usize = 64;
--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -6,6 +6,7 @@
 mod expose;
 pub mod freshness;
 pub mod lease;
+pub mod member;
 pub mod order;
 pub mod prefix;
 pub mod process;
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -72,6 +72,8 @@
     TreeUnreadable = (200, Error, "tree_unreadable", "the declarations of a team cannot be read; the last accepted ones stay in force"),
     /// A team's state was already known. Fields: `team`.
     TreeKnown = (201, Debug, "tree_known", "the team is known at this revision already"),
+    /// The list of hosts could not be read. Fields: `error`.
+    HostsUnreadable = (202, Warn, "hosts_unreadable", "the list of hosts cannot be read; the last one stays in force"),
     /// A connection could not be accepted. Fields: `error`.
     AcceptFailed = (300, Warn, "accept_failed", "a connection could not be accepted"),
     /// A caller's connection ended with an error. Fields: `error`.
--- a/crates/node/src/config/entry.rs
+++ b/crates/node/src/config/entry.rs
@@ -32,6 +32,9 @@
     /// restart during an outage of the object API needs one of them.
     #[serde(default)]
     pub entries: BTreeMap<HostName, SocketAddr>,
+    /// Address of the platform's list of hosts. Without it the entry knows only `entries`.
+    #[serde(default)]
+    pub hosts: Option<SocketAddr>,
     /// Number of traffic threads, from 1 to 64.
     #[serde(default = "default_threads", deserialize_with = "range::threads")]
     pub threads: usize,
--- a/crates/node/src/entry/control.rs
+++ b/crates/node/src/entry/control.rs
@@ -24,9 +24,11 @@
 use sardinepath_core::domain::target::Report;
 use sardinepath_core::domain::time::Time;
 use sardinepath_core::port::clock::Clock;
+use sardinepath_core::port::host::HostEntry;
 use sardinepath_core::port::peer::Pulse;
 use slotmap::SecondaryMap;
 
+use crate::entry::member::Membership;
 use crate::entry::peer::Distribution;
 use crate::entry::peer::PeerMessage;
 use crate::entry::reports::Follow;
@@ -78,6 +80,8 @@
         /// Time before the platform was asked.
         asked: Time,
     },
+    /// The list of hosts was read.
+    Hosts(Vec<HostEntry>),
     /// Another entry or the platform answered.
     Peer(PeerMessage),
     /// The process stops.
@@ -144,6 +148,7 @@
     verdicts: SecondaryMap<TicketKey, Sender<Verdict>>,
     follow: Follow,
     distribution: Distribution,
+    members: Membership,
     ticked: Time,
 }
 
@@ -161,6 +166,7 @@
         follow: Follow,
         traffic: Traffic,
         distribution: Distribution,
+        members: Membership,
     ) -> Self {
         Self {
             clock,
@@ -170,6 +176,7 @@
             verdicts: SecondaryMap::new(),
             follow,
             distribution,
+            members,
             ticked: Time(0),
         }
     }
@@ -202,7 +209,7 @@
                 self.traffic.ended(now, ticket, &outcome);
                 self.verdicts.remove(ticket);
             }
-            Message::Report(report) => self.traffic.report(now, report),
+            Message::Report(report) => self.traffic.report(now, self.members.correct(report)),
             Message::Changed { teams, revision } => self.merge(teams, Some(revision)),
             Message::Listed {
                 teams,
@@ -218,7 +225,12 @@
                 config.merge_listing(teams, &unreadable, revision);
                 self.put_in_force(config, Some(revision));
             }
+            Message::Hosts(hosts) => {
+                self.members.listed(now, &hosts);
+                self.ticked = Time(0);
+            }
             Message::Peer(message) => {
+                self.members.told(now, &message);
                 if let Some(update) = self.distribution.handle(now, message) {
                     self.merge(update.teams, update.complete);
                 }
@@ -270,6 +282,10 @@
             return;
         }
         self.ticked = now;
+        if let Some(entries) = self.members.tick(now) {
+            self.distribution.handle(now, PeerMessage::Know(entries));
+        }
+        self.traffic.set_entries(self.members.live(now));
         self.traffic.tick(now);
         let pulse = self.distribution.pulse(now);
         self.distribution.tick(now, pulse.revision);
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -3,6 +3,7 @@
 pub mod control;
 pub mod drain;
 pub mod duty;
+pub mod member;
 pub mod peer;
 pub mod platform;
 pub mod reports;
@@ -22,6 +23,7 @@
 use sardinepath_adapters::caller::CallerServer;
 use sardinepath_adapters::caller::limits::CallerLimits;
 use sardinepath_adapters::clock::HostClock;
+use sardinepath_adapters::platform::HttpHosts;
 use sardinepath_adapters::rpc::client::Peers;
 use sardinepath_adapters::rpc::peer::PeerRpcServer;
 use sardinepath_adapters::runtime::Runtime;
@@ -37,6 +39,7 @@
 use crate::entry::control::Message;
 use crate::entry::control::Published;
 use crate::entry::drain::EntryAdmin;
+use crate::entry::member::Membership;
 use crate::entry::peer::Distribution;
 use crate::entry::peer::Identity;
 use crate::entry::peer::PeerMessage;
@@ -84,6 +87,9 @@
         let runtime = Runtime::start(settings.threads).context("could not start threads")?;
         let parts = start_control(settings, runtime.spawner())?;
         watch::start(objects, parts.clock.clone(), parts.control.clone())?;
+        if let Some(address) = settings.hosts {
+            member::start(Arc::new(HttpHosts::new(address)), parts.control.clone())?;
+        }
         let peer_server = parts.serve_peers(settings.peer)?;
         let server = parts.serve_callers(settings.listen)?;
         let draining = Arc::new(AtomicBool::new(false));
@@ -169,6 +175,7 @@
         reports::Follow::new(spawner.clone(), peers.clone(), control.clone()),
         Traffic::new(settings.centre.clone(), rand::random()),
         distribution,
+        Membership::new(settings.host.clone()),
     );
     thread::Builder::new()
         .name("control".to_owned())
