--- a/crates/standins/src/relay.rs
+++ b/crates/standins/src/relay.rs
@@ -11,6 +11,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -35,6 +37,7 @@
 struct Shared {
     state: Mutex<State>,
     changed: Condvar,
+    bytes: AtomicU64,
 }
 
 #[derive(Debug)]
@@ -66,6 +69,7 @@
         let shared = Arc::new(Shared {
             state: Mutex::new(state),
             changed: Condvar::new(),
+            bytes: AtomicU64::new(0),
         });
         let accepting = shared.clone();
         thread::spawn(move || accept(&listener, &accepting));
@@ -99,6 +103,11 @@
         self.shared.lock().delay = delay;
     }
 
+    /// Returns the bytes that were passed on so far, both directions together.
+    pub fn bytes(&self) -> u64 {
+        self.shared.bytes.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of connections that were opened since the start or the last cut.
     pub fn connections(&self) -> usize {
         self.shared.lock().links.len()
@@ -207,6 +216,7 @@
         if !shared.pass(link, direction) || n == 0 || to.write_all(&buffer[..n]).is_err() {
             break;
         }
+        shared.bytes.fetch_add(n as u64, Ordering::Relaxed);
     }
     let _ = to.shutdown(Shutdown::Both);
     let _ = from.shutdown(Shutdown::Both);
