--- a/crates/bench/src/cli.rs
+++ b/crates/bench/src/cli.rs
@@ -7,6 +7,9 @@
 use serde::Serialize;
 
 use crate::decide;
+use crate::path;
+use crate::path::PathBench;
+use crate::path::path_bench;
 use crate::policy::Comparison;
 use crate::policy::Settings;
 use crate::policy::compare;
@@ -48,6 +51,9 @@
         #[bpaf(argument("FOLDER"), optional)]
         plot: Option<PathBuf>,
     },
+    /// Measures the path from callers to targets.
+    #[bpaf(command)]
+    Path(#[bpaf(external(path_bench))] PathBench),
     /// Measures the time and memory of the decisions.
     #[bpaf(command)]
     Decide {
@@ -66,6 +72,7 @@
             }
             print(*json, &results, |results| output::table(results))
         }
+        Command::Path(options) => path::run(options),
         Command::Decide { json } => {
             // Memory first: the speed measurements leave freed memory behind.
             let memory = decide::measure_memory()?;
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -2,4 +2,5 @@
 
 pub mod cli;
 pub mod decide;
+pub mod path;
 pub mod policy;
--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -8,6 +8,7 @@
 mod expose;
 pub mod freshness;
 pub mod lease;
+pub mod member;
 pub mod order;
 pub mod prefix;
 pub mod process;
--- a/crates/node/src/config/entry.rs
+++ b/crates/node/src/config/entry.rs
@@ -49,6 +49,9 @@
     /// Length of a usage window in seconds, from 1 to 86,400. All entries need the same one.
     #[serde(default = "range::default_window", deserialize_with = "range::window")]
     pub window: u64,
+    /// Address of the platform's list of hosts. Without it the entry knows only `entries`.
+    #[serde(default)]
+    pub hosts: Option<SocketAddr>,
     /// Number of traffic threads, from 1 to 64.
     #[serde(default = "default_threads", deserialize_with = "range::threads")]
     pub threads: usize,
--- a/crates/node/src/entry/control.rs
+++ b/crates/node/src/entry/control.rs
@@ -1,5 +1,6 @@
 //! The control thread of an entry. It owns all mutable control state.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -22,15 +23,18 @@
 use sardinepath_core::domain::error::Failure;
 use sardinepath_core::domain::event::Event;
 use sardinepath_core::domain::ids::Revision;
+use sardinepath_core::domain::name::HostName;
 use sardinepath_core::domain::name::TeamName;
 use sardinepath_core::domain::target::Report;
 use sardinepath_core::domain::time::Time;
 use sardinepath_core::port::clock::Clock;
+use sardinepath_core::port::host::HostEntry;
 use sardinepath_core::port::peer::Pulse;
 use slotmap::SecondaryMap;
 
 use crate::entry::duty::Duties;
 use crate::entry::duty::DutyMessage;
+use crate::entry::member::Membership;
 use crate::entry::peer::Distribution;
 use crate::entry::peer::PeerMessage;
 use crate::entry::reports::Follow;
@@ -86,6 +90,8 @@
         /// Time before the platform was asked.
         asked: Time,
     },
+    /// The list of hosts was read.
+    Hosts(Vec<HostEntry>),
     /// Another entry or the platform answered.
     Peer(PeerMessage),
     /// A result for the duties, or a question to them.
@@ -163,6 +169,7 @@
     duties: Duties,
     /// Steps of trainers. None at an entry without steps.
     steps: Option<Steps>,
+    members: Membership,
     ticked: Time,
 }
 
@@ -181,6 +188,7 @@
         traffic: Traffic,
         distribution: Distribution,
         duties: Duties,
+        members: Membership,
     ) -> Self {
         Self {
             clock,
@@ -192,6 +200,7 @@
             distribution,
             duties,
             steps: None,
+            members,
             ticked: Time(0),
         }
     }
@@ -236,6 +245,7 @@
                 self.verdicts.remove(ticket);
             }
             Message::Report(report) => {
+                let report = self.members.correct(report);
                 self.duties.report(now, &report);
                 self.traffic.report(now, report);
             }
@@ -255,10 +265,12 @@
                 self.put_in_force(config, Some(revision));
             }
             Message::Duty(message) => self.duties.handle(now, &self.config, message),
+            Message::Hosts(hosts) => {
+                self.members.listed(now, &hosts);
+                self.ticked = Time(0);
+            }
             Message::Peer(message) => {
-                if let PeerMessage::Know(entries) = &message {
-                    self.duties.know(entries);
-                }
+                self.members.told(now, &message);
                 if let Some(update) = self.distribution.handle(now, message) {
                     self.merge(update.teams, update.complete);
                 }
@@ -315,6 +327,10 @@
             return;
         }
         self.ticked = now;
+        if let Some(entries) = self.members.tick(now) {
+            self.know(now, entries);
+        }
+        self.traffic.set_entries(self.members.live(now));
         self.traffic.tick(now);
         self.close_abandoned(now, queue);
         self.duties.tick(now, &self.config);
@@ -332,6 +348,14 @@
         }
     }
 
+    /// Tells every part the other entries.
+    fn know(&mut self, now: Time, entries: Vec<(HostName, SocketAddr)>) {
+        self.duties.know(&entries);
+        let hosts = entries.iter().map(|(host, _)| host.clone()).collect();
+        self.follow.set_entries(hosts, &self.config);
+        self.distribution.handle(now, PeerMessage::Know(entries));
+    }
+
     fn publish(&self, now: Time) {
         self.snapshot.store(Arc::new(Snapshot {
             config: self.config.clone(),
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -3,6 +3,7 @@
 pub mod control;
 pub mod drain;
 pub mod duty;
+pub mod member;
 pub mod peer;
 pub mod platform;
 pub mod reports;
@@ -23,6 +24,7 @@
 use sardinepath_adapters::caller::CallerServer;
 use sardinepath_adapters::caller::limits::CallerLimits;
 use sardinepath_adapters::clock::HostClock;
+use sardinepath_adapters::platform::HttpHosts;
 use sardinepath_adapters::platform::HttpOrders;
 use sardinepath_adapters::platform::HttpScores;
 use sardinepath_adapters::platform::HttpUsage;
@@ -51,6 +53,7 @@
 use crate::entry::duty::context::Context;
 use crate::entry::duty::context::Ports;
 use crate::entry::duty::metrics::DutyMetrics;
+use crate::entry::member::Membership;
 use crate::entry::peer::Distribution;
 use crate::entry::peer::Identity;
 use crate::entry::peer::PeerMessage;
@@ -104,6 +107,9 @@
         let runtime = Runtime::start(settings.threads).context("could not start threads")?;
         let parts = start_control(settings, runtime.spawner(), objects.clone())?;
         watch::start(objects, parts.clock.clone(), parts.control.clone())?;
+        if let Some(address) = settings.hosts {
+            member::start(Arc::new(HttpHosts::new(address)), parts.control.clone())?;
+        }
         let peer_server = parts.serve_peers(settings.peer)?;
         let server = parts.serve_callers(settings.listen)?;
         let draining = Arc::new(AtomicBool::new(false));
@@ -155,8 +161,9 @@
     }
 
     /// Creates the report streams of the targets.
-    fn report_streams(&self) -> reports::Follow {
+    fn report_streams(&self, host: HostName) -> reports::Follow {
         reports::Follow::new(
+            host,
             self.spawner.clone(),
             self.peers.clone(),
             self.control.clone(),
@@ -246,10 +253,11 @@
     let state = Control::new(
         parts.clock.clone(),
         parts.snapshot.clone(),
-        parts.report_streams(),
+        parts.report_streams(settings.host.clone()),
         Traffic::new(settings.centre.clone(), rand::random()),
         distribution,
         Duties::new(duties, context),
+        Membership::new(settings.host.clone()),
     );
     let state = state.with_steps(parts.start_steps(settings, objects)?);
     thread::Builder::new()
--- a/crates/node/src/entry/reports.rs
+++ b/crates/node/src/entry/reports.rs
@@ -1,4 +1,4 @@
-//! Keeps a report stream to the agent of every target in the configuration.
+//! Keeps a report stream to the agent of every target that the entry follows.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -11,6 +11,8 @@
 use sardinepath_adapters::runtime::Task;
 use sardinepath_adapters::runtime::sleep;
 use sardinepath_core::decision::config::Config;
+use sardinepath_core::decision::subset::followed;
+use sardinepath_core::domain::name::HostName;
 
 use crate::entry::control::Message;
 
@@ -25,6 +27,9 @@
 
 /// The open report streams.
 pub struct Follow {
+    host: HostName,
+    /// The other live entries.
+    entries: Vec<HostName>,
     spawner: Spawner,
     peers: Arc<Peers>,
     control: Sender<Message>,
@@ -33,8 +38,15 @@
 
 impl Follow {
     /// Creates an empty set of streams.
-    pub fn new(spawner: Spawner, peers: Arc<Peers>, control: Sender<Message>) -> Self {
+    pub fn new(
+        host: HostName,
+        spawner: Spawner,
+        peers: Arc<Peers>,
+        control: Sender<Message>,
+    ) -> Self {
         Self {
+            host,
+            entries: Vec::new(),
             spawner,
             peers,
             control,
@@ -42,20 +54,25 @@
         }
     }
 
-    /// Opens streams to new agents and closes those to agents that left the configuration.
+    /// Sets the other live entries, with which this one shares the targets.
+    pub fn set_entries(&mut self, entries: Vec<HostName>, config: &Config) {
+        self.entries = entries;
+        self.configure(config);
+    }
+
+    /// Opens streams to the agents that this entry follows and closes all others.
     pub fn configure(&mut self, config: &Config) {
         let mut old = std::mem::take(&mut self.streams);
         let trees = config.teams().values().filter_map(|t| t.tree.as_deref());
-        let pools = trees.flat_map(|tree| tree.pools.values());
-        for agent in pools
-            .flat_map(|pool| pool.targets.values())
-            .map(|t| t.agent)
-        {
-            if self.streams.contains_key(&agent) {
-                continue;
+        for pool in trees.flat_map(|tree| tree.pools.values()) {
+            for target in followed(&self.host, &self.entries, pool) {
+                let agent = pool.targets[target].agent;
+                if self.streams.contains_key(&agent) {
+                    continue;
+                }
+                let stream = old.remove(&agent).unwrap_or_else(|| self.open(agent));
+                self.streams.insert(agent, stream);
             }
-            let stream = old.remove(&agent).unwrap_or_else(|| self.open(agent));
-            self.streams.insert(agent, stream);
         }
     }
 
