--- a/crates/adapters/src/caller/connection.rs
+++ b/crates/adapters/src/caller/connection.rs
@@ -53,7 +53,7 @@
 }
 
 /// How a connection ends.
-enum LastWords {
+enum ConnectionEnd {
     /// With an error answer.
     Refuse(ErrorKind),
     /// After its last answer.
@@ -102,33 +102,33 @@
         };
         let parts = served.into_parts();
         let wire = parts.io.into_inner();
-        match last_words(&wire, !parts.read_buf.is_empty(), end) {
-            LastWords::Refuse(kind) => {
+        match connection_end(&wire, !parts.read_buf.is_empty(), end) {
+            ConnectionEnd::Refuse(kind) => {
                 self.shared.front.note_refusal(kind);
                 refuse(wire.into_inner(), kind).await;
             }
-            LastWords::Close => close(wire.into_inner()).await,
-            LastWords::Break => {}
+            ConnectionEnd::Close => close(wire.into_inner()).await,
+            ConnectionEnd::Break => {}
         }
     }
 }
 
 /// Decides how a connection ends.
-fn last_words(wire: &Wire, begun: bool, end: hyper::Result<()>) -> LastWords {
+fn connection_end(wire: &Wire, begun: bool, end: hyper::Result<()>) -> ConnectionEnd {
     let Err(e) = end else {
-        return LastWords::Close;
+        return ConnectionEnd::Close;
     };
     emit(Event::CallerConnectionEnded, &[("error", &e)]);
     if !wire.is_clean() {
-        LastWords::Break
+        ConnectionEnd::Break
     } else if e.is_parse_too_large() {
-        LastWords::Refuse(ErrorKind::HeadTooLarge)
+        ConnectionEnd::Refuse(ErrorKind::HeadTooLarge)
     } else if e.is_parse() {
-        LastWords::Refuse(ErrorKind::BadRequest)
+        ConnectionEnd::Refuse(ErrorKind::BadRequest)
     } else if e.is_timeout() && begun {
-        LastWords::Refuse(ErrorKind::SlowCaller)
+        ConnectionEnd::Refuse(ErrorKind::SlowCaller)
     } else {
-        LastWords::Break
+        ConnectionEnd::Break
     }
 }
 
--- a/crates/adapters/src/rpc/peer.rs
+++ b/crates/adapters/src/rpc/peer.rs
@@ -15,10 +15,10 @@
 use sardinepath_core::domain::ids::Revision;
 use sardinepath_core::domain::name::HostName;
 use sardinepath_core::domain::name::TeamName;
+use sardinepath_core::port::peer::HeartbeatState;
 use sardinepath_core::port::peer::PeerFront;
 use sardinepath_core::port::peer::PeerPort;
 use sardinepath_core::port::peer::PeerUpdate;
-use sardinepath_core::port::peer::Pulse;
 use sardinepath_core::port::target::CallGuard;
 use tonic::Request;
 use tonic::Response;
@@ -135,7 +135,7 @@
         request: Request<wire::HeartbeatRequest>,
     ) -> Result<Response<wire::HeartbeatReply>, Status> {
         let told = request.into_inner();
-        let pulse = self.front.heartbeat(Pulse {
+        let pulse = self.front.heartbeat(HeartbeatState {
             host: HostName::from(told.host),
             incarnation: Incarnation(told.incarnation),
             revision: Revision(told.revision),
@@ -164,8 +164,8 @@
     fn heartbeat(
         &self,
         peer: SocketAddr,
-        pulse: Pulse,
-        reply: Sender<Pulse>,
+        pulse: HeartbeatState,
+        reply: Sender<HeartbeatState>,
     ) -> Box<dyn CallGuard> {
         let channel = self.channel(peer);
         Box::new(self.spawner.spawn(heartbeat(channel, pulse, reply)))
@@ -194,7 +194,7 @@
     }
 }
 
-async fn heartbeat(channel: Channel, pulse: Pulse, reply: Sender<Pulse>) {
+async fn heartbeat(channel: Channel, pulse: HeartbeatState, reply: Sender<HeartbeatState>) {
     let mut client = PeerClient::new(channel);
     let request = wire::HeartbeatRequest {
         host: pulse.host.to_string(),
@@ -206,7 +206,7 @@
         return;
     };
     let told = answer.into_inner();
-    let pulse = Pulse {
+    let pulse = HeartbeatState {
         host: HostName::from(told.host),
         incarnation: Incarnation(told.incarnation),
         revision: Revision(told.revision),
--- a/crates/adapters/tests/caller.rs
+++ b/crates/adapters/tests/caller.rs
@@ -25,7 +25,7 @@
 use sardinepath_core::port::target::CallGuard;
 
 /// Time after which a test gives up. Only a fault makes a test wait this long.
-const PATIENCE: Duration = Duration::from_secs(30);
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
 /// Time limits of the server in these tests.
 const LIMIT: Duration = Duration::from_millis(400);
@@ -152,7 +152,7 @@
 
 fn connect(served: &Served) -> TcpStream {
     let stream = TcpStream::connect(served.server.address).unwrap();
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
     stream
 }
 
@@ -363,7 +363,7 @@
 
     stream.write_all(streamed("/a").as_bytes()).unwrap();
 
-    assert_eq!(served.dropped.recv_timeout(PATIENCE), Ok(()));
+    assert_eq!(served.dropped.recv_timeout(WAIT_LIMIT), Ok(()));
     drop(stream);
 }
 
@@ -375,7 +375,7 @@
         let mut stream = connect(&served);
         stream.write_all(streamed("/part").as_bytes()).unwrap();
         // A request that has not been submitted yet has nothing to cancel.
-        assert_eq!(served.submitted.recv_timeout(PATIENCE), Ok(()));
+        assert_eq!(served.submitted.recv_timeout(WAIT_LIMIT), Ok(()));
         if matches!(kind, Front::OnePart) {
             read_until(&mut stream, "/part");
         }
@@ -383,7 +383,7 @@
         stream.shutdown(Shutdown::Both).unwrap();
         drop(stream);
 
-        assert_eq!(served.dropped.recv_timeout(PATIENCE), Ok(()));
+        assert_eq!(served.dropped.recv_timeout(WAIT_LIMIT), Ok(()));
     }
 }
 
--- a/crates/adapters/tests/rpc.rs
+++ b/crates/adapters/tests/rpc.rs
@@ -31,7 +31,7 @@
 use tonic::transport::Server;
 
 /// Time after which a test gives up. Only a fault makes a test wait this long.
-const PATIENCE: Duration = Duration::from_secs(30);
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
 type Events<T> = Pin<Box<dyn Stream<Item = Result<T, Status>> + Send>>;
 
@@ -122,7 +122,7 @@
         fields: Arc::from([]),
         body: Arc::from([]),
         idempotent: false,
-        deadline: PATIENCE,
+        deadline: WAIT_LIMIT,
         priority: Priority::Interactive,
         streamed: false,
     }
@@ -143,9 +143,9 @@
     });
     let peers = Peers::new(runtime.spawner());
     let (sender, events) = flume::bounded(64);
-    let _guard = peers.execute(address.recv_timeout(PATIENCE).unwrap(), call(), sender);
-    let mut last = events.recv_timeout(PATIENCE).unwrap();
-    while let Ok(event) = events.recv_timeout(PATIENCE) {
+    let _guard = peers.execute(address.recv_timeout(WAIT_LIMIT).unwrap(), call(), sender);
+    let mut last = events.recv_timeout(WAIT_LIMIT).unwrap();
+    while let Ok(event) = events.recv_timeout(WAIT_LIMIT) {
         last = event;
     }
     last
--- a/crates/core/src/decision/freshness.rs
+++ b/crates/core/src/decision/freshness.rs
@@ -13,7 +13,7 @@
 use crate::domain::ids::Revision;
 use crate::domain::name::HostName;
 use crate::domain::time::Time;
-use crate::port::peer::Pulse;
+use crate::port::peer::HeartbeatState;
 
 /// Time without contact after which keys are stale. With the time of one watch call it keeps a
 /// withdrawal "within seconds".
@@ -97,7 +97,7 @@
     }
 
     /// Takes in the answer to a heartbeat which was sent at `asked`.
-    pub fn peer_answered(&mut self, asked: Time, now: Time, pulse: &Pulse) {
+    pub fn peer_answered(&mut self, asked: Time, now: Time, pulse: &HeartbeatState) {
         self.told(now, pulse.revision);
         let Some(peer) = self.peers.get_mut(&pulse.host) else {
             return;
@@ -147,8 +147,8 @@
     }
 
     /// Returns the pulse for other entries.
-    pub fn pulse(&self, now: Time, host: HostName, incarnation: Incarnation) -> Pulse {
-        Pulse {
+    pub fn pulse(&self, now: Time, host: HostName, incarnation: Incarnation) -> HeartbeatState {
+        HeartbeatState {
             host,
             incarnation,
             revision: if self.complete {
--- a/crates/core/src/decision/lease/vacant.rs
+++ b/crates/core/src/decision/lease/vacant.rs
@@ -24,7 +24,7 @@
 /// Does not hold the lease.
 #[derive(Debug, Default)]
 pub struct Vacant {
-    seen: Option<Sight>,
+    seen: Option<Observation>,
     /// Time of the next read.
     read: Time,
     tried: Option<Tried>,
@@ -38,7 +38,7 @@
 
 /// What a challenger knows of the lease object.
 #[derive(Clone, Debug)]
-struct Sight {
+struct Observation {
     /// The object, or none if it does not exist.
     found: Option<(Revision, LeaseRecord)>,
     /// When this revision was first seen.
@@ -87,7 +87,7 @@
         if self.state.waiting {
             return VacantStep::Wait(now + RETRY);
         }
-        let free = self.state.seen.as_ref().map(Sight::free_at);
+        let free = self.state.seen.as_ref().map(Observation::free_at);
         let wanted = self.state.reread || free.is_none_or(|free| now < free);
         if wanted && now >= self.state.read {
             self.state.asked = now;
@@ -111,7 +111,7 @@
         let revision = |found: &Option<(Revision, LeaseRecord)>| found.as_ref().map(|f| f.0);
         let known = self.state.seen.as_ref();
         if known.is_none_or(|seen| revision(&seen.found) != revision(&found)) {
-            self.state.seen = Some(Sight { found, since: now });
+            self.state.seen = Some(Observation { found, since: now });
             self.state.tried = None;
         }
         self.state.reread = false;
@@ -167,7 +167,7 @@
     }
 }
 
-impl Sight {
+impl Observation {
     /// Returns the time from which the lease may be acquired.
     fn free_at(&self) -> Time {
         match &self.found {
--- a/crates/core/src/decision/order/desk.rs
+++ b/crates/core/src/decision/order/dispatcher.rs
@@ -51,19 +51,19 @@
 
 /// The orders of one holder in one state of its tenure.
 #[derive(Debug)]
-pub struct Desk<S> {
+pub struct Dispatcher<S> {
     centre: CentreName,
     fence: Fence,
     state: S,
 }
 
-/// Result of `Desk::open`.
+/// Result of `Dispatcher::open`.
 #[derive(Debug)]
 pub enum Opening {
     /// Call `open` again at this time.
-    Waiting(Desk<Waiting>, Time),
+    Waiting(Dispatcher<Waiting>, Time),
     /// List the intents, then read the states, and pass both to `resolve`.
-    Resolving(Desk<Resolving>),
+    Resolving(Dispatcher<Resolving>),
 }
 
 /// The target has an open intent; order again after it is settled.
@@ -87,7 +87,7 @@
     Wait(Time),
     /// Nothing is open.
     Idle,
-    /// A newer holder exists. Drop the desk and the lease.
+    /// A newer holder exists. Drop the dispatcher and the lease.
     Stop,
 }
 
@@ -110,7 +110,7 @@
     ReadSettled(Intent<Applied>),
 }
 
-impl Desk<Waiting> {
+impl Dispatcher<Waiting> {
     /// Starts a tenure that was acquired at `now` or before.
     pub fn take_over(centre: CentreName, fence: Fence, now: Time) -> Self {
         let until = now + WAIT;
@@ -132,7 +132,7 @@
     }
 }
 
-impl Desk<Resolving> {
+impl Dispatcher<Resolving> {
     /// Takes over the stored intents. The states must have been read after the intents.
     pub fn resolve(
         self,
@@ -140,8 +140,8 @@
         intents: Vec<(Revision, IntentRecord)>,
         states: &[TargetState],
         pacer: Pacer,
-    ) -> Desk<Active> {
-        let mut desk = self.with(Active {
+    ) -> Dispatcher<Active> {
+        let mut dispatcher = self.with(Active {
             pacer,
             drafted: 0,
             settled: BTreeMap::new(),
@@ -150,15 +150,15 @@
         });
         for (revision, record) in intents {
             let target = record.target.clone();
-            desk.adopt(now, target, revision, record);
+            dispatcher.adopt(now, target, revision, record);
         }
-        desk.ask_all(now);
-        desk.states(now, states);
-        desk
+        dispatcher.ask_all(now);
+        dispatcher.states(now, states);
+        dispatcher
     }
 }
 
-impl Desk<Active> {
+impl Dispatcher<Active> {
     /// Drafts an order for a target that has no open intent.
     pub fn order(
         &mut self,
@@ -361,9 +361,9 @@
     }
 }
 
-impl<S> Desk<S> {
-    fn with<T>(self, state: T) -> Desk<T> {
-        Desk {
+impl<S> Dispatcher<S> {
+    fn with<T>(self, state: T) -> Dispatcher<T> {
+        Dispatcher {
             centre: self.centre,
             fence: self.fence,
             state,
--- a/crates/core/src/decision/order/mod.rs
+++ b/crates/core/src/decision/order/mod.rs
@@ -8,29 +8,29 @@
 //!
 //! ```
 //! use std::time::Duration;
-//! use sardinepath_core::decision::order::{Desk, Opening, OrderStep, Pacer, WAIT};
+//! use sardinepath_core::decision::order::{Dispatcher, Opening, OrderStep, Pacer, WAIT};
 //! use sardinepath_core::domain::ids::{Fence, Revision};
 //! use sardinepath_core::domain::name::{CentreName, TargetName};
 //! use sardinepath_core::domain::time::Time;
 //! use sardinepath_core::port::order::OrderAction;
 //!
 //! let start = Time(1_000);
-//! let desk = Desk::take_over(CentreName::from("cx1"), Fence(3), start);
-//! let Opening::Resolving(desk) = desk.open(start + WAIT) else { panic!() };
+//! let dispatcher = Dispatcher::take_over(CentreName::from("cx1"), Fence(3), start);
+//! let Opening::Resolving(dispatcher) = dispatcher.open(start + WAIT) else { panic!() };
 //! // Now list `intents/cx1/` and then read the states from the interface, in this order.
 //! let now = start + WAIT;
-//! let mut desk = desk.resolve(now, vec![], &[], Pacer::new(Duration::from_millis(100)));
+//! let mut dispatcher = dispatcher.resolve(now, vec![], &[], Pacer::new(Duration::from_millis(100)));
 //! let target = TargetName::from("e1");
-//! desk.order(now, target.clone(), OrderAction::Start)?;
-//! let OrderStep::Record(_write) = desk.next(now) else { panic!() };
-//! desk.recorded(now, &target, &Ok(Revision(9)));
+//! dispatcher.order(now, target.clone(), OrderAction::Start)?;
+//! let OrderStep::Record(_write) = dispatcher.next(now) else { panic!() };
+//! dispatcher.recorded(now, &target, &Ok(Revision(9)));
 //! // The sending thread prepares the connection and checks the lease's permit as its last step.
-//! let OrderStep::Send(order) = desk.next(now) else { panic!() };
+//! let OrderStep::Send(order) = dispatcher.next(now) else { panic!() };
 //! assert_eq!((order.intent.as_str(), order.fence), ("e1-3-1", Fence(3)));
-//! desk.sent(now, &target, &Ok(()));
-//! let OrderStep::Settle(_write) = desk.next(now) else { panic!() };
-//! desk.recorded(now, &target, &Ok(Revision(10)));
-//! assert_eq!(desk.next(now), OrderStep::Idle);
+//! dispatcher.sent(now, &target, &Ok(()));
+//! let OrderStep::Settle(_write) = dispatcher.next(now) else { panic!() };
+//! dispatcher.recorded(now, &target, &Ok(Revision(10)));
+//! assert_eq!(dispatcher.next(now), OrderStep::Idle);
 //! # Ok::<(), sardinepath_core::decision::order::Busy>(())
 //! ```
 //!
@@ -49,7 +49,7 @@
 //! - at an interface that remembers only the last id of each target: also carry out an order
 //!   after a newer one for the same target.
 
-mod desk;
+mod dispatcher;
 mod intent;
 mod pace;
 mod want;
@@ -60,13 +60,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-pub use crate::decision::order::desk::Active;
-pub use crate::decision::order::desk::Busy;
-pub use crate::decision::order::desk::Desk;
-pub use crate::decision::order::desk::Opening;
-pub use crate::decision::order::desk::OrderStep;
-pub use crate::decision::order::desk::Resolving;
-pub use crate::decision::order::desk::Waiting;
+pub use crate::decision::order::dispatcher::Active;
+pub use crate::decision::order::dispatcher::Busy;
+pub use crate::decision::order::dispatcher::Dispatcher;
+pub use crate::decision::order::dispatcher::Opening;
+pub use crate::decision::order::dispatcher::OrderStep;
+pub use crate::decision::order::dispatcher::Resolving;
+pub use crate::decision::order::dispatcher::Waiting;
 pub use crate::decision::order::intent::Applied;
 pub use crate::decision::order::intent::Drafted;
 pub use crate::decision::order::intent::Intent;
--- a/crates/core/src/port/peer.rs
+++ b/crates/core/src/port/peer.rs
@@ -14,7 +14,7 @@
 
 /// What an entry tells another of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Pulse {
+pub struct HeartbeatState {
     /// Host of the entry.
     pub host: HostName,
     /// Run of the process.
@@ -40,7 +40,7 @@
     fn follow(&self, after: Revision, updates: Sender<PeerUpdate>) -> Box<dyn CallGuard>;
 
     /// Takes in a caller's pulse and returns the entry's own.
-    fn heartbeat(&self, pulse: Pulse) -> Pulse;
+    fn heartbeat(&self, pulse: HeartbeatState) -> HeartbeatState;
 
     /// Answers with the highest usage counters that the entry has seen.
     fn counters(&self, reply: Sender<Vec<Counter>>);
@@ -57,6 +57,10 @@
     ) -> Box<dyn CallGuard>;
 
     /// Exchanges pulses with a peer. The sender is dropped if the peer does not answer in time.
-    fn heartbeat(&self, peer: SocketAddr, pulse: Pulse, reply: Sender<Pulse>)
-    -> Box<dyn CallGuard>;
+    fn heartbeat(
+        &self,
+        peer: SocketAddr,
+        pulse: HeartbeatState,
+        reply: Sender<HeartbeatState>,
+    ) -> Box<dyn CallGuard>;
 }
--- a/crates/core/tests/config_freshness.rs
+++ b/crates/core/tests/config_freshness.rs
@@ -18,7 +18,7 @@
 use sardinepath_core::domain::ids::Revision;
 use sardinepath_core::domain::name::HostName;
 use sardinepath_core::domain::time::Time;
-use sardinepath_core::port::peer::Pulse;
+use sardinepath_core::port::peer::HeartbeatState;
 
 const START: Time = Time(1_000_000);
 const SERVING: Standing = Standing {
@@ -30,8 +30,8 @@
     HostName::from(format!("host-{n}"))
 }
 
-fn pulse(n: usize, revision: u64, platform: bool) -> Pulse {
-    Pulse {
+fn pulse(n: usize, revision: u64, platform: bool) -> HeartbeatState {
+    HeartbeatState {
         host: host(n),
         incarnation: Incarnation(1),
         revision: Revision(revision),
--- a/crates/core/tests/order.rs
+++ b/crates/core/tests/order.rs
@@ -74,7 +74,7 @@
         if now < CHANGE {
             continue;
         }
-        let Some(desk) = &mut new else {
+        let Some(dispatcher) = &mut new else {
             new = opened(2, CHANGE, now, &world);
             continue;
         };
@@ -82,8 +82,8 @@
         if lot.arrive {
             world.store.arrive();
         }
-        wish(desk, now, want);
-        idle = step(desk, &mut world, now, u64::MAX, lot);
+        wish(dispatcher, now, want);
+        idle = step(dispatcher, &mut world, now, u64::MAX, lot);
     }
     (world.interface.book, idle)
 }
--- a/crates/core/tests/scenarios.rs
+++ b/crates/core/tests/scenarios.rs
@@ -8,7 +8,7 @@
 use std::str::FromStr;
 
 use sardinepath_core::decision::order::Active;
-use sardinepath_core::decision::order::Desk;
+use sardinepath_core::decision::order::Dispatcher;
 use sardinepath_core::domain::ids::Fence;
 
 use crate::support::FakeStore;
@@ -25,11 +25,11 @@
 
 type Outcome = Result<(), String>;
 
-/// A holder of orders: fencing token, time of the acquisition, and its desk once open.
+/// A holder of orders: fencing token, time of the acquisition, and its dispatcher once open.
 struct Holder {
     fence: u64,
     acquired: u64,
-    desk: Option<Desk<Active>>,
+    dispatcher: Option<Dispatcher<Active>>,
 }
 
 /// Everything that a scenario drives.
@@ -174,13 +174,13 @@
             }
             "holder" => {
                 let (name, fence) = (words.text()?, words.number()?);
-                let (acquired, desk) = (self.now, None);
+                let (acquired, dispatcher) = (self.now, None);
                 self.holders.insert(
                     name,
                     Holder {
                         fence,
                         acquired,
-                        desk,
+                        dispatcher,
                     },
                 );
             }
@@ -202,15 +202,15 @@
             .holders
             .get_mut(&name)
             .ok_or("the holder does not exist")?;
-        if holder.desk.is_none() {
-            holder.desk = order::opened(holder.fence, holder.acquired, now, &self.orders);
+        if holder.dispatcher.is_none() {
+            holder.dispatcher = order::opened(holder.fence, holder.acquired, now, &self.orders);
         }
-        let Some(desk) = &mut holder.desk else {
+        let Some(dispatcher) = &mut holder.dispatcher else {
             return check(words.rest(), vec!["waits".to_owned()]);
         };
         if command == "want" {
             let start = words.start()?;
-            order::wish(desk, now, Some((words.number()?, start)));
+            order::wish(dispatcher, now, Some((words.number()?, start)));
             return Ok(());
         }
         let fate = words.fate()?;
@@ -221,7 +221,7 @@
         };
         let arrive = false;
         order::step(
-            desk,
+            dispatcher,
             &mut self.orders,
             now,
             u64::MAX,
--- a/crates/core/tests/support/order.rs
+++ b/crates/core/tests/support/order.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use sardinepath_core::decision::order::Active;
-use sardinepath_core::decision::order::Desk;
+use sardinepath_core::decision::order::Dispatcher;
 use sardinepath_core::decision::order::IntentRecord;
 use sardinepath_core::decision::order::IntentWrite;
 use sardinepath_core::decision::order::Opening;
@@ -115,7 +115,7 @@
     TargetName::from(["e1", "e2"][index])
 }
 
-pub fn wish(desk: &mut Desk<Active>, now: u64, wish: Wish) {
+pub fn wish(dispatcher: &mut Dispatcher<Active>, now: u64, wish: Wish) {
     if let Some((index, start)) = wish {
         let action = if start {
             OrderAction::Start
@@ -123,7 +123,7 @@
             OrderAction::Stop
         };
         // A busy target is ordered again by a later wish.
-        let _ = desk.order(Time(now), target(index), action);
+        let _ = dispatcher.order(Time(now), target(index), action);
     }
 }
 
@@ -132,39 +132,45 @@
 }
 
 /// Takes one step of a holder whose permit ends at `until`.
-pub fn step(desk: &mut Desk<Active>, world: &mut World, now: u64, until: u64, lot: Lot) -> bool {
+pub fn step(
+    dispatcher: &mut Dispatcher<Active>,
+    world: &mut World,
+    now: u64,
+    until: u64,
+    lot: Lot,
+) -> bool {
     let time = Time(now);
-    match desk.next(time) {
+    match dispatcher.next(time) {
         OrderStep::Record(w) | OrderStep::Settle(w) => {
             let answer = write(world, &w, lot.fate);
-            desk.recorded(time, &w.record.target, &answer);
+            dispatcher.recorded(time, &w.record.target, &answer);
         }
         OrderStep::ReadBack(target, path) => {
             let found = world.store.get::<IntentRecord>(&path);
-            desk.read(time, &target, Ok(found));
+            dispatcher.read(time, &target, Ok(found));
         }
         OrderStep::Send(order) => {
             let answer = match now < until {
                 true => world.interface.send(&order, lot, now),
                 false => Err(OrderError::Unavailable("the permit has ended".into())),
             };
-            desk.sent(time, &order.target, &answer);
+            dispatcher.sent(time, &order.target, &answer);
         }
-        OrderStep::AskStates(_) if lot.fate == Fate::Down => desk.states_failed(time),
-        OrderStep::AskStates(_) => desk.states(time, &world.interface.states()),
+        OrderStep::AskStates(_) if lot.fate == Fate::Down => dispatcher.states_failed(time),
+        OrderStep::AskStates(_) => dispatcher.states(time, &world.interface.states()),
         OrderStep::Idle => return true,
         OrderStep::Wait(_) | OrderStep::Stop => {}
     }
     false
 }
 
-pub fn opened(fence: u64, acquired: u64, now: u64, world: &World) -> Option<Desk<Active>> {
+pub fn opened(fence: u64, acquired: u64, now: u64, world: &World) -> Option<Dispatcher<Active>> {
     let centre = CentreName::from("cx1");
-    let desk = Desk::take_over(centre, Fence(fence), Time(acquired));
-    let Opening::Resolving(desk) = desk.open(Time(now)) else {
+    let dispatcher = Dispatcher::take_over(centre, Fence(fence), Time(acquired));
+    let Opening::Resolving(dispatcher) = dispatcher.open(Time(now)) else {
         return None;
     };
     let intents = world.store.list("intents/cx1/");
     let pacer = Pacer::new(Duration::from_millis(100));
-    Some(desk.resolve(Time(now), intents, &world.interface.states(), pacer))
+    Some(dispatcher.resolve(Time(now), intents, &world.interface.states(), pacer))
 }
--- a/crates/node/src/entry/control.rs
+++ b/crates/node/src/entry/control.rs
@@ -29,7 +29,7 @@
 use sardinepath_core::domain::time::Time;
 use sardinepath_core::port::clock::Clock;
 use sardinepath_core::port::host::HostEntry;
-use sardinepath_core::port::peer::Pulse;
+use sardinepath_core::port::peer::HeartbeatState;
 use slotmap::SecondaryMap;
 
 use crate::entry::duty::Duties;
@@ -37,7 +37,7 @@
 use crate::entry::member::Membership;
 use crate::entry::peer::Distribution;
 use crate::entry::peer::PeerMessage;
-use crate::entry::reports::Follow;
+use crate::entry::reports::ReportStreams;
 use crate::entry::step::StepMessage;
 use crate::entry::step::Steps;
 
@@ -130,14 +130,14 @@
     /// Time until which keys may be checked.
     pub keys: Option<Time>,
     /// What this entry tells other entries.
-    pub pulse: Pulse,
+    pub pulse: HeartbeatState,
 }
 
 /// The published snapshot.
 pub type Published = Arc<ArcSwap<Snapshot>>;
 
 /// Creates the snapshot of an entry that has read nothing.
-pub fn new_snapshot(pulse: Pulse) -> Published {
+pub fn new_snapshot(pulse: HeartbeatState) -> Published {
     Arc::new(ArcSwap::from_pointee(Snapshot {
         config: Arc::default(),
         ready: false,
@@ -164,7 +164,7 @@
     config: Arc<Config>,
     traffic: Traffic,
     verdicts: SecondaryMap<TicketKey, Sender<Verdict>>,
-    follow: Follow,
+    follow: ReportStreams,
     distribution: Distribution,
     duties: Duties,
     /// Steps of trainers. None at an entry without steps.
@@ -184,7 +184,7 @@
     pub fn new(
         clock: Arc<dyn Clock>,
         snapshot: Published,
-        follow: Follow,
+        follow: ReportStreams,
         traffic: Traffic,
         distribution: Distribution,
         duties: Duties,
--- a/crates/node/src/entry/duty/lease.rs
+++ b/crates/node/src/entry/duty/lease.rs
@@ -54,7 +54,7 @@
 
 /// One lease in whichever state it is.
 #[derive(Debug)]
-pub struct LeaseKeeper {
+pub struct LeaseDriver {
     /// None only while a step is taken.
     state: Option<State>,
     /// The call that waits for its answer. Answers to other calls come from an ended tenure.
@@ -70,7 +70,7 @@
     Held(Lease<Held>),
 }
 
-impl LeaseKeeper {
+impl LeaseDriver {
     /// Starts as a challenger.
     pub fn new(duty: DutyName, me: Incarnation) -> Self {
         Self {
--- a/crates/node/src/entry/duty/orders.rs
+++ b/crates/node/src/entry/duty/orders.rs
@@ -8,7 +8,7 @@
 use sardinepath_core::decision::config::Config;
 use sardinepath_core::decision::lease::Permit;
 use sardinepath_core::decision::order::Active;
-use sardinepath_core::decision::order::Desk;
+use sardinepath_core::decision::order::Dispatcher;
 use sardinepath_core::decision::order::IntentRecord;
 use sardinepath_core::decision::order::IntentWrite;
 use sardinepath_core::decision::order::Opening;
@@ -46,7 +46,7 @@
 /// Stored intents and the states that were read after them.
 type Opened = (Vec<(Revision, IntentRecord)>, Vec<TargetState>);
 
-/// A call of the desk.
+/// A call of the dispatcher.
 #[derive(Clone, Debug)]
 enum OrderCall {
     Open(CentreName),
@@ -57,7 +57,7 @@
     Poll(CentreName),
 }
 
-/// Result of a call of the desk.
+/// Result of a call of the dispatcher.
 #[derive(Debug)]
 pub enum OrderAnswer {
     /// Of the reads before the first order.
@@ -98,14 +98,14 @@
     stage: Stage,
     /// Time of the next read of intents or states.
     due: Time,
-    /// True while a call runs during which the desk takes no step.
+    /// True while a call runs during which the dispatcher takes no step.
     paused: bool,
 }
 
 enum Stage {
-    Waiting(Desk<Waiting>),
-    Resolving(Desk<Resolving>),
-    Active(Desk<Active>),
+    Waiting(Dispatcher<Waiting>),
+    Resolving(Dispatcher<Resolving>),
+    Active(Dispatcher<Active>),
     /// Only while a step is taken, and after a newer holder was seen.
     Closed,
 }
@@ -122,10 +122,10 @@
     }
 
     pub(super) fn acquire(&mut self, now: Time, fence: Fence) {
-        let desk = Desk::take_over(self.centre.clone(), fence, now);
+        let dispatcher = Dispatcher::take_over(self.centre.clone(), fence, now);
         self.tenure = Some(Tenure {
             fence,
-            stage: Stage::Waiting(desk),
+            stage: Stage::Waiting(dispatcher),
             due: now,
             paused: false,
         });
@@ -144,9 +144,9 @@
             return OrderNeed::None;
         }
         tenure.stage = match mem::replace(&mut tenure.stage, Stage::Closed) {
-            Stage::Waiting(desk) => match desk.open(now) {
-                Opening::Waiting(desk, _) => Stage::Waiting(desk),
-                Opening::Resolving(desk) => Stage::Resolving(desk),
+            Stage::Waiting(dispatcher) => match dispatcher.open(now) {
+                Opening::Waiting(dispatcher, _) => Stage::Waiting(dispatcher),
+                Opening::Resolving(dispatcher) => Stage::Resolving(dispatcher),
             },
             stage => stage,
         };
@@ -179,10 +179,10 @@
             OrderAnswer::Polled(polled) => {
                 tenure.paused = false;
                 tenure.due = now + POLL;
-                if let (Ok(states), Stage::Active(desk)) = (polled, &mut tenure.stage) {
+                if let (Ok(states), Stage::Active(dispatcher)) = (polled, &mut tenure.stage) {
                     for (target, action) in self.want.orders(config, &self.centre, &states) {
                         // A target with an open intent is looked at again at the next poll.
-                        let _ = desk.order(now, target, action);
+                        let _ = dispatcher.order(now, target, action);
                     }
                 }
             }
@@ -192,7 +192,7 @@
 }
 
 impl Tenure {
-    /// Takes the desk's steps until it has to wait.
+    /// Takes the dispatcher's steps until it has to wait.
     fn work(
         &mut self,
         now: Time,
@@ -201,10 +201,10 @@
         permit: Permit,
     ) -> OrderNeed {
         while !self.paused {
-            let Stage::Active(desk) = &mut self.stage else {
+            let Stage::Active(dispatcher) = &mut self.stage else {
                 return OrderNeed::None;
             };
-            match desk.next(now) {
+            match dispatcher.next(now) {
                 OrderStep::Record(write) | OrderStep::Settle(write) => {
                     let target = write.record.target.clone();
                     if self.call(OrderCall::Write(write), context).is_err() {
@@ -240,7 +240,7 @@
         OrderNeed::None
     }
 
-    /// Makes a call during which the desk takes no step. Only one order is under way at a time,
+    /// Makes a call during which the dispatcher takes no step. Only one order is under way at a time,
     /// since the port prepares one connection, and states must not be older than an order.
     fn pause(&mut self, now: Time, call: OrderCall, context: &mut Context) {
         self.paused = true;
@@ -266,32 +266,32 @@
         self.paused = false;
         self.due = now + RETRY;
         self.stage = match (mem::replace(&mut self.stage, Stage::Closed), opened) {
-            (Stage::Resolving(desk), Ok((intents, states))) => {
+            (Stage::Resolving(dispatcher), Ok((intents, states))) => {
                 let mut pacer = Pacer::new(PACE);
                 pacer.resume(now, rand::random());
-                Stage::Active(desk.resolve(now, intents, &states, pacer))
+                Stage::Active(dispatcher.resolve(now, intents, &states, pacer))
             }
             (stage, _) => stage,
         };
     }
 
     fn answer(&mut self, now: Time, answer: OrderAnswer, context: &Context) {
-        let Stage::Active(desk) = &mut self.stage else {
+        let Stage::Active(dispatcher) = &mut self.stage else {
             return;
         };
         match answer {
-            OrderAnswer::Written(target, written) => desk.recorded(now, &target, &written),
-            OrderAnswer::Read(target, read) => desk.read(now, &target, read),
+            OrderAnswer::Written(target, written) => dispatcher.recorded(now, &target, &written),
+            OrderAnswer::Read(target, read) => dispatcher.read(now, &target, read),
             OrderAnswer::Sent(order, sent) => {
                 self.paused = false;
                 note(&order, &sent, context);
-                desk.sent(now, &order.target, &sent);
+                dispatcher.sent(now, &order.target, &sent);
             }
             OrderAnswer::States(states) => {
                 self.paused = false;
                 match states {
-                    Ok(states) => desk.states(now, &states),
-                    Err(_) => desk.states_failed(now),
+                    Ok(states) => dispatcher.states(now, &states),
+                    Err(_) => dispatcher.states_failed(now),
                 }
             }
             OrderAnswer::Opened(_) | OrderAnswer::Polled(_) => {}
@@ -363,7 +363,7 @@
     Ok((object.revision, record))
 }
 
-/// Returns the answer to a call of the desk that could not be made.
+/// Returns the answer to a call of the dispatcher that could not be made.
 fn refused(call: &OrderCall) -> Option<OrderAnswer> {
     let reason = || OrderError::Unavailable("too many calls wait".to_owned());
     match call {
--- a/crates/node/src/entry/duty/post.rs
+++ b/crates/node/src/entry/duty/post.rs
@@ -15,7 +15,7 @@
 use crate::entry::duty::lease::LeaseAnswer;
 use crate::entry::duty::lease::LeaseCall;
 use crate::entry::duty::lease::LeaseChange;
-use crate::entry::duty::lease::LeaseKeeper;
+use crate::entry::duty::lease::LeaseDriver;
 use crate::entry::duty::metrics::DutyMetrics;
 
 /// Kind of a duty.
@@ -32,7 +32,7 @@
 pub(super) struct Post {
     pub(super) duty: Duty,
     pub(super) name: DutyName,
-    pub(super) keeper: LeaseKeeper,
+    pub(super) keeper: LeaseDriver,
     release: Release,
 }
 
@@ -53,7 +53,7 @@
         };
         Self {
             duty,
-            keeper: LeaseKeeper::new(name.clone(), settings.incarnation),
+            keeper: LeaseDriver::new(name.clone(), settings.incarnation),
             name,
             release: Release::Pending,
         }
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -161,8 +161,8 @@
     }
 
     /// Creates the report streams of the targets.
-    fn report_streams(&self, host: HostName) -> reports::Follow {
-        reports::Follow::new(
+    fn report_streams(&self, host: HostName) -> reports::ReportStreams {
+        reports::ReportStreams::new(
             host,
             self.spawner.clone(),
             self.peers.clone(),
--- a/crates/node/src/entry/peer.rs
+++ b/crates/node/src/entry/peer.rs
@@ -24,10 +24,10 @@
 use sardinepath_core::domain::name::HostName;
 use sardinepath_core::domain::name::TeamName;
 use sardinepath_core::domain::time::Time;
+use sardinepath_core::port::peer::HeartbeatState;
 use sardinepath_core::port::peer::PeerFront;
 use sardinepath_core::port::peer::PeerPort;
 use sardinepath_core::port::peer::PeerUpdate;
-use sardinepath_core::port::peer::Pulse;
 use sardinepath_core::port::target::CallGuard;
 
 use crate::entry::control::Message;
@@ -49,7 +49,7 @@
     /// The other entries are these.
     Know(Vec<(HostName, SocketAddr)>),
     /// An entry answered a heartbeat that was sent at this time.
-    Answered(Time, Pulse),
+    Answered(Time, HeartbeatState),
     /// An entry told its revision without being asked.
     Told(Revision),
     /// The followed entry sent a part of its configuration.
@@ -187,7 +187,7 @@
     }
 
     /// Returns what this entry tells others.
-    pub fn pulse(&self, now: Time) -> Pulse {
+    pub fn pulse(&self, now: Time) -> HeartbeatState {
         let Identity { host, incarnation } = self.identity.clone();
         self.freshness.pulse(now, host, incarnation)
     }
@@ -244,7 +244,7 @@
     }
 
     /// Sends a heartbeat. An unanswered one to the same entry is given up.
-    fn heartbeat(&mut self, now: Time, host: HostName, pulse: Pulse) {
+    fn heartbeat(&mut self, now: Time, host: HostName, pulse: HeartbeatState) {
         let Some(address) = self.addresses.get(&host).copied() else {
             return;
         };
@@ -284,7 +284,7 @@
         )
     }
 
-    fn heartbeat(&self, pulse: Pulse) -> Pulse {
+    fn heartbeat(&self, pulse: HeartbeatState) -> HeartbeatState {
         let snapshot = self.snapshot.load();
         if pulse.revision > snapshot.pulse.revision {
             let told = Message::Peer(PeerMessage::Told(pulse.revision));
--- a/crates/node/src/entry/reports.rs
+++ b/crates/node/src/entry/reports.rs
@@ -26,7 +26,7 @@
 const ROOM: usize = 4;
 
 /// The open report streams.
-pub struct Follow {
+pub struct ReportStreams {
     host: HostName,
     /// The other live entries.
     entries: Vec<HostName>,
@@ -36,7 +36,7 @@
     streams: HashMap<SocketAddr, Task>,
 }
 
-impl Follow {
+impl ReportStreams {
     /// Creates an empty set of streams.
     pub fn new(
         host: HostName,
--- a/crates/node/src/entry/step/trainer.rs
+++ b/crates/node/src/entry/step/trainer.rs
@@ -21,7 +21,7 @@
 use crate::entry::duty::lease::LeaseAnswer;
 use crate::entry::duty::lease::LeaseCall;
 use crate::entry::duty::lease::LeaseChange;
-use crate::entry::duty::lease::LeaseKeeper;
+use crate::entry::duty::lease::LeaseDriver;
 use crate::entry::duty::lease::make;
 use crate::entry::platform::Platform;
 use crate::entry::step::StepMessage;
@@ -44,7 +44,7 @@
 /// A trainer that called this entry.
 pub(super) struct Trainer {
     name: TrainerName,
-    keeper: LeaseKeeper,
+    keeper: LeaseDriver,
     view: TrainerView,
     seen: Time,
     pub(super) steps: BTreeMap<u64, Step>,
@@ -66,7 +66,7 @@
         let duty = DutyName::from(format!("steps/{name}"));
         Self {
             name,
-            keeper: LeaseKeeper::new(duty, me),
+            keeper: LeaseDriver::new(duty, me),
             view,
             seen: now,
             steps: BTreeMap::new(),
--- a/crates/node/tests/config_entry.rs
+++ b/crates/node/tests/config_entry.rs
@@ -39,7 +39,7 @@
 
 /// Longest wait for a condition. It is far above the 5 s of the promises, which a busy machine
 /// may miss without a fault of the code.
-const PATIENCE: Duration = Duration::from_secs(30);
+const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
 /// One platform with one target, for any number of entries.
 struct Site {
@@ -118,9 +118,9 @@
 }
 
 fn wait_until(what: &str, condition: impl Fn() -> bool) {
-    let end = Instant::now() + PATIENCE;
+    let end = Instant::now() + WAIT_LIMIT;
     while !condition() {
-        assert!(Instant::now() < end, "{what} within {PATIENCE:?}");
+        assert!(Instant::now() < end, "{what} within {WAIT_LIMIT:?}");
         thread::sleep(Duration::from_millis(50));
     }
 }
@@ -191,7 +191,7 @@
         text.contains("event: error") && text.contains("key_withdrawn"),
         "{text}"
     );
-    assert!(start.elapsed() < PATIENCE, "{:?}", start.elapsed());
+    assert!(start.elapsed() < WAIT_LIMIT, "{:?}", start.elapsed());
     assert_eq!(keyed(&entry).0, 401);
 }
 
--- a/crates/node/tests/drain_agent.rs
+++ b/crates/node/tests/drain_agent.rs
@@ -25,7 +25,7 @@
 use sardinepath_node::metrics::Metrics;
 
 use crate::common::loopback;
-use crate::fixture::PATIENCE;
+use crate::fixture::WAIT_LIMIT;
 use crate::fixture::await_slow;
 use crate::fixture::end_agent;
 use crate::fixture::get;
@@ -44,7 +44,7 @@
     let (slow, late, end) = thread::scope(|scope| {
         let slow = scope.spawn(|| get(&fleet, "slow/1").unwrap());
         await_slow(&fleet, 1);
-        let drain = scope.spawn(|| end_agent(&fleet, 0, PATIENCE));
+        let drain = scope.spawn(|| end_agent(&fleet, 0, WAIT_LIMIT));
         thread::sleep(Duration::from_secs(1));
         let late = get(&fleet, "late").unwrap();
         (slow.join().unwrap(), late, drain.join().unwrap())
@@ -81,7 +81,7 @@
         set_delay(&fleet, Duration::ZERO);
         let callers: Vec<_> = (0..4).map(|_| scope.spawn(caller)).collect();
         thread::sleep(Duration::from_millis(300));
-        let end = end_agent(&fleet, 0, PATIENCE);
+        let end = end_agent(&fleet, 0, WAIT_LIMIT);
         drained.store(true, Ordering::Relaxed);
         assert_eq!(end, DrainEnd::Finished);
         let answers = callers.into_iter().flat_map(|c| c.join().unwrap());
@@ -116,11 +116,11 @@
     let (sender, reports) = flume::bounded(4);
     let hour = Duration::from_secs(3_600);
     let _guard = service.reports(hour, sender);
-    let before = reports.recv_timeout(PATIENCE).unwrap();
+    let before = reports.recv_timeout(WAIT_LIMIT).unwrap();
 
     let (idle, _finished) = flume::bounded(0);
     control.send(Message::Drain(idle)).unwrap();
-    let after = reports.recv_timeout(PATIENCE).unwrap();
+    let after = reports.recv_timeout(WAIT_LIMIT).unwrap();
 
     assert_eq!(before.state, ServingState::Starting);
     assert_eq!(after.state, ServingState::Leaving);
--- a/crates/node/tests/drain_entry.rs
+++ b/crates/node/tests/drain_entry.rs
@@ -12,7 +12,7 @@
 
 use sardinepath_core::decision::process::DrainEnd;
 
-use crate::fixture::PATIENCE;
+use crate::fixture::WAIT_LIMIT;
 use crate::fixture::await_slow;
 use crate::fixture::await_true;
 use crate::fixture::call_on;
@@ -40,7 +40,7 @@
         };
         let calls: Vec<_> = (0..8).map(call).collect();
         await_slow(&fleet, 8);
-        let end = end_entry(&fleet, PATIENCE);
+        let end = end_entry(&fleet, WAIT_LIMIT);
         let answers = calls.into_iter().map(|call| call.join().unwrap());
         (answers.collect::<Vec<_>>(), end)
     });
@@ -59,7 +59,7 @@
     let first = call_on(&mut kept, "before");
 
     let second = thread::scope(|scope| {
-        scope.spawn(|| end_entry(&fleet, PATIENCE));
+        scope.spawn(|| end_entry(&fleet, WAIT_LIMIT));
         let ready = format!("http://{}/readyz", fleet.admin);
         await_true("the drain", || fetch(&ready).unwrap().0 == 503);
         call_on(&mut kept, "during")
@@ -90,7 +90,7 @@
         };
         let callers: Vec<_> = (0..4).map(|_| scope.spawn(caller)).collect();
         thread::sleep(Duration::from_millis(300));
-        scope.spawn(|| end_entry(&fleet, PATIENCE));
+        scope.spawn(|| end_entry(&fleet, WAIT_LIMIT));
         let answers = callers.into_iter().flat_map(|c| c.join().unwrap());
         answers.collect::<Vec<_>>()
     });
--- a/crates/node/tests/duty_support/mod.rs
+++ b/crates/node/tests/duty_support/mod.rs
@@ -35,7 +35,7 @@
 use crate::common::loopback;
 
 /// Time that every awaited condition gets, also on a busy machine.
-pub const PATIENCE: Duration = Duration::from_secs(90);
+pub const WAIT_LIMIT: Duration = Duration::from_secs(90);
 
 /// Length of a usage window in seconds.
 pub const WINDOW: u64 = 2;
@@ -126,7 +126,7 @@
     );
     let body = json!({"model": "small", "prompt": "tag:x", "max_tokens": tokens}).to_string();
     let answer = minreq::post(url).with_body(body);
-    let answer = answer.with_timeout(PATIENCE.as_secs()).send().ok()?;
+    let answer = answer.with_timeout(WAIT_LIMIT.as_secs()).send().ok()?;
     let text = answer.as_str().unwrap().to_owned();
     (answer.status_code == 200).then_some(text)
 }
@@ -173,7 +173,7 @@
 
 /// Ends an entry as the end of its process does.
 pub fn drain(member: &Member) {
-    let process = Process::new(PATIENCE).serve();
+    let process = Process::new(WAIT_LIMIT).serve();
     member.entry.drain(process, &HostClock);
 }
 
@@ -220,7 +220,7 @@
 }
 
 pub fn await_true(what: &str, mut check: impl FnMut() -> bool) {
-    let end = Instant::now() + PATIENCE;
+    let end = Instant::now() + WAIT_LIMIT;
     while !check() {
         assert!(Instant::now() < end, "waited too long for {what}");
         thread::sleep(Duration::from_millis(50));
--- a/crates/node/tests/request_agent.rs
+++ b/crates/node/tests/request_agent.rs
@@ -10,8 +10,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use request_support::PATIENCE;
 use request_support::Target;
+use request_support::WAIT_LIMIT;
 use request_support::start_agent;
 use request_support::wait_until;
 use sardinepath_adapters::rpc::client::Peers;
@@ -71,7 +71,7 @@
         fields: Arc::from([]),
         body: Arc::from([]),
         idempotent: false,
-        deadline: PATIENCE,
+        deadline: WAIT_LIMIT,
         priority: Priority::Interactive,
         streamed,
     }
@@ -94,7 +94,7 @@
         let (sender, events) = flume::bounded(64);
         let _guard = self.peers.execute(agent, call, sender);
         loop {
-            match events.recv_timeout(PATIENCE).unwrap() {
+            match events.recv_timeout(WAIT_LIMIT).unwrap() {
                 CallEvent::End(ending) => return Ok(ending),
                 CallEvent::Failed(failure) => return Err(failure),
                 _ => {}
--- a/crates/node/tests/request_attempts.rs
+++ b/crates/node/tests/request_attempts.rs
@@ -308,7 +308,7 @@
 fn raw(entry: SocketAddr, fields: &str, rest: &str, body: &str) -> String {
     let mut stream = std::net::TcpStream::connect(entry).unwrap();
     stream
-        .set_read_timeout(Some(request_support::PATIENCE))
+        .set_read_timeout(Some(request_support::WAIT_LIMIT))
         .unwrap();
     let length = body.len();
     let head = format!("POST /print/again{rest} HTTP/1.1\r\nauthorization: Bearer {KEY}\r\n");
--- a/crates/node/tests/request_support/mod.rs
+++ b/crates/node/tests/request_support/mod.rs
@@ -34,7 +34,7 @@
 pub const KEY: &str = "key/of+dream-diary-0001";
 
 /// Time after which a test gives up. Only a fault makes a test wait this long.
-pub const PATIENCE: Duration = Duration::from_secs(30);
+pub const WAIT_LIMIT: Duration = Duration::from_secs(30);
 
 /// What a scripted target saw and did.
 #[derive(Debug, Default)]
@@ -284,7 +284,7 @@
 
 /// Waits until a condition holds.
 pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
-    let end = Instant::now() + PATIENCE;
+    let end = Instant::now() + WAIT_LIMIT;
     while !holds() {
         assert!(Instant::now() < end, "gave up waiting until {what}");
         thread::sleep(Duration::from_millis(20));
@@ -309,7 +309,7 @@
     /// Opens a streamed call and returns its connection.
     pub fn open_stream(&self, route: &str, rest: &str) -> TcpStream {
         let mut stream = TcpStream::connect(self.entry.address).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
         let body = "{\"prompt\":\"p\",\"stream\":true}";
         let length = body.len();
         let head = format!("POST /print/{route}/{rest} HTTP/1.1\r\nhost: e\r\nx-api-key: {KEY}");
@@ -320,7 +320,7 @@
     /// Sends bytes on a new connection and returns everything that comes back.
     pub fn raw(&self, bytes: &str) -> String {
         let mut stream = TcpStream::connect(self.entry.address).unwrap();
-        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
         stream.write_all(bytes.as_bytes()).unwrap();
         stream.shutdown(std::net::Shutdown::Write).unwrap();
         let mut answer = String::new();
@@ -348,7 +348,7 @@
 fn send(request: minreq::Request) -> (i32, String) {
     let answer = request
         .with_header("x-api-key", KEY)
-        .with_timeout(PATIENCE.as_secs())
+        .with_timeout(WAIT_LIMIT.as_secs())
         .send()
         .unwrap();
     (
--- a/crates/node/tests/step.rs
+++ b/crates/node/tests/step.rs
@@ -17,8 +17,8 @@
 use crate::step_support::Fleet;
 use crate::step_support::KEY;
 use crate::step_support::OTHER_KEY;
-use crate::step_support::PATIENCE;
 use crate::step_support::Setup;
+use crate::step_support::WAIT_LIMIT;
 use crate::step_support::await_true;
 use crate::step_support::check;
 use crate::step_support::counter;
@@ -52,7 +52,7 @@
     let fleet = start_fleet(&Setup::default());
     let mut trainer = trainer(&fleet, &[0], 1);
 
-    trainer.run_step(1, &groups(1, 12, 20), PATIENCE).unwrap();
+    trainer.run_step(1, &groups(1, 12, 20), WAIT_LIMIT).unwrap();
 
     check(&fleet, &trainer);
     assert_eq!(trainer.book().len(), 24);
@@ -68,7 +68,7 @@
 fn step_is_closed_to_other_workspaces() {
     let fleet = start_fleet(&Setup::default());
     let mut trainer = trainer(&fleet, &[0], 1);
-    trainer.run_step(1, &groups(1, 1, 5), PATIENCE).unwrap();
+    trainer.run_step(1, &groups(1, 1, 5), WAIT_LIMIT).unwrap();
     let poll = |route: &str| url(&fleet, &format!("{route}/steps/t1/1?after=0&version=1"));
     let post = |route: &str| minreq::post(url(&fleet, &format!("{route}/steps")));
     let other = body(&groups(7, 1, 5));
--- a/crates/node/tests/step_engines.rs
+++ b/crates/node/tests/step_engines.rs
@@ -11,8 +11,8 @@
 use sardinepath_standins::engine::Ending;
 use sardinepath_standins::trainer::Polled;
 
-use crate::step_support::PATIENCE;
 use crate::step_support::Setup;
+use crate::step_support::WAIT_LIMIT;
 use crate::step_support::await_true;
 use crate::step_support::check;
 use crate::step_support::counter;
@@ -103,7 +103,7 @@
     }
     let mut trainer = trainer(&fleet, &[0], 1);
 
-    trainer.run_step(1, &groups(1, 12, 20), PATIENCE).unwrap();
+    trainer.run_step(1, &groups(1, 12, 20), WAIT_LIMIT).unwrap();
 
     check(&fleet, &trainer);
 }
@@ -185,7 +185,7 @@
     let told = Duration::from_secs(3);
     std::thread::sleep(told); // reports of the new version come each second
 
-    trainer.run_step(1, &groups(1, 10, 10), PATIENCE).unwrap();
+    trainer.run_step(1, &groups(1, 10, 10), WAIT_LIMIT).unwrap();
 
     check(&fleet, &trainer);
     let old = fleet.engines[0].book();
@@ -231,7 +231,7 @@
     let fleet = start_fleet(&setup);
     let mut trainer = trainer(&fleet, &[0], 1);
 
-    trainer.run_step(1, &groups(1, 2, 10), PATIENCE).unwrap();
+    trainer.run_step(1, &groups(1, 2, 10), WAIT_LIMIT).unwrap();
 
     assert_eq!(trainer.book().len(), 4);
     assert!(trainer.book().iter().all(|entry| entry.sample.score == 0.0));
--- a/crates/node/tests/step_entries.rs
+++ b/crates/node/tests/step_entries.rs
@@ -16,8 +16,8 @@
 use sardinepath_standins::trainer::Polled;
 
 use crate::step_support::Fleet;
-use crate::step_support::PATIENCE;
 use crate::step_support::Setup;
+use crate::step_support::WAIT_LIMIT;
 use crate::step_support::await_true;
 use crate::step_support::check;
 use crate::step_support::counter;
@@ -129,7 +129,7 @@
     // The step runs on for a while after the writes whose answers are lost.
     order[7].max_tokens = 3000;
 
-    trainer.run_step(1, &order, PATIENCE).unwrap();
+    trainer.run_step(1, &order, WAIT_LIMIT).unwrap();
 
     assert_eq!(fleet.api.faults().lost, 0);
     check(&fleet, &trainer);
@@ -172,7 +172,7 @@
     before.poll(1).unwrap();
 
     let mut after = trainer(&fleet, &[0], 1);
-    after.run_step(1, &order, PATIENCE).unwrap();
+    after.run_step(1, &order, WAIT_LIMIT).unwrap();
 
     check(&fleet, &after);
     for entry in before.book() {
@@ -210,7 +210,7 @@
     await_true("the first step runs", || executions(&fleet, 1) >= 4);
     let mut other = step_support::trainer(&fleet, &[1], 1);
 
-    other.run_step(2, &groups(2, 4, 10), PATIENCE).unwrap();
+    other.run_step(2, &groups(2, 4, 10), WAIT_LIMIT).unwrap();
 
     assert_eq!(
         stored(&fleet, 1, "recorded"),
@@ -232,7 +232,7 @@
     let start = Instant::now();
 
     let entry = fleet.entries[0].take().unwrap();
-    entry.drain(Process::new(PATIENCE).serve(), &HostClock);
+    entry.drain(Process::new(WAIT_LIMIT).serve(), &HostClock);
     await_true("the lease is released", || {
         let lease = fleet.api.objects.get(LEASE).unwrap().unwrap();
         lease.value.contains("\"holder\":null")
--- a/crates/node/tests/step_support/mod.rs
+++ b/crates/node/tests/step_support/mod.rs
@@ -44,10 +44,10 @@
 pub const KEY: &str = "key-of-dream-diary-0001";
 
 /// Key of another workspace of the route.
-pub const OTHER_KEY: &str = "key-of-order-desk-00002";
+pub const OTHER_KEY: &str = "key-of-order-dispatcher-00002";
 
 /// Time that every awaited condition gets. Only a fault makes a test wait this long.
-pub const PATIENCE: Duration = Duration::from_secs(120);
+pub const WAIT_LIMIT: Duration = Duration::from_secs(120);
 
 /// Version of engines and trainers at the start.
 pub const FIRST: WeightVersion = WeightVersion(1);
@@ -186,13 +186,13 @@
     };
     let targets: BTreeMap<_, _> = agents.iter().enumerate().map(target).collect();
     let digest = |key: &str| String::from(KeyDigest::of(key.as_bytes()));
-    let both = json!({"workspaces": ["diary", "desk"]});
+    let both = json!({"workspaces": ["diary", "dispatcher"]});
     json!({
         "scheme": "slug",
-        "workspaces": {"diary": {}, "desk": {}},
+        "workspaces": {"diary": {}, "dispatcher": {}},
         "keys": {
             "trainer": {"workspace": "diary", "digest": digest(KEY)},
-            "desk-app": {"workspace": "desk", "digest": digest(OTHER_KEY)},
+            "dispatcher-app": {"workspace": "dispatcher", "digest": digest(OTHER_KEY)},
         },
         "pools": {"small": {"kind": "model", "model": "small", "targets": targets}},
         "routes": {
@@ -302,7 +302,7 @@
 }
 
 pub fn await_true(what: &str, mut holds: impl FnMut() -> bool) {
-    let end = Instant::now() + PATIENCE;
+    let end = Instant::now() + WAIT_LIMIT;
     while !holds() {
         assert!(Instant::now() < end, "gave up waiting until {what}");
         thread::sleep(Duration::from_millis(20));
--- a/crates/sardinepath/src/demo/calls.rs
+++ b/crates/sardinepath/src/demo/calls.rs
@@ -6,7 +6,7 @@
 use sardinepath_standins::http::Seen;
 
 use crate::demo::fleet::Fleet;
-use crate::demo::fleet::TENANTS;
+use crate::demo::fleet::WORKSPACES;
 use crate::demo::report::Summary;
 
 /// Completions of each caller.
@@ -70,7 +70,7 @@
             "stream": n.is_multiple_of(2),
         });
         let answer = minreq::post(format!("http://{entry}/press/press.suggest/v1/completions"))
-            .with_header("authorization", format!("Bearer {}", TENANTS[0].secret))
+            .with_header("authorization", format!("Bearer {}", WORKSPACES[0].secret))
             .with_body(body.to_string())
             .with_timeout(CALL_LIMIT)
             .send();
@@ -84,7 +84,7 @@
     let call = |n: usize| {
         let entry = fleet.entry(n);
         let answer = minreq::post(format!("http://{entry}/field/dispatch/trucks/{n}"))
-            .with_header("x-api-key", TENANTS[2].secret)
+            .with_header("x-api-key", WORKSPACES[2].secret)
             .with_timeout(CALL_LIMIT)
             .send();
         let text = format!("executed POST /trucks/{n}");
@@ -99,8 +99,8 @@
     let calls = [
         ("field/dispatch/refused/1", None, 401),
         ("field/dispatch/refused/2", Some("no-such-key-0000"), 401),
-        ("field/dispatch/refused/3", Some(TENANTS[0].secret), 403),
-        ("field/nothing/refused/4", Some(TENANTS[2].secret), 404),
+        ("field/dispatch/refused/3", Some(WORKSPACES[0].secret), 403),
+        ("field/nothing/refused/4", Some(WORKSPACES[2].secret), 404),
     ];
     let call = |(path, key, status): (&str, Option<&str>, u16)| {
         let mut request = minreq::post(format!("http://{}/{path}", fleet.entry(0)));
@@ -147,7 +147,7 @@
     let shows_key = |seen: &Seen| {
         let body = String::from_utf8_lossy(&seen.body);
         let text = [&seen.path, &seen.fields.join("\n"), &*body].join("\n");
-        TENANTS.iter().any(|tenant| text.contains(tenant.secret))
+        WORKSPACES.iter().any(|item| text.contains(item.secret))
     };
     u64::try_from(services.chain(engines).filter(shows_key).count()).unwrap_or(u64::MAX)
 }
--- a/crates/sardinepath/src/demo/fleet.rs
+++ b/crates/sardinepath/src/demo/fleet.rs
@@ -52,7 +52,7 @@
 const ENTRIES: usize = 2;
 
 /// A workspace with its key.
-pub struct Tenant {
+pub struct DemoWorkspace {
     /// Team of the workspace.
     pub team: &'static str,
     /// Name in the team's scheme.
@@ -64,26 +64,26 @@
 }
 
 /// Workspaces in three naming schemes. The first two share a team, the second trains.
-pub const TENANTS: [Tenant; 4] = [
-    Tenant {
+pub const WORKSPACES: [DemoWorkspace; 4] = [
+    DemoWorkspace {
         team: "press",
         workspace: "press.caxias.diary",
         key: "press.caxias.app",
         secret: "demo-key-of-the-dream-diary-4f1c",
     },
-    Tenant {
+    DemoWorkspace {
         team: "press",
         workspace: "press.caxias.training",
         key: "press.caxias.trainer",
         secret: "demo-key-of-the-trainer-91b7",
     },
-    Tenant {
+    DemoWorkspace {
         team: "field",
         workspace: "crew-jobs",
         key: "crew-app",
         secret: "demo-key-of-the-crews-77aa",
     },
-    Tenant {
+    DemoWorkspace {
         team: "orders",
         workspace: "WS-00417",
         key: "KY-00001",
@@ -245,7 +245,7 @@
         let entry = self.entry(number);
         let notice = minreq::get(format!("http://{entry}/field/notices/ready")).send();
         let models = minreq::post(format!("http://{entry}/press/press.suggest/v1/completions"))
-            .with_header("x-api-key", TENANTS[0].secret)
+            .with_header("x-api-key", WORKSPACES[0].secret)
             .with_body(r#"{"prompt":"tag:ready","max_tokens":4}"#)
             .send();
         [notice, models]
@@ -303,15 +303,15 @@
 }
 
 fn keys(team: &str, withdrawn: &[&str]) -> Value {
-    let tenants = TENANTS.iter().filter(|tenant| tenant.team == team);
-    let keys = tenants.map(|tenant| {
-        let digest = String::from(KeyDigest::of(tenant.secret.as_bytes()));
+    let owned = WORKSPACES.iter().filter(|item| item.team == team);
+    let keys = owned.map(|item| {
+        let digest = String::from(KeyDigest::of(item.secret.as_bytes()));
         let spec = json!({
-            "workspace": tenant.workspace,
+            "workspace": item.workspace,
             "digest": digest,
-            "withdrawn": withdrawn.contains(&tenant.key),
+            "withdrawn": withdrawn.contains(&item.key),
         });
-        (tenant.key.to_owned(), spec)
+        (item.key.to_owned(), spec)
     });
     keys.collect()
 }
--- a/crates/sardinepath/src/demo/train.rs
+++ b/crates/sardinepath/src/demo/train.rs
@@ -14,7 +14,7 @@
 
 use crate::demo::fleet::Fleet;
 use crate::demo::fleet::MODEL;
-use crate::demo::fleet::TENANTS;
+use crate::demo::fleet::WORKSPACES;
 use crate::demo::report::Summary;
 
 const GROUPS: u32 = 8;
@@ -56,9 +56,9 @@
 fn settings(fleet: &Fleet) -> TrainerSettings {
     TrainerSettings {
         name: "dream-trainer".into(),
-        team: TENANTS[1].team.into(),
+        team: WORKSPACES[1].team.into(),
         route: "press.suggest".into(),
-        key: TENANTS[1].secret.to_owned(),
+        key: WORKSPACES[1].secret.to_owned(),
         entries: fleet.entries.iter().map(|entry| entry.address).collect(),
         store: fleet.weights.address,
         model: MODEL.into(),
--- a/crates/sardinepath/src/demo/withdraw.rs
+++ b/crates/sardinepath/src/demo/withdraw.rs
@@ -12,7 +12,7 @@
 
 use crate::demo::calls::CALL_LIMIT;
 use crate::demo::fleet::Fleet;
-use crate::demo::fleet::TENANTS;
+use crate::demo::fleet::WORKSPACES;
 use crate::demo::report::Summary;
 
 /// Tokens of the stream. It would last for 40 s, far longer than a withdrawal may take.
@@ -20,11 +20,11 @@
 
 /// Starts a stream, withdraws its key and waits for the end of the stream.
 pub fn play(fleet: &Fleet, summary: &mut Summary) -> anyhow::Result<()> {
-    let tenant = &TENANTS[0];
+    let item = &WORKSPACES[0];
     let mut lines = open_stream(fleet)?;
     wait_for(&mut lines, "data:").context("the stream did not start")?;
     let start = Instant::now();
-    fleet.apply(&[tenant.key])?;
+    fleet.apply(&[item.key])?;
     let end = wait_for(&mut lines, "key_withdrawn").context("the stream went on")?;
     summary.withdrawal_millis = u64::try_from((end - start).as_millis()).unwrap_or(u64::MAX);
     summary.requests += 1;
@@ -47,7 +47,7 @@
         stream,
         "POST /press/press.suggest/v1/completions HTTP/1.1\r\nhost: demo\r\n\
          x-api-key: {}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
-        TENANTS[0].secret,
+        WORKSPACES[0].secret,
         body.len()
     )?;
     Ok(BufReader::new(stream))
@@ -76,7 +76,7 @@
     );
     while Instant::now() < end {
         let answer = minreq::post(&url)
-            .with_header("x-api-key", TENANTS[0].secret)
+            .with_header("x-api-key", WORKSPACES[0].secret)
             .with_body(r#"{"prompt":"tag:late","max_tokens":4}"#)
             .with_timeout(CALL_LIMIT)
             .send();
--- a/crates/sardinepath/tests/process.rs
+++ b/crates/sardinepath/tests/process.rs
@@ -30,7 +30,7 @@
 use serde_json::json;
 
 /// Time that every awaited condition gets, also on a busy machine.
-const PATIENCE: Duration = Duration::from_secs(60);
+const WAIT_LIMIT: Duration = Duration::from_secs(60);
 
 /// A running agent. Its process is killed when dropped.
 struct AgentProcess {
@@ -69,7 +69,7 @@
             let _ = sender.send(serde_json::from_str(&line).unwrap());
         }
     });
-    let serving = log.recv_timeout(PATIENCE).unwrap();
+    let serving = log.recv_timeout(WAIT_LIMIT).unwrap();
     AgentProcess {
         child,
         address: serving["address"].as_str().unwrap().parse().unwrap(),
@@ -102,13 +102,13 @@
 }
 
 fn get(url: &str) -> Option<(u16, String)> {
-    let answer = minreq::get(url).with_timeout(PATIENCE.as_secs()).send();
+    let answer = minreq::get(url).with_timeout(WAIT_LIMIT.as_secs()).send();
     let answer = answer.ok()?;
     Some((answer.status_code, answer.as_str().ok()?.to_owned()))
 }
 
 fn await_true(what: &str, mut check: impl FnMut() -> bool) {
-    let end = Instant::now() + PATIENCE;
+    let end = Instant::now() + WAIT_LIMIT;
     while !check() {
         assert!(Instant::now() < end, "waited too long for {what}");
         thread::sleep(Duration::from_millis(20));
@@ -122,7 +122,7 @@
 fn await_event(agent: &AgentProcess, event: Event) {
     let number = u64::from(event.info().number);
     await_true(event.info().name, || {
-        let line = agent.log.recv_timeout(PATIENCE).unwrap();
+        let line = agent.log.recv_timeout(WAIT_LIMIT).unwrap();
         line["event"].as_u64() == Some(number)
     });
 }
--- a/crates/sardinepath/tests/process_config.rs
+++ b/crates/sardinepath/tests/process_config.rs
@@ -19,7 +19,7 @@
 
 use crate::process_support::Fleet;
 use crate::process_support::KEY;
-use crate::process_support::PATIENCE;
+use crate::process_support::WAIT_LIMIT;
 use crate::process_support::apply;
 use crate::process_support::apply_at;
 use crate::process_support::await_true;
@@ -47,7 +47,7 @@
     let body = json!({"prompt": format!("tag:{tag}"), "max_tokens": TOKENS, "stream": true});
     let body = body.to_string();
     let mut stream = TcpStream::connect(entry.address).unwrap();
-    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.set_read_timeout(Some(WAIT_LIMIT)).unwrap();
     write!(
         stream,
         "POST /print/diary/v1/completions HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer {KEY}\r\n\
@@ -124,7 +124,7 @@
         thread::spawn(move || {
             minreq::get(url)
                 .with_header("authorization", format!("Bearer {KEY}"))
-                .with_timeout(PATIENCE.as_secs())
+                .with_timeout(WAIT_LIMIT.as_secs())
                 .send()
                 .unwrap()
                 .status_code
@@ -192,6 +192,6 @@
 fn status(entry: &Node, route: &str) -> u16 {
     let url = format!("http://{}/print/{route}/x", entry.address);
     let request = minreq::get(url).with_header("authorization", format!("Bearer {KEY}"));
-    let answer = request.with_timeout(PATIENCE.as_secs()).send().unwrap();
+    let answer = request.with_timeout(WAIT_LIMIT.as_secs()).send().unwrap();
     answer.status_code
 }
--- a/crates/sardinepath/tests/process_support/load.rs
+++ b/crates/sardinepath/tests/process_support/load.rs
@@ -16,7 +16,7 @@
 use crate::process_support::Fleet;
 use crate::process_support::HOLD;
 use crate::process_support::KEY;
-use crate::process_support::PATIENCE;
+use crate::process_support::WAIT_LIMIT;
 use crate::process_support::await_true;
 use crate::process_support::node::Node;
 
@@ -123,7 +123,7 @@
     let method = minreq::Method::Custom(method.to_owned());
     let request = minreq::Request::new(method, url)
         .with_header("authorization", format!("Bearer {KEY}"))
-        .with_timeout(PATIENCE.as_secs());
+        .with_timeout(WAIT_LIMIT.as_secs());
     let answer = match request.send() {
         Ok(answer) => answer,
         Err(minreq::Error::IoError(e)) if e.kind() == std::io::ErrorKind::ConnectionRefused => {
--- a/crates/sardinepath/tests/process_support/mod.rs
+++ b/crates/sardinepath/tests/process_support/mod.rs
@@ -32,7 +32,7 @@
 use crate::process_support::node::start_entry;
 
 /// Time that every awaited condition gets, also on a busy machine.
-pub const PATIENCE: Duration = Duration::from_secs(60);
+pub const WAIT_LIMIT: Duration = Duration::from_secs(60);
 
 /// The key of all callers. It must not occur in any target's log.
 pub const KEY: &str = "key-of-the-press-4f1b9c77";
@@ -175,7 +175,7 @@
 }
 
 pub fn await_true(what: &str, mut check: impl FnMut() -> bool) {
-    let end = Instant::now() + PATIENCE;
+    let end = Instant::now() + WAIT_LIMIT;
     while !check() {
         assert!(Instant::now() < end, "waited too long for {what}");
         std::thread::sleep(Duration::from_millis(20));
--- a/crates/sardinepath/tests/process_support/node.rs
+++ b/crates/sardinepath/tests/process_support/node.rs
@@ -19,7 +19,7 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::process_support::PATIENCE;
+use crate::process_support::WAIT_LIMIT;
 use crate::process_support::await_true;
 use crate::process_support::scratch;
 
@@ -61,7 +61,7 @@
     pub fn await_event(&self, event: Event) {
         let number = u64::from(event.info().number);
         await_true(event.info().name, || {
-            let line = self.log.recv_timeout(PATIENCE).unwrap();
+            let line = self.log.recv_timeout(WAIT_LIMIT).unwrap();
             line["event"].as_u64() == Some(number)
         });
     }
@@ -91,7 +91,9 @@
     let ready = format!("http://{}/readyz", node.admin);
     // An agent that reports `Starting` to a new entry is not chosen until its next report.
     await_true("an agent to be ready", || {
-        let answer = minreq::get(&ready).with_timeout(PATIENCE.as_secs()).send();
+        let answer = minreq::get(&ready)
+            .with_timeout(WAIT_LIMIT.as_secs())
+            .send();
         answer.is_ok_and(|answer| answer.status_code == 200)
     });
     node
@@ -127,7 +129,7 @@
         }
     });
     let serving = loop {
-        let line = log.recv_timeout(PATIENCE).unwrap();
+        let line = log.recv_timeout(WAIT_LIMIT).unwrap();
         if line["address"].is_string() {
             break line;
         }
--- a/crates/standins/src/engine/cache.rs
+++ b/crates/standins/src/engine/cache.rs
@@ -12,7 +12,7 @@
 
 /// Cache events after a sequence number.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct CacheNews {
+pub struct CacheEvents {
     /// Sequence number of the last published event.
     pub sequence: u64,
     /// Prefixes that were added.
@@ -70,13 +70,13 @@
     }
 
     /// Returns the events after a sequence number that are at least `lag` old.
-    pub(super) fn news(&self, after: u64, lag: Duration, now: Instant) -> CacheNews {
+    pub(super) fn news(&self, after: u64, lag: Duration, now: Instant) -> CacheEvents {
         let due = |event: &&Event| event.time + lag <= now;
         let published: Vec<_> = self.events.iter().take_while(due).collect();
         let sequence = published.last().map_or(self.dropped, |e| e.sequence);
         let fresh = || published.iter().filter(|event| event.sequence > after);
         let expected = sequence.saturating_sub(after);
-        CacheNews {
+        CacheEvents {
             sequence,
             cached: fresh().filter(|e| e.added).map(|e| e.prefix).collect(),
             evicted: fresh().filter(|e| !e.added).map(|e| e.prefix).collect(),
--- a/crates/standins/src/engine/model.rs
+++ b/crates/standins/src/engine/model.rs
@@ -16,7 +16,7 @@
 use crate::engine::book::Book;
 use crate::engine::book::Ending;
 use crate::engine::book::OrderRecord;
-use crate::engine::cache::CacheNews;
+use crate::engine::cache::CacheEvents;
 use crate::engine::cache::PrefixCache;
 use crate::engine::settings::EngineFaults;
 use crate::engine::settings::EngineSettings;
@@ -79,7 +79,7 @@
     pub(super) running: usize,
     pub(super) queued: usize,
     pub(super) capacity: usize,
-    pub(super) news: CacheNews,
+    pub(super) news: CacheEvents,
 }
 
 #[derive(Debug)]
--- a/crates/standins/tests/trainer.rs
+++ b/crates/standins/tests/trainer.rs
@@ -20,7 +20,7 @@
 use serde_json::Value;
 use serde_json::json;
 
-const PATIENCE: Duration = Duration::from_secs(60);
+const WAIT_LIMIT: Duration = Duration::from_secs(60);
 
 /// Delivers the groups whose revision is above the cursor, one a poll.
 #[derive(Default)]
@@ -91,7 +91,7 @@
     trainer.lose_polls = 1;
 
     trainer
-        .run_step(1, &orders(&["g1", "g2"]), PATIENCE)
+        .run_step(1, &orders(&["g1", "g2"]), WAIT_LIMIT)
         .unwrap();
 
     assert_eq!(trainer.faults(), Default::default());
@@ -119,7 +119,7 @@
     let mut trainer = trainer(vec![entry.address], nowhere());
 
     trainer
-        .run_step(1, &orders(&["g1", "g2"]), PATIENCE)
+        .run_step(1, &orders(&["g1", "g2"]), WAIT_LIMIT)
         .unwrap();
 
     let faults = trainer.faults();
@@ -136,7 +136,7 @@
     let entry = entry(vec![group("g1", 4, &[0, 1], 3)]);
     let mut trainer = trainer(vec![nowhere(), entry.address], nowhere());
 
-    trainer.run_step(1, &orders(&["g1"]), PATIENCE).unwrap();
+    trainer.run_step(1, &orders(&["g1"]), WAIT_LIMIT).unwrap();
 
     assert_eq!(trainer.book().len(), 2);
     let fields = entry.ask(|state| state.seen[0].fields.clone());
