Read the log of a measured process up to its serving event

Cause: the path bench took the first log line for the serving event, and entries without a scoring service log another event before it, so the bench failed and left the processes running. Change: the bench reads on to the line with the address.

--- a/crates/bench/src/path/process.rs
+++ b/crates/bench/src/path/process.rs
@@ -43,7 +43,13 @@
             .with_context(|| format!("could not start {}", program.display()))?;
         let errors = child.stderr.take().context("no standard error")?;
         let mut lines = BufReader::new(errors).lines();
-        let line = lines.next().context("the process said nothing")??;
+        // Other events, for example of a missing setting, can come before the serving one.
+        let line = loop {
+            let line = lines.next().context("the process does not serve")??;
+            if line.contains("\"address\"") {
+                break line;
+            }
+        };
         // A full pipe would stop the process.
         thread::spawn(move || {
             lines
