Register the listeners of both servers for own processes in one place

Cause: the servers of agents and of entries registered their listeners with the same lines, and the option against delayed acknowledgements had to be set in both. Change: rpc/listen.rs does it for both; no behaviour changes.

--- /dev/null
+++ b/crates/adapters/src/rpc/listen.rs
@@ -0,0 +1,24 @@
+//! Listeners of the servers for own processes.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+
+use anyhow::Context as _;
+use tonic::transport::server::TcpIncoming;
+
+use crate::runtime::Spawner;
+
+/// Registers a listener with the runtime and returns its address and its connections.
+pub(super) fn incoming(
+    spawner: &Spawner,
+    listener: TcpListener,
+) -> anyhow::Result<(SocketAddr, TcpIncoming)> {
+    let address = listener.local_addr().context("listener has no address")?;
+    listener.set_nonblocking(true)?;
+    let _context = spawner.enter();
+    // `Server::tcp_nodelay` has no effect on a listener that is handed in. Without the option
+    // the last frames of an answer waited 40 ms for a delayed acknowledgement.
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+    Ok((address, incoming))
+}
--- a/crates/adapters/src/rpc/mod.rs
+++ b/crates/adapters/src/rpc/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 mod convert;
+mod listen;
 pub mod peer;
 pub mod server;
 
--- a/crates/adapters/src/rpc/peer.rs
+++ b/crates/adapters/src/rpc/peer.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Context as _;
 use flume::Sender;
 use futures_util::Stream;
 use futures_util::stream::unfold;
@@ -25,7 +24,6 @@
 use tonic::Status;
 use tonic::transport::Channel;
 use tonic::transport::Server;
-use tonic::transport::server::TcpIncoming;
 
 use crate::rpc::client::Peers;
 use crate::rpc::convert::counter_to_wire;
@@ -33,6 +31,7 @@
 use crate::rpc::generated::peer_client::PeerClient;
 use crate::rpc::generated::peer_server::Peer;
 use crate::rpc::generated::peer_server::PeerServer;
+use crate::rpc::listen::incoming;
 use crate::runtime::Spawner;
 use crate::runtime::Task;
 use crate::runtime::within;
@@ -74,13 +73,7 @@
         listener: TcpListener,
         front: Arc<dyn PeerFront>,
     ) -> anyhow::Result<Self> {
-        let address = listener.local_addr().context("listener has no address")?;
-        listener.set_nonblocking(true)?;
-        let _context = spawner.enter();
-        // `Server::tcp_nodelay` has no effect on a listener that is handed in. Without the option
-        // the last frames of an answer waited 40 ms for a delayed acknowledgement.
-        let listener = tokio::net::TcpListener::from_std(listener)?;
-        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+        let (address, incoming) = incoming(spawner, listener)?;
         let serve = Server::builder()
             .http2_keepalive_interval(Some(PING))
             .http2_keepalive_timeout(Some(PING))
--- a/crates/adapters/src/rpc/server.rs
+++ b/crates/adapters/src/rpc/server.rs
@@ -6,7 +6,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use anyhow::Context as _;
 use flume::Receiver;
 use flume::Sender;
 use futures_util::Stream;
@@ -19,7 +18,6 @@
 use tonic::Response;
 use tonic::Status;
 use tonic::transport::Server;
-use tonic::transport::server::TcpIncoming;
 
 use crate::event::emit;
 use crate::rpc::convert::answer_to_wire;
@@ -33,6 +31,7 @@
 use crate::rpc::generated as wire;
 use crate::rpc::generated::agent_server::Agent;
 use crate::rpc::generated::agent_server::AgentServer;
+use crate::rpc::listen::incoming;
 use crate::runtime::Spawner;
 use crate::runtime::Task;
 use crate::runtime::within;
@@ -70,13 +69,7 @@
         listener: TcpListener,
         front: Arc<dyn AgentFront>,
     ) -> anyhow::Result<Self> {
-        let address = listener.local_addr().context("listener has no address")?;
-        listener.set_nonblocking(true)?;
-        let _context = spawner.enter();
-        // `Server::tcp_nodelay` has no effect on a listener that is handed in. Without the option
-        // the last frames of an answer waited 40 ms for a delayed acknowledgement.
-        let listener = tokio::net::TcpListener::from_std(listener)?;
-        let incoming = TcpIncoming::from(listener).with_nodelay(Some(true));
+        let (address, incoming) = incoming(spawner, listener)?;
         let (stop, stopped) = flume::bounded(1);
         let (ended, finished) = flume::bounded::<()>(0);
         let service = AgentServer::new(AgentAdapter { front }).max_decoding_message_size(8 << 20);
