Assign targets to models and load weights in proportion to the fleet

After an outage of the store the jobs of living gateways were taken over, because their silence was counted from before its return. After a restart of all processes the lease was waited out.

--- a/crates/adapters/src/web/pool.rs
+++ b/crates/adapters/src/web/pool.rs
@@ -29,7 +29,7 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
 /// Time for which a connection is kept if the other side states none.
-const KEEP: Duration = Duration::from_secs(4);
+const KEEP: Duration = Duration::from_secs(12);
 
 /// Time before the stated end of a kept connection at which it is no longer used.
 const KEEP_MARGIN: Duration = Duration::from_millis(600);
--- a/crates/core/src/decision/directory.rs
+++ b/crates/core/src/decision/directory.rs
@@ -25,7 +25,7 @@
 const PAUSE_MOST: Duration = Duration::from_secs(4);
 
 /// Pause of a target that refused a request without running it.
-const REFUSAL_PAUSE: Duration = Duration::from_millis(100);
+const REFUSAL_PAUSE: Duration = Duration::from_millis(200);
 
 /// Share of the newest measurement in the average pace.
 const PACE_SHARE: f64 = 0.4;
--- a/crates/core/src/decision/gateway/duty.rs
+++ b/crates/core/src/decision/gateway/duty.rs
@@ -24,6 +24,7 @@
 use crate::decision::weights::OrderEnd;
 use crate::decision::weights::Replica;
 use crate::domain::event::Event;
+use crate::domain::ids::Incarnation;
 use crate::domain::name::DutyName;
 use crate::domain::name::TargetName;
 use crate::port::object::Expect;
@@ -69,6 +70,13 @@
         }
     }
 
+    /// Notes that a run of a process has certainly ended.
+    pub(super) fn note_ended(&mut self, incarnation: Incarnation) {
+        if let Some(Side::Vacant(lease)) = &mut self.side {
+            lease.note_ended(incarnation);
+        }
+    }
+
     pub(super) fn is_free(&self) -> bool {
         !matches!(self.side, Some(Side::Held(_)))
     }
--- a/crates/core/src/decision/gateway/jobs.rs
+++ b/crates/core/src/decision/gateway/jobs.rs
@@ -37,7 +37,7 @@
 use crate::port::object::ObjectError;
 
 /// Time between two pages of one job, so that several results share a write.
-const PAGE_INTERVAL: Duration = Duration::from_millis(180);
+const PAGE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Time for which an end that the object API does not confirm is tried.
 const END_LIMIT: Duration = Duration::from_millis(2_500);
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -95,6 +95,8 @@
     draining: bool,
     /// Last answer of the object API.
     contact: Time,
+    /// Start of the time since when the object API has answered without a gap.
+    steady: Option<Time>,
     /// Start of the time since when the targets are watched without a gap, or none in an outage.
     watched: Option<Time>,
     next_run: u64,
@@ -121,6 +123,7 @@
             reports: Reports::new(now),
             draining: false,
             contact: now,
+            steady: None,
             watched: None,
             next_run: 1,
             draws: me.seed | 1,
@@ -240,6 +243,7 @@
         if up {
             self.contact = self.now;
         }
+        self.steady = up.then_some(self.now);
         if kind == Kind::Targets {
             self.watched = up.then_some(self.watched.unwrap_or(self.now));
         }
--- a/crates/core/src/decision/gateway/peers.rs
+++ b/crates/core/src/decision/gateway/peers.rs
@@ -77,6 +77,7 @@
                 if found == self.me.peer {
                     self.peers.announced = true;
                 } else {
+                    self.duty.note_ended(found.incarnation);
                     let record = Record::Peer(self.me.peer.clone());
                     let call = StoreCall::Update(Kind::Peers, host, record, revision);
                     self.store(Purpose::Announce, call);
@@ -89,11 +90,20 @@
 
     pub(super) fn learn_peers(&mut self, peers: Vec<Peer>) {
         self.peers.listed = true;
-        self.peers.known = peers.into_iter().map(|p| (p.host.clone(), p)).collect();
+        let listed = |host: &HostName| peers.iter().any(|p| p.host == *host);
+        self.peers.known.retain(|host, _| listed(host));
+        for peer in peers {
+            self.learn_peer(peer);
+        }
     }
 
     pub(super) fn learn_peer(&mut self, peer: Peer) {
-        self.peers.known.insert(peer.host.clone(), peer);
+        let incarnation = peer.incarnation;
+        let before = self.peers.known.insert(peer.host.clone(), peer);
+        // A host runs one process of this role, so the run before has ended.
+        if let Some(before) = before.filter(|before| before.incarnation != incarnation) {
+            self.duty.note_ended(before.incarnation);
+        }
     }
 
     pub(super) fn forget_peer(&mut self, host: &HostName) {
@@ -173,8 +183,7 @@
     /// Takes a job over if its runner is gone and this process is the next candidate.
     pub(super) fn check_runner(&mut self, id: &BatchId) {
         let now = self.now;
-        let fresh = now.since(self.contact) < SILENCE_LIMIT;
-        if self.draining || !fresh || !self.peers.listed {
+        if self.draining || !self.peers.listed || now.since(self.contact) >= SILENCE_LIMIT {
             return;
         }
         let Some(job) = self.jobs.get(id) else {
@@ -232,7 +241,9 @@
             return true;
         };
         let health = self.peers.health.get(&runner.host);
-        let silent = health.is_some_and(|h| self.now.since(h.good) >= SILENCE_LIMIT);
+        // After an outage of the object API the others need time to notice its return.
+        let settled = self.steady.is_some_and(|at| self.now.since(at) >= SILENCE_LIMIT);
+        let silent = settled && health.is_some_and(|h| self.now.since(h.good) >= SILENCE_LIMIT);
         let replaced = health
             .and_then(|h| h.replaced.as_ref())
             .is_some_and(|peer| peer.incarnation != runner.incarnation);
--- a/crates/core/src/decision/lease/vacant.rs
+++ b/crates/core/src/decision/lease/vacant.rs
@@ -31,6 +31,8 @@
     reread: bool,
     /// When the last read was sent.
     asked: Time,
+    /// Runs of processes that have certainly ended.
+    ended: Vec<Incarnation>,
 }
 
 /// What a challenger knows of the lease object.
@@ -93,7 +95,8 @@
         if self.state.waiting {
             return VacantStep::Wait(now + self.terms.retry);
         }
-        let free = self.state.seen.as_ref().map(Observation::free_at);
+        let seen = self.state.seen.as_ref();
+        let free = seen.map(|seen| seen.free_at(&self.state.ended));
         let wanted = self.state.reread || free.is_none_or(|free| now < free);
         if wanted && now >= self.state.read {
             self.state.asked = now;
@@ -143,6 +146,17 @@
         Claim::Held(self.with(held))
     }
 
+    /// Notes that a run of a process has certainly ended, for example because its host runs another
+    /// one. It cannot act any more, so its lease need not be waited out.
+    pub fn note_ended(&mut self, incarnation: Incarnation) {
+        /// Runs that are kept. Only the holder's counts.
+        const KEPT: usize = 64;
+        if self.state.ended.len() >= KEPT {
+            self.state.ended.remove(0);
+        }
+        self.state.ended.push(incarnation);
+    }
+
     /// Makes the write that acquires the lease.
     fn acquire(&mut self, now: Time) -> VacantStep {
         let found = self.state.seen.as_ref().and_then(|s| s.found.as_ref());
@@ -175,9 +189,10 @@
 
 impl Observation {
     /// Returns the time from which the lease may be acquired.
-    fn free_at(&self) -> Time {
+    fn free_at(&self, ended: &[Incarnation]) -> Time {
+        let lives = |holder: &Incarnation| !ended.contains(holder);
         match &self.found {
-            Some((_, record)) if record.holder.is_some() => {
+            Some((_, record)) if record.holder.as_ref().is_some_and(lives) => {
                 self.since + record.length() + margin(record.length())
             }
             _ => self.since,
--- a/crates/core/src/decision/weights.rs
+++ b/crates/core/src/decision/weights.rs
@@ -1,10 +1,14 @@
 //! Weight roll-out by orders to the targets.
 //!
+//! Each target is assigned to one of its models and gets new versions of that one only, so that
+//! the loads of a version are shared by the models and none waits for the targets of another.
+//!
 //! The holder of the duty keeps one `Weights` and asks it for the next orders after each change.
 //! An order carries the number of orders that its target has accepted, read just before, so that
 //! one without an answer that is carried out late has no effect after a newer one.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::domain::ids::WeightVersion;
@@ -12,8 +16,8 @@
 use crate::domain::name::TargetName;
 use crate::domain::time::Time;
 
-/// Loads that run at once. A load takes longer beyond this number.
-const LOADS: usize = 2;
+/// Share of the targets, as a divisor, that load at once. A load takes longer when more do.
+const WAVE: usize = 5;
 
 /// Time after which an accepted load that has not been seen is ordered again.
 const LOAD_LIMIT: Duration = Duration::from_millis(5_000);
@@ -67,6 +71,8 @@
 pub struct Weights {
     named: BTreeMap<ModelName, WeightVersion>,
     orders: BTreeMap<TargetName, Order>,
+    /// Model of each target.
+    homes: BTreeMap<TargetName, ModelName>,
 }
 
 #[derive(Debug)]
@@ -98,11 +104,15 @@
     pub fn next(&mut self, now: Time, replicas: &[Replica]) -> Vec<Load> {
         self.settle(now, replicas);
         let active = |o: &&Order| !matches!(o, Order::Resting(_));
-        let mut free = LOADS.saturating_sub(self.orders.values().filter(active).count());
+        let targets: BTreeSet<&TargetName> = replicas.iter().map(|r| &r.target).collect();
+        let most = ((targets.len() + WAVE / 2) / WAVE).max(1);
+        self.assign(replicas);
+        let mut free = most.saturating_sub(self.orders.values().filter(active).count());
         let mut behind: Vec<&Replica> = replicas
             .iter()
             .filter(|r| self.named(&r.model).is_some_and(|named| r.version < named))
             .filter(|r| !self.orders.contains_key(&r.target))
+            .filter(|r| self.homes.get(&r.target) == Some(&r.model))
             .collect();
         behind.sort_by_key(|r| (r.version, r.busy));
         let mut loads = Vec::new();
@@ -142,6 +152,46 @@
     /// Forgets the orders of an ended tenure.
     pub fn reset(&mut self) {
         self.orders.clear();
+        self.homes.clear();
+    }
+
+    /// Assigns each target to a model: the one of which it has the newest version, as far as the
+    /// models stay evenly served.
+    fn assign(&mut self, replicas: &[Replica]) {
+        let models: BTreeSet<&ModelName> = replicas.iter().map(|r| &r.model).collect();
+        let targets: BTreeSet<&TargetName> = replicas.iter().map(|r| &r.target).collect();
+        let quota = targets.len().div_ceil(models.len().max(1));
+        let floor = targets.len() / models.len().max(1);
+        self.homes
+            .retain(|target, model| replicas.iter().any(|r| r.target == *target && r.model == *model));
+        let homes = &self.homes;
+        let count = |model: &ModelName| homes.values().filter(|home| *home == model).count();
+        // A target of a model with too many moves on once another model has too few.
+        let short = models.iter().any(|model| count(model) < floor);
+        let full = models.iter().find(|model| short && count(model) > floor);
+        let moved = full.and_then(|full| homes.iter().find(|(_, home)| home == full));
+        if let Some(target) = moved.map(|(target, _)| target.clone()) {
+            self.homes.remove(&target);
+        }
+        let mut counts: BTreeMap<&ModelName, usize> = BTreeMap::new();
+        for home in self.homes.values() {
+            if let Some(model) = models.get(home) {
+                *counts.entry(model).or_default() += 1;
+            }
+        }
+        for target in targets {
+            if self.homes.contains_key(target) {
+                continue;
+            }
+            let of_target = replicas.iter().filter(|r| r.target == *target);
+            let lag = |r: &Replica| self.named(&r.model).map_or(0, |v| v.0.saturating_sub(r.version.0));
+            let count = |r: &Replica| counts.get(&r.model).copied().unwrap_or(0);
+            let best = of_target.min_by_key(|r| (count(r) >= quota, lag(r), count(r)));
+            if let Some(best) = best {
+                *counts.entry(&best.model).or_default() += 1;
+                self.homes.insert(target.clone(), best.model.clone());
+            }
+        }
     }
 
     /// Forgets loads that are done or lost.
