Let most gateways of a large fleet follow one of three that watch the store

A process without a change for two seconds also counted as cut off from the store.

Change: three gateways, found by hash, watch the store and pass changes on to the others; only these challenge for the lease. Silence counts from a call that failed.

--- a/crates/adapters/src/web/mod.rs
+++ b/crates/adapters/src/web/mod.rs
@@ -20,14 +20,14 @@
 /// Idle time of a connection after which the other side is probed.
 const PROBE_IDLE: std::time::Duration = std::time::Duration::from_secs(1);
 
-/// Time between two probes.
-const PROBE_INTERVAL: std::time::Duration = std::time::Duration::from_millis(500);
+/// Time between two probes. The system counts it in whole seconds.
+const PROBE_INTERVAL: std::time::Duration = std::time::Duration::from_secs(1);
 
 /// Probes without an answer after which a connection counts as broken.
-const PROBES: u32 = 2;
+const PROBES: u32 = 1;
 
 /// Time after which sent bytes without an acknowledgement break a connection.
-const SEND_LIMIT: std::time::Duration = std::time::Duration::from_millis(2_000);
+const SEND_LIMIT: std::time::Duration = std::time::Duration::from_millis(1_500);
 
 /// Makes a connection break soon after the other side is gone. Failures only delay that.
 fn keep_watch(stream: &TcpStream) {
--- a/crates/core/src/decision/gateway/duty.rs
+++ b/crates/core/src/decision/gateway/duty.rs
@@ -106,7 +106,7 @@
         let now = self.now;
         match self.duty.side.take() {
             Some(Side::Vacant(mut lease)) => {
-                if !self.draining && self.duty.asked == Asked::Nothing {
+                if !self.draining && self.challenges() && self.duty.asked == Asked::Nothing {
                     match lease.next(now) {
                         VacantStep::Read(_) => self.read_lease(),
                         VacantStep::Acquire(write) => self.write_lease(write),
@@ -146,7 +146,7 @@
 
     fn read_lease(&mut self) {
         self.duty.asked = Asked::Read;
-        self.store(Purpose::Lease, StoreCall::Get(Kind::Leases, Arc::from(DUTY)));
+        self.call_store(Purpose::Lease, StoreCall::Get(Kind::Leases, Arc::from(DUTY)));
     }
 
     fn write_lease(&mut self, write: LeaseWrite) {
@@ -157,7 +157,7 @@
             Expect::Absent => StoreCall::Create(Kind::Leases, name, record),
             Expect::At(revision) => StoreCall::Update(Kind::Leases, name, record, revision),
         };
-        self.store(Purpose::Lease, call);
+        self.call_store(Purpose::Lease, call);
     }
 
     /// Takes in the answer to a read or write of the lease.
--- a/crates/core/src/decision/gateway/jobs.rs
+++ b/crates/core/src/decision/gateway/jobs.rs
@@ -279,7 +279,7 @@
             calls.push((purpose, StoreCall::Get(Kind::Pages, name)));
         }
         for (purpose, call) in calls {
-            self.store(purpose, call);
+            self.call_store(purpose, call);
         }
     }
 
@@ -391,7 +391,7 @@
     fn append(&mut self, id: BatchId, start: usize, page: Page) {
         let name = Arc::from(page_name(&id, start));
         let call = StoreCall::Create(Kind::Pages, name, Record::Page(page));
-        self.store(Purpose::Append(id, start), call);
+        self.call_store(Purpose::Append(id, start), call);
     }
 
     /// Takes in the answer to the write of a page.
@@ -422,7 +422,7 @@
             Err(ObjectError::Conflict(_)) => {
                 let name = Arc::from(page_name(id, start));
                 let call = StoreCall::Get(Kind::Pages, name);
-                self.store(Purpose::Append(id.clone(), start), call);
+                self.call_store(Purpose::Append(id.clone(), start), call);
             }
             Ok(Answer::Found(Some((_, Record::Page(page))))) => {
                 active.appending = None;
@@ -521,7 +521,7 @@
     ) {
         let name = Arc::from(id.as_str());
         let call = StoreCall::Update(Kind::Heads, name, Record::Head(head), revision);
-        self.store(purpose, call);
+        self.call_store(purpose, call);
     }
 
     /// Takes in the answer to the write that ends a job.
@@ -545,7 +545,7 @@
     pub(super) fn refresh(&mut self, id: &BatchId) {
         let name = Arc::from(id.as_str());
         let call = StoreCall::Get(Kind::Heads, name);
-        self.store(Purpose::Refresh(id.clone()), call);
+        self.call_store(Purpose::Refresh(id.clone()), call);
     }
 
     /// Takes in a head that was read because its state was in doubt.
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -73,6 +73,8 @@
     Changed(View),
     /// The watch of a kind lost or regained contact.
     Contact(Kind, bool),
+    /// The process that passes objects on does not answer, or has no contact itself.
+    FeedLost(SocketAddr),
     /// Another process answered, or did not.
     Pinged(HostName, Option<Pong>),
     /// Another process told its counts of a window, or did not.
@@ -221,7 +223,7 @@
 }
 
 /// Kinds of objects.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Kind {
     /// The configuration, written by operators.
     Config,
@@ -305,6 +307,15 @@
     PeerGone(HostName),
 }
 
+/// From where a process learns of objects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// From the object API.
+    Store,
+    /// From another process, which watches the object API.
+    Peer(SocketAddr),
+}
+
 /// How a usage report ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportEnd {
@@ -346,6 +357,8 @@
     Publish(Arc<RouteTable>),
     /// Stop being ready, and let connections end after their running requests.
     Close,
+    /// Learn of objects from this source from now on.
+    Follow(Source),
     /// Call the object API.
     Store(Purpose, StoreCall),
     /// Decode a submission that was read from the object API.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -3,7 +3,8 @@
 //! `Gateway::handle` takes a message, `Gateway::tick` the time, and both return effects. The
 //! control thread of the role owns the gateway; adapters carry the effects out and answer with
 //! messages. Every subject has its own file: `jobs` (life of a batch job), `submit`, `read`,
-//! `dispatch` (items to targets), `duty` (lease, weights, usage), `peers` and `view`.
+//! `dispatch` (items to targets), `duty` (lease and weights), `usage`,
+//! `peers`, `source` (who watches the object API) and `view`.
 
 mod dispatch;
 mod duty;
@@ -11,6 +12,7 @@
 pub mod message;
 mod peers;
 mod read;
+mod source;
 mod submit;
 mod usage;
 mod view;
@@ -35,6 +37,7 @@
 use crate::decision::gateway::message::StoreCall;
 use crate::decision::gateway::peers::Peers;
 use crate::decision::gateway::read::Search;
+use crate::decision::gateway::source::Feed;
 use crate::decision::gateway::submit::Submission;
 use crate::decision::gateway::usage::Reports;
 use crate::decision::lease::Terms;
@@ -49,6 +52,7 @@
 use crate::domain::table::RouteTable;
 use crate::domain::time::Time;
 use crate::domain::time::WallTime;
+use crate::port::object::ObjectError;
 
 /// Pause after a call to the object API that failed.
 const STORE_PAUSE: Duration = Duration::from_millis(200);
@@ -88,15 +92,14 @@
     submissions: BTreeMap<BatchId, Submission>,
     searches: BTreeMap<BatchId, Vec<Search>>,
     peers: Peers,
+    feed: Feed,
     duty: Duty,
     weights: Weights,
     tally: Tally,
     reports: Reports,
     draining: bool,
-    /// Last answer of the object API.
-    contact: Time,
-    /// Start of the time since when the object API has answered without a gap.
-    steady: Option<Time>,
+    /// Whether the object API answers.
+    store: StoreHealth,
     /// Start of the time since when the targets are watched without a gap, or none in an outage.
     watched: Option<Time>,
     next_run: u64,
@@ -106,6 +109,38 @@
     effects: Vec<Effect>,
 }
 
+/// Whether the object API answers this process.
+#[derive(Clone, Copy, Debug)]
+struct StoreHealth {
+    /// Start of the present outage.
+    outage: Option<Time>,
+    /// End of the last outage.
+    back: Time,
+}
+
+impl StoreHealth {
+    fn note(&mut self, now: Time, up: bool) {
+        if !up {
+            self.outage.get_or_insert(now);
+        } else if self.outage.take().is_some() {
+            self.back = now;
+        }
+    }
+
+    /// Returns the length of the present outage.
+    fn outage(&self, now: Time) -> Duration {
+        self.outage.map_or(Duration::ZERO, |start| now.since(start))
+    }
+
+    /// Returns how long the object API has answered.
+    fn steady(&self, now: Time) -> Duration {
+        match self.outage {
+            Some(_) => Duration::ZERO,
+            None => now.since(self.back),
+        }
+    }
+}
+
 impl Gateway {
     /// Starts without knowledge. The first effects announce the process.
     pub fn new(me: Identity, now: Time) -> Self {
@@ -117,13 +152,16 @@
             submissions: BTreeMap::new(),
             searches: BTreeMap::new(),
             peers: Peers::default(),
+            feed: Feed::default(),
             duty: Duty::new(&me),
             weights: Weights::default(),
             tally: Tally::new(window),
             reports: Reports::new(now),
             draining: false,
-            contact: now,
-            steady: None,
+            store: StoreHealth {
+                outage: None,
+                back: now,
+            },
             watched: None,
             next_run: 1,
             draws: me.seed | 1,
@@ -149,15 +187,18 @@
             Message::RunEnded(run, end, partial) => self.run_ended(run, &end, partial),
             Message::Scored(run, end) => self.scored(run, &end),
             Message::Stored(purpose, answer) => {
-                if answer.as_ref().is_ok() {
-                    self.contact = now;
-                }
+                let away = matches!(
+                    answer,
+                    Err(ObjectError::Unavailable(_) | ObjectError::Unknown(_))
+                );
+                self.store.note(now, !away);
                 self.stored(purpose, answer);
             }
             Message::Decoded(id, batch) => self.decoded(&id, batch),
             Message::Listing(kind, views) => self.listing(kind, views),
             Message::Changed(view) => self.changed(view),
             Message::Contact(kind, up) => self.note_contact(kind, up),
+            Message::FeedLost(address) => self.feed_lost(address),
             Message::Pinged(host, pong) => self.pinged(host, pong),
             Message::Collected(window, host, counts) => self.collected(window, host, counts),
             Message::Ordered(target, end) => self.ordered(&target, end),
@@ -176,6 +217,7 @@
         self.tick_duty();
         self.tick_jobs();
         self.tick_peers();
+        self.tick_source();
         self.dispatch();
         self.flush();
         std::mem::take(&mut self.effects)
@@ -207,7 +249,7 @@
             Question::Ping => {
                 let pong = Pong {
                     incarnation: self.me.peer.incarnation,
-                    silence: u64::try_from(self.now.since(self.contact).as_millis()).unwrap_or(0),
+                    silence: u64::try_from(self.store.outage(self.now).as_millis()).unwrap_or(0),
                     load: self.directory.load(),
                 };
                 self.reply(call, Reply::Pong(pong));
@@ -240,10 +282,7 @@
     }
 
     fn note_contact(&mut self, kind: Kind, up: bool) {
-        if up {
-            self.contact = self.now;
-        }
-        self.steady = up.then_some(self.now);
+        self.store.note(self.now, up);
         if kind == Kind::Targets {
             self.watched = up.then_some(self.watched.unwrap_or(self.now));
         }
@@ -259,7 +298,7 @@
         self.effects.push(Effect::Close);
         self.hand_over();
         let host = Arc::from(self.me.peer.host.as_str());
-        self.store(Purpose::Leave, StoreCall::Delete(Kind::Peers, host));
+        self.call_store(Purpose::Leave, StoreCall::Delete(Kind::Peers, host));
     }
 
     fn wall(&self) -> WallTime {
@@ -283,7 +322,7 @@
         self.effects.push(Effect::Reply(call, reply));
     }
 
-    fn store(&mut self, purpose: Purpose, call: StoreCall) {
+    fn call_store(&mut self, purpose: Purpose, call: StoreCall) {
         self.effects.push(Effect::Store(purpose, call));
     }
 
--- a/crates/core/src/decision/gateway/peers.rs
+++ b/crates/core/src/decision/gateway/peers.rs
@@ -62,7 +62,7 @@
         let host: Arc<str> = Arc::from(self.me.peer.host.as_str());
         let record = Record::Peer(self.me.peer.clone());
         self.peers.next_announce = self.now + SILENCE_LIMIT;
-        self.store(Purpose::Announce, StoreCall::Create(Kind::Peers, host, record));
+        self.call_store(Purpose::Announce, StoreCall::Create(Kind::Peers, host, record));
     }
 
     /// Takes in the answer to the announcement. An entry of an earlier run is replaced.
@@ -71,7 +71,7 @@
         match answer {
             Ok(Answer::Written(_)) => self.peers.announced = true,
             Err(ObjectError::Conflict(_)) => {
-                self.store(Purpose::Announced, StoreCall::Get(Kind::Peers, host));
+                self.call_store(Purpose::Announced, StoreCall::Get(Kind::Peers, host));
             }
             Ok(Answer::Found(Some((revision, Record::Peer(found))))) => {
                 if found == self.me.peer {
@@ -80,7 +80,7 @@
                     self.duty.note_ended(found.incarnation);
                     let record = Record::Peer(self.me.peer.clone());
                     let call = StoreCall::Update(Kind::Peers, host, record, revision);
-                    self.store(Purpose::Announce, call);
+                    self.call_store(Purpose::Announce, call);
                 }
             }
             // `tick_peers` tries again.
@@ -110,6 +110,11 @@
         self.peers.known.remove(host);
     }
 
+    /// Returns all processes, this one included.
+    pub(super) fn all_peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.known.values()
+    }
+
     /// Returns all other processes.
     pub(super) fn others(&self) -> Vec<Peer> {
         let me = &self.me.peer.host;
@@ -183,7 +188,7 @@
     /// Takes a job over if its runner is gone and this process is the next candidate.
     pub(super) fn check_runner(&mut self, id: &BatchId) {
         let now = self.now;
-        if self.draining || !self.peers.listed || now.since(self.contact) >= SILENCE_LIMIT {
+        if self.draining || !self.peers.listed || self.store.outage.is_some() {
             return;
         }
         let Some(job) = self.jobs.get(id) else {
@@ -242,7 +247,7 @@
         };
         let health = self.peers.health.get(&runner.host);
         // After an outage of the object API the others need time to notice its return.
-        let settled = self.steady.is_some_and(|at| self.now.since(at) >= SILENCE_LIMIT);
+        let settled = self.store.steady(self.now) >= SILENCE_LIMIT;
         let silent = settled && health.is_some_and(|h| self.now.since(h.good) >= SILENCE_LIMIT);
         let replaced = health
             .and_then(|h| h.replaced.as_ref())
@@ -257,13 +262,13 @@
         if runner.is_some_and(|r| r.host == *me) {
             return Duration::ZERO;
         }
-        let own = rank_of(id, me);
+        let own = rank_of(id.as_str(), me);
         let ahead = self
             .peers
             .known
             .keys()
             .filter(|host| *host != me && runner.is_none_or(|r| r.host != **host))
-            .filter(|host| rank_of(id, host) < own)
+            .filter(|host| rank_of(id.as_str(), host) < own)
             .count();
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
         let first = if vacant { VACANT_LEAD } else { Duration::ZERO };
@@ -271,11 +276,11 @@
     }
 }
 
-/// Returns a number by which candidates for a job are ordered.
-fn rank_of(id: &BatchId, host: &HostName) -> u64 {
+/// Returns a number by which candidates for something are ordered.
+pub(super) fn rank_of(subject: &str, host: &HostName) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
-    let bytes = id.as_str().bytes().chain(host.as_str().bytes());
+    let bytes = subject.bytes().chain(host.as_str().bytes());
     let hash = bytes.fold(OFFSET, |h, b| (h ^ u64::from(b)).wrapping_mul(PRIME));
     hash ^ (hash >> 29)
 }
--- a/crates/core/src/decision/gateway/read.rs
+++ b/crates/core/src/decision/gateway/read.rs
@@ -201,7 +201,7 @@
 
     fn ask_head(&mut self, id: BatchId) {
         let call = StoreCall::Get(Kind::Heads, Arc::from(id.as_str()));
-        self.store(Purpose::Find(id), call);
+        self.call_store(Purpose::Find(id), call);
     }
 
     /// Takes in the head of a job that was not known here, or that there is none.
--- a/crates/core/src/decision/gateway/submit.rs
+++ b/crates/core/src/decision/gateway/submit.rs
@@ -94,7 +94,7 @@
         for (index, text) in parts.into_iter().enumerate() {
             let name = Arc::from(part_name(&id, index));
             let call = StoreCall::Create(Kind::Parts, name, Record::Part(text));
-            self.store(Purpose::Part(id.clone(), index), call);
+            self.call_store(Purpose::Part(id.clone(), index), call);
         }
     }
 
@@ -121,7 +121,7 @@
         };
         let record = Record::Head(submission.head.clone());
         let call = StoreCall::Create(Kind::Heads, Arc::from(id.as_str()), record);
-        self.store(Purpose::Accept(id.clone()), call);
+        self.call_store(Purpose::Accept(id.clone()), call);
     }
 
     /// Takes in the answer to the creation of the head.
--- a/crates/core/src/decision/gateway/usage.rs
+++ b/crates/core/src/decision/gateway/usage.rs
@@ -181,7 +181,7 @@
         }
         // Other figures may stand, or these after a lost answer. What stands is reported.
         let call = StoreCall::Get(Kind::Windows, Arc::from(window.to_string()));
-        self.store(Purpose::Frozen(window), call);
+        self.call_store(Purpose::Frozen(window), call);
     }
 
     /// Takes in the figures that stand.
@@ -201,11 +201,11 @@
             Ok(Answer::Found(None)) => {
                 let name = Arc::from(window.to_string());
                 let call = StoreCall::Create(Kind::Windows, name, Record::Window(figures));
-                self.store(Purpose::Freeze(window), call);
+                self.call_store(Purpose::Freeze(window), call);
             }
             _ => {
                 let call = StoreCall::Get(Kind::Windows, Arc::from(window.to_string()));
-                self.store(Purpose::Frozen(window), call);
+                self.call_store(Purpose::Frozen(window), call);
             }
         }
     }
--- a/crates/core/src/decision/gateway/view.rs
+++ b/crates/core/src/decision/gateway/view.rs
@@ -16,7 +16,7 @@
 impl Gateway {
     /// Takes in all objects of one kind.
     pub(super) fn listing(&mut self, kind: Kind, views: Vec<View>) {
-        self.contact = self.now;
+        self.store.note(self.now, true);
         match kind {
             Kind::Targets => {
                 let listed: Vec<Listed> = views.into_iter().filter_map(View::target).collect();
@@ -57,7 +57,7 @@
 
     /// Takes in one changed object.
     pub(super) fn changed(&mut self, view: View) {
-        self.contact = self.now;
+        self.store.note(self.now, true);
         match view {
             View::Table(table) => self.learn_table(table),
             View::Target(listed) => {
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -138,6 +138,8 @@
     StoreFailed = (603, Warn, "store_failed", "a call to the object API failed"),
     /// An object of another writer cannot be read. Fields: `kind`, `object`, `error`.
     ObjectUnreadable = (604, Warn, "object_unreadable", "an object cannot be read and is left out"),
+    /// This process learns of objects from another source. Fields: `source`.
+    SourceChosen = (605, Info, "source_chosen", "the process learns of objects from another source"),
     /// The entry of a target changed. Fields: `target`, `pool`, `leaving`, `models`.
     TargetSeen = (610, Info, "target_seen", "the entry of a target is new or has changed"),
     /// The entry of a target is gone. Fields: `target`, `kept`.
