Pack runs on the newest versions and load targets that stay free

Change: runs are packed on the targets with the newest version; a load goes to a free target, 300 ms after its version is named, or to a busy one only if too few can serve the next step. Equal targets are ordered differently in each process, so that connections are used again.

--- a/crates/core/src/decision/directory.rs
+++ b/crates/core/src/decision/directory.rs
@@ -70,8 +70,8 @@
     pub room: bool,
     /// True if a target that pauses after a failure is better than none.
     pub paused: bool,
-    /// Random number that separates equal targets.
-    pub draw: u64,
+    /// Number of this process that separates equal targets.
+    pub seed: u64,
 }
 
 /// How a request at a target ended.
@@ -298,35 +298,52 @@
             .is_none_or(|(model, least)| self.listed.version(model).is_some_and(|v| v >= *least))
     }
 
-    /// Returns a figure that grows with the expected time of one more request.
+    /// Returns a figure by which targets are compared; the lowest is chosen.
     fn cost(&self, median: Option<f64>, need: &Need, centre: &CentreName) -> f64 {
-        /// Bonus for a target that holds a part of the prompt, in shares of its slots.
+        /// Bonus for a target that holds a part of the prompt.
         const PREFERRED: f64 = 0.4;
-        /// Surcharge for another data centre, in shares of its slots.
+        /// Surcharge for another data centre.
         const FAR: f64 = 0.05;
+        /// Bonus for each version above the oldest permitted one.
+        const NEWER: f64 = 1.0;
+        /// Weight of the pace, so that a slow target comes after all others.
+        const PACE: f64 = 4.0;
+        /// Pace relative to the median up to which targets count as equally fast.
+        const EVEN: f64 = 1.4;
         let load = f64::from(self.running + self.elsewhere) / f64::from(self.listed.slots.max(1));
         let relative = match (self.pace, median) {
             (Some(pace), Some(median)) if median > 0.0 => (pace / median).max(1.0),
             _ => 1.0,
         };
-        let mut cost = (load + 0.5) * relative;
-        if need.prefer.as_ref() == Some(&self.listed.name) {
-            cost -= PREFERRED;
-        }
-        if self.listed.centre != *centre {
-            cost += FAR;
-        }
-        cost + self.tie(need.draw)
+        let far = if self.listed.centre == *centre { 0.0 } else { FAR };
+        let held = need.prefer.as_ref() == Some(&self.listed.name);
+        let prompt = if held { PREFERRED } else { 0.0 };
+        let common = far - prompt + self.tie(need.seed);
+        let Some(versions) = need.model.as_ref().and_then(|need| self.versions_above(need)) else {
+            return (load + 0.5) * relative + common;
+        };
+        // Full engines are hardly slower, so runs are packed: the others stay free for a load of
+        // the next version, which would interrupt runs.
+        let slow = if relative > EVEN { relative * PACE } else { 0.0 };
+        slow - load - NEWER * versions + common
+    }
+
+    /// Returns how many versions above the oldest permitted one the target has, at most two.
+    fn versions_above(&self, (model, least): &(ModelName, WeightVersion)) -> Option<f64> {
+        let version = self.listed.version(model)?;
+        let above = version.0.saturating_sub(least.0).min(2);
+        u32::try_from(above).ok().map(f64::from)
     }
 
-    /// Returns a small figure that differs between targets and requests.
-    fn tie(&self, draw: u64) -> f64 {
+    /// Returns a small figure that differs between processes and targets, so that each process
+    /// keeps to a few targets and their connections, and not all to the same ones.
+    fn tie(&self, seed: u64) -> f64 {
         const RANGE: u64 = 1024;
         let name = self.listed.name.as_str().bytes();
-        let mixed = name.fold(draw | 1, |sum, b| {
+        let mixed = name.fold(seed | 1, |sum, b| {
             (sum ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)
         });
         let step = u32::try_from((mixed >> 20) % RANGE).unwrap_or(0);
-        f64::from(step) / 20_480.0
+        f64::from(step) / 10_240.0
     }
 }
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -107,7 +107,7 @@
             prefer,
             room: true,
             paused: false,
-            draw,
+            seed: self.me.seed,
         };
         let mut choice = self.directory.choose(now, pool, &need, &self.me.centre);
         if choice.is_none() && !need.tried.is_empty() {
@@ -179,7 +179,7 @@
         let table = self.table.clone()?;
         let route = table.route(&scorer.host, &scorer.path)?;
         let need = Need {
-            draw,
+            seed: self.me.seed,
             ..Need::default()
         };
         let pool = route.pool(draw)?;
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -265,7 +265,7 @@
     fn pick(&mut self, call: CallId, pool: &PoolName, tried: Vec<TargetName>) {
         let mut need = Need {
             tried,
-            draw: self.draw(),
+            seed: self.me.seed,
             ..Need::default()
         };
         let mut choice = self.directory.choose(self.now, pool, &need, &self.me.centre);
--- a/crates/core/src/decision/gateway/view.rs
+++ b/crates/core/src/decision/gateway/view.rs
@@ -80,7 +80,7 @@
                 );
             }
             View::Version(model, version) => {
-                if self.weights.name(model.clone(), version) {
+                if self.weights.name(self.now, model.clone(), version) {
                     self.log(
                         Event::VersionNamed,
                         vec![("model", model.to_string()), ("version", version.to_string())],
--- a/crates/core/src/decision/weights.rs
+++ b/crates/core/src/decision/weights.rs
@@ -22,6 +22,14 @@
 /// Time after which an accepted load that has not been seen is ordered again.
 const LOAD_LIMIT: Duration = Duration::from_millis(5_000);
 
+/// Time after a version is named until its loads begin. The step that comes with the version is
+/// dispatched first, and the loads go to the targets that stay free.
+const LEAD: Duration = Duration::from_millis(300);
+
+/// Versions by which a busy target must be behind before its runs are interrupted by a load. The
+/// next step can still use a target that is one behind.
+const BEHIND: u64 = 2;
+
 /// Time after which an order that was not accepted is tried again.
 const RETRY: Duration = Duration::from_millis(250);
 
@@ -69,12 +77,20 @@
 /// State of the roll-out of all models.
 #[derive(Debug, Default)]
 pub struct Weights {
-    named: BTreeMap<ModelName, WeightVersion>,
+    named: BTreeMap<ModelName, Named>,
     orders: BTreeMap<TargetName, Order>,
     /// Model of each target.
     homes: BTreeMap<TargetName, ModelName>,
 }
 
+/// The newest version of a model.
+#[derive(Clone, Copy, Debug)]
+struct Named {
+    version: WeightVersion,
+    /// When it became known.
+    since: Time,
+}
+
 #[derive(Debug)]
 enum Order {
     /// Sent, not answered yet.
@@ -87,16 +103,18 @@
 
 impl Weights {
     /// Takes in a version that a trainer named. Older ones change nothing.
-    pub fn name(&mut self, model: ModelName, version: WeightVersion) -> bool {
-        let known = self.named.entry(model).or_default();
-        let newer = version > *known;
-        *known = (*known).max(version);
+    pub fn name(&mut self, now: Time, model: ModelName, version: WeightVersion) -> bool {
+        let newer = self.named(&model).is_none_or(|known| version > known);
+        if newer {
+            let since = now;
+            self.named.insert(model, Named { version, since });
+        }
         newer
     }
 
     /// Returns the newest named version of a model.
     pub fn named(&self, model: &ModelName) -> Option<WeightVersion> {
-        self.named.get(model).copied()
+        self.named.get(model).map(|named| named.version)
     }
 
     /// Returns the orders to send now. Targets with the oldest version come first, then those
@@ -110,11 +128,11 @@
         let mut free = most.saturating_sub(self.orders.values().filter(active).count());
         let mut behind: Vec<&Replica> = replicas
             .iter()
-            .filter(|r| self.named(&r.model).is_some_and(|named| r.version < named))
             .filter(|r| !self.orders.contains_key(&r.target))
             .filter(|r| self.homes.get(&r.target) == Some(&r.model))
+            .filter(|r| self.is_due(now, r, replicas))
             .collect();
-        behind.sort_by_key(|r| (r.version, r.busy));
+        behind.sort_by_key(|r| (r.busy > 0, r.version, r.busy));
         let mut loads = Vec::new();
         for replica in behind {
             if free == 0 {
@@ -155,6 +173,24 @@
         self.homes.clear();
     }
 
+    /// Tells whether a target should load the newest version now.
+    fn is_due(&self, now: Time, replica: &Replica, replicas: &[Replica]) -> bool {
+        let Some(named) = self.named.get(&replica.model) else {
+            return false;
+        };
+        if replica.version >= named.version {
+            return false;
+        }
+        if replica.busy == 0 {
+            return now >= named.since + LEAD;
+        }
+        let home = |r: &&Replica| r.model == replica.model && self.homes.get(&r.target) == Some(&r.model);
+        let usable = |r: &&Replica| r.version.0 + BEHIND > named.version.0;
+        let all = replicas.iter().filter(home).count();
+        let fit = replicas.iter().filter(home).filter(usable).count();
+        replica.version.0 + BEHIND <= named.version.0 && fit * 2 < all
+    }
+
     /// Assigns each target to a model: the one of which it has the newest version, as far as the
     /// models stay evenly served.
     fn assign(&mut self, replicas: &[Replica]) {
