Call the store through other gateways while it does not answer one

Cause: a gateway that the store turned away refused batch jobs, could not list results, and lost its jobs to others.

Change: calls go through two other gateways while the store does not answer, and objects come from one of them.

--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -73,6 +73,8 @@
     Changed(View),
     /// The watch of a kind lost or regained contact.
     Contact(Kind, bool),
+    /// Whether the object API answers this process without the help of another one.
+    Probed(bool),
     /// The process that passes objects on does not answer, or has no contact itself.
     FeedLost(SocketAddr),
     /// Another process answered, or did not.
@@ -248,7 +250,7 @@
 }
 
 /// Content of an object of the system.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Record {
     /// A lease.
     Lease(LeaseRecord),
@@ -265,7 +267,7 @@
 }
 
 /// A call to the object API.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum StoreCall {
     /// Read an object.
     Get(Kind, Arc<str>),
@@ -278,7 +280,7 @@
 }
 
 /// Answer of the object API.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
     /// The write took effect at this revision.
     Written(Revision),
@@ -314,6 +316,18 @@
     Store,
     /// From another process, which watches the object API.
     Peer(SocketAddr),
+    /// From another process until the object API answers this one again.
+    StandIn(SocketAddr),
+}
+
+impl Source {
+    /// Returns the address of the other process.
+    pub fn peer(self) -> Option<SocketAddr> {
+        match self {
+            Source::Store => None,
+            Source::Peer(address) | Source::StandIn(address) => Some(address),
+        }
+    }
 }
 
 /// How a usage report ended.
@@ -359,6 +373,8 @@
     Close,
     /// Learn of objects from this source from now on.
     Follow(Source),
+    /// Make calls through these processes while the object API does not answer this one.
+    Relay(Vec<SocketAddr>),
     /// Call the object API.
     Store(Purpose, StoreCall),
     /// Decode a submission that was read from the object API.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -198,6 +198,7 @@
             Message::Listing(kind, views) => self.listing(kind, views),
             Message::Changed(view) => self.changed(view),
             Message::Contact(kind, up) => self.note_contact(kind, up),
+            Message::Probed(up) => self.probed(up),
             Message::FeedLost(address) => self.feed_lost(address),
             Message::Pinged(host, pong) => self.pinged(host, pong),
             Message::Collected(window, host, counts) => self.collected(window, host, counts),
@@ -283,6 +284,9 @@
 
     fn note_contact(&mut self, kind: Kind, up: bool) {
         self.store.note(self.now, up);
+        if !up {
+            self.probed(false);
+        }
         if kind == Kind::Targets {
             self.watched = up.then_some(self.watched.unwrap_or(self.now));
         }
--- a/crates/core/src/decision/gateway/source.rs
+++ b/crates/core/src/decision/gateway/source.rs
@@ -1,4 +1,7 @@
-//! From where this process learns of objects.
+//! From where this process learns of objects, and through whom it calls the object API.
+//!
+//! A process that the object API does not answer follows another one too, and makes its calls
+//! through others, so that it can go on serving.
 //!
 //! Calls to the object API are limited and priced, so in a larger fleet only a few processes watch
 //! it. The others follow one of these. They are the first ones in an order by hash, so every
@@ -22,6 +25,12 @@
 /// Processes of a larger fleet that watch the object API.
 const WATCHERS: usize = 3;
 
+/// Time without an answer after which the object API counts as away for this process.
+const AWAY: Duration = Duration::from_millis(400);
+
+/// Processes through which calls are made.
+const RELAYS: usize = 2;
+
 /// Time for which a process that did not pass objects on is left out.
 const AVOID: Duration = Duration::from_secs(5);
 
@@ -31,6 +40,10 @@
     source: Source,
     /// Processes that are left out, until when.
     avoided: BTreeMap<SocketAddr, Time>,
+    /// Since when the object API does not answer this process itself.
+    away: Option<Time>,
+    /// Processes through which calls are made.
+    relays: Vec<SocketAddr>,
 }
 
 impl Default for Feed {
@@ -38,6 +51,8 @@
         Self {
             source: Source::Store,
             avoided: BTreeMap::new(),
+            away: None,
+            relays: Vec::new(),
         }
     }
 }
@@ -54,10 +69,21 @@
         self.tick_source();
     }
 
+    /// Takes in whether the object API answers this process itself.
+    pub(super) fn probed(&mut self, up: bool) {
+        if up {
+            self.feed.away = None;
+        } else {
+            self.feed.away.get_or_insert(self.now);
+        }
+        self.tick_source();
+    }
+
     /// Chooses the source anew.
     pub(super) fn tick_source(&mut self) {
         let now = self.now;
         self.feed.avoided.retain(|_, until| now < *until);
+        self.choose_relays();
         let source = self.best_source();
         if source == self.feed.source {
             return;
@@ -69,19 +95,39 @@
 
     fn best_source(&self) -> Source {
         let mut peers: Vec<&Peer> = self.all_peers().collect();
-        if peers.len() <= DIRECT_MOST {
-            return Source::Store;
-        }
-        peers.sort_by_key(|peer| rank_of("watch", &peer.host));
-        peers.truncate(WATCHERS);
         let me = &self.me.peer.host;
-        if peers.iter().any(|peer| peer.host == *me) {
+        let away = self.feed.away.is_some_and(|at| self.now.since(at) >= AWAY);
+        if peers.len() > DIRECT_MOST {
+            peers.sort_by_key(|peer| rank_of("watch", &peer.host));
+            peers.truncate(WATCHERS);
+        }
+        let watches = peers.iter().any(|peer| peer.host == *me);
+        if watches && !away {
             return Source::Store;
         }
+        peers.retain(|peer| peer.host != *me);
         // Followers spread over the watchers.
         peers.sort_by_key(|peer| rank_of(me.as_str(), &peer.host));
         let usable = |peer: &&&Peer| !self.feed.avoided.contains_key(&peer.address);
         let best = peers.iter().find(usable);
-        best.map_or(Source::Store, |peer| Source::Peer(peer.address))
+        match best {
+            Some(peer) if away => Source::StandIn(peer.address),
+            Some(peer) => Source::Peer(peer.address),
+            None => Source::Store,
+        }
+    }
+
+    /// Chooses the processes through which calls are made if the object API is away here.
+    fn choose_relays(&mut self) {
+        let me = self.me.peer.host.clone();
+        let mut peers = self.others();
+        peers.sort_by_key(|peer| rank_of(me.as_str(), &peer.host));
+        let addresses = peers.iter().map(|peer| peer.address);
+        let relays: Vec<SocketAddr> =
+            addresses.filter(|a| !self.feed.avoided.contains_key(a)).take(RELAYS).collect();
+        if relays != self.feed.relays {
+            self.feed.relays.clone_from(&relays);
+            self.effects.push(Effect::Relay(relays));
+        }
     }
 }
--- a/crates/core/src/port/object.rs
+++ b/crates/core/src/port/object.rs
@@ -3,6 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::domain::ids::Revision;
 
 /// An object: a JSON text under a path.
@@ -49,7 +52,7 @@
 }
 
 /// Why a call to the object API did not succeed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ObjectError {
     /// The condition does not hold. The current revision, if the object exists, is given.
     Conflict(Option<Revision>),
