Keep the texts of long generations beyond a process and a job

Cause: a kill of all processes lost up to eight seconds of a long generation, and the step that waited for it then held the trainer back for its whole time. Groups that come again were generated again although their texts were known.

Change: a runner stores the texts of its runs once a second; another process goes on from them. Texts of groups that an ended job did not complete are kept in memory for the job in which they come again.

--- a/crates/core/src/decision/batch/journal.rs
+++ b/crates/core/src/decision/batch/journal.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Returns all known results.
+    pub fn outcomes(&self) -> &[Arc<Outcome>] {
+        &self.outcomes
+    }
+
     /// Returns the results from a position on, as many as fit into one answer.
     pub fn page(&self, after: usize) -> Vec<Arc<Outcome>> {
         let mut room = ANSWER_MOST;
--- a/crates/core/src/decision/batch/mod.rs
+++ b/crates/core/src/decision/batch/mod.rs
@@ -82,6 +82,12 @@
 }
 
 impl VersionTerms {
+    /// Tells whether a text may be used under these terms.
+    pub fn fit(self, partial: &Partial) -> bool {
+        let versions = &partial.versions;
+        versions.iter().all(|v| *v >= self.least.0) && (!self.single || versions.len() <= 1)
+    }
+
     /// Adds an event to a text. `id` counts from 1.
     pub fn push(
         self,
--- a/crates/core/src/decision/batch/run.rs
+++ b/crates/core/src/decision/batch/run.rs
@@ -45,6 +45,8 @@
     pub since: Time,
     /// Events so far.
     pub events: u64,
+    /// Text as last told, which may lag behind.
+    pub draft: Partial,
 }
 
 /// Has its text and waits for its score.
@@ -94,16 +96,29 @@
 }
 
 impl Run<Waiting> {
-    /// Starts the life of an item.
-    pub fn new(item: Arc<Item>) -> Self {
+    /// Starts the life of an item, with the text that is known of it.
+    pub fn new(item: Arc<Item>, partial: Partial) -> Self {
         Self {
             item,
             failures: 0,
             moves: 0,
-            state: Waiting::default(),
+            state: Waiting {
+                partial,
+                ..Waiting::default()
+            },
         }
     }
 
+    /// Has its whole text from an earlier run.
+    pub fn finish(mut self, now: Time) -> Run<Texted> {
+        let partial = std::mem::take(&mut self.state.partial);
+        self.with(Texted {
+            partial,
+            due: now,
+            rejections: 0,
+        })
+    }
+
     /// Goes to a target. Returns the text so far, which goes with the attempt.
     pub fn start(self, now: Time, id: RunId, target: TargetName) -> (Run<Generating>, Partial) {
         let events = self.state.partial.events;
@@ -113,6 +128,7 @@
             target,
             since: now,
             events,
+            draft: partial.clone(),
         };
         (self.with(state), partial)
     }
--- a/crates/core/src/decision/batch/runner.rs
+++ b/crates/core/src/decision/batch/runner.rs
@@ -13,9 +13,11 @@
 use crate::decision::batch::ScoreEnd;
 use crate::decision::batch::Scoring;
 use crate::decision::batch::Texted;
+use crate::decision::batch::VersionTerms;
 use crate::decision::batch::Waiting;
 use crate::decision::directory::CallEnd;
 use crate::domain::batch::Batch;
+use crate::domain::batch::Draft;
 use crate::domain::batch::Item;
 use crate::domain::batch::Outcome;
 use crate::domain::batch::Partial;
@@ -44,6 +46,8 @@
     pub attempts: u32,
     /// Time after which items are given up.
     pub until: Time,
+    /// Which versions a text may hold.
+    pub versions: VersionTerms,
 }
 
 /// What an item needs next.
@@ -101,11 +105,26 @@
 }
 
 impl Runner {
-    /// Starts with the items that are not listed yet.
-    pub fn new(batch: Arc<Batch>, terms: RunnerTerms, journal: &Journal) -> Self {
-        let slot = |item: &Arc<Item>| match journal.has(&item.id) {
-            true => Slot::Listed,
-            false => Slot::Waiting(Run::new(item.clone())),
+    /// Starts with the items that are not listed yet. Drafts whose versions fit are used.
+    pub fn new(
+        now: Time,
+        batch: Arc<Batch>,
+        terms: RunnerTerms,
+        journal: &Journal,
+        drafts: &[Draft],
+    ) -> Self {
+        let slot = |item: &Arc<Item>| {
+            if journal.has(&item.id) {
+                return Slot::Listed;
+            }
+            let fitting = drafts.iter().filter(|d| d.id == item.id && terms.versions.fit(&d.partial));
+            let best = fitting.max_by_key(|d| (d.whole, d.partial.events));
+            let partial = best.map(|d| d.partial.clone()).unwrap_or_default();
+            let run = Run::new(item.clone(), partial);
+            match best.is_some_and(|d| d.whole) {
+                true => Slot::Texted(run.finish(now)),
+                false => Slot::Waiting(run),
+            }
         };
         Self {
             slots: batch.items.iter().map(slot).collect(),
@@ -185,11 +204,20 @@
         }
     }
 
-    /// Takes in how far a generation is.
-    pub fn advanced(&mut self, now: Time, id: RunId, events: u64) -> Option<Pace> {
+    /// Takes in how far a generation is, now and then with its text.
+    pub fn advanced(
+        &mut self,
+        now: Time,
+        id: RunId,
+        events: u64,
+        draft: Option<Partial>,
+    ) -> Option<Pace> {
         let Slot::Generating(run) = self.slots.get_mut(*self.runs.get(&id)?)? else {
             return None;
         };
+        if let Some(draft) = draft {
+            run.state.draft = draft;
+        }
         let new = events.saturating_sub(run.state.events);
         if new == 0 {
             return None;
@@ -325,6 +353,32 @@
         fitting.collect()
     }
 
+    /// Returns the texts of items that are not listed, as many as fit into one object. The longest
+    /// come first, since they would take the longest to generate again.
+    pub fn drafts(&self) -> Vec<Draft> {
+        let draft = |id: &ItemId, partial: &Partial, whole: bool| Draft {
+            id: id.clone(),
+            partial: partial.clone(),
+            whole,
+        };
+        let drafts = self.slots.iter().filter_map(|slot| match slot {
+            Slot::Waiting(run) => Some(draft(&run.item.id, &run.state.partial, false)),
+            Slot::Generating(run) => Some(draft(&run.item.id, &run.state.draft, false)),
+            Slot::Texted(run) => Some(draft(&run.item.id, &run.state.partial, true)),
+            Slot::Scoring(run) => Some(draft(&run.item.id, &run.state.partial, true)),
+            Slot::Finished(_) | Slot::Listed => None,
+        });
+        let mut drafts: Vec<Draft> = drafts.filter(|d| d.partial.events > 0).collect();
+        drafts.sort_by_key(|d| std::cmp::Reverse(d.partial.events));
+        let mut room = PAGE_MOST;
+        drafts.retain(|d| {
+            let fits = room > d.partial.text.len();
+            room = room.saturating_sub(d.partial.text.len());
+            fits
+        });
+        drafts
+    }
+
     /// Notes that items are listed. Returns the runs that are no longer needed.
     pub fn listed(&mut self, ids: &[ItemId]) -> Vec<(RunId, TargetName)> {
         let mut needless = Vec::new();
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -232,13 +232,13 @@
         }
     }
 
-    pub(super) fn advanced(&mut self, run: RunId, events: u64) {
+    pub(super) fn advanced(&mut self, run: RunId, events: u64, draft: Option<Partial>) {
         let now = self.now;
         for job in self.jobs.values_mut() {
             if let Work::Running(active) = &mut job.work
                 && active.runner.owns(run)
             {
-                if let Some(pace) = active.runner.advanced(now, run, events) {
+                if let Some(pace) = active.runner.advanced(now, run, events, draft) {
                     self.directory.note_pace(&pace.target, pace.millis);
                 }
                 return;
@@ -254,7 +254,7 @@
             if let Work::Running(active) = &mut job.work
                 && active.runner.owns(run)
             {
-                let pace = active.runner.advanced(now, run, events);
+                let pace = active.runner.advanced(now, run, events, None);
                 if let Some(pace) = pace {
                     self.directory.note_pace(&pace.target, pace.millis);
                 }
--- a/crates/core/src/decision/gateway/jobs.rs
+++ b/crates/core/src/decision/gateway/jobs.rs
@@ -6,9 +6,13 @@
 use crate::decision::batch::Journal;
 use crate::decision::batch::Runner;
 use crate::decision::batch::RunnerTerms;
+use crate::decision::batch::VersionTerms;
 use crate::decision::directory::CallEnd;
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::STORE_PAUSE;
+use crate::decision::gateway::draft::DraftWrites;
+use crate::decision::gateway::draft::LoadedDrafts;
+use crate::decision::gateway::draft::unfinished;
 use crate::decision::gateway::message::Answer;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Effect;
@@ -20,6 +24,7 @@
 use crate::decision::gateway::read::Reader;
 use crate::decision::gateway::read::Wanted;
 use crate::domain::batch::Batch;
+use crate::domain::batch::Draft;
 use crate::domain::batch::Head;
 use crate::domain::batch::Page;
 use crate::domain::batch::Runner as RunnerName;
@@ -57,6 +62,8 @@
     pub(super) parts: Vec<Arc<str>>,
     /// Why the submission is being read, if it is.
     pub(super) loading: bool,
+    /// Drafts as they are stored.
+    pub(super) drafts: LoadedDrafts,
     /// True while a page is being read.
     pub(super) paging: bool,
     /// When the journal was last known to be complete, by a read that began then.
@@ -93,8 +100,12 @@
     pub(super) runner: Runner,
     /// Page that is being written, with its position.
     pub(super) appending: Option<(usize, Page)>,
-    /// Earliest time of the next page.
+    /// True while the write of the page waits for its answer.
+    pub(super) writing: bool,
+    /// Earliest time of the next write of a page.
     pub(super) next_page: Time,
+    /// Writes of drafts.
+    pub(super) drafts: DraftWrites,
 }
 
 /// Callers that wait for the end of a job.
@@ -114,6 +125,7 @@
             batch: None,
             parts: Vec::new(),
             loading: false,
+            drafts: LoadedDrafts::Unknown,
             paging: false,
             complete: None,
             page_asked: now,
@@ -172,6 +184,7 @@
         match (&job.work, wanted) {
             (Work::Idle, true) => {
                 job.work = Work::Loading;
+                job.drafts = LoadedDrafts::Unknown;
                 job.complete = None;
                 self.log(Event::BatchStarted, vec![("batch", id.to_string())]);
             }
@@ -197,6 +210,11 @@
         job.complete = None;
         let running = active.runner.running();
         let ended = job.head.ended;
+        if ended {
+            let mut drafts = active.runner.drafts();
+            drafts.extend(unfinished(&active.runner, &job.journal));
+            self.keep(drafts);
+        }
         self.log(
             Event::BatchStopped,
             vec![
@@ -227,13 +245,26 @@
         let terms = RunnerTerms {
             attempts,
             until: accepted + retention,
+            versions: VersionTerms {
+                least: job.head.least,
+                single: route.as_ref().and_then(|r| r.rollout()).is_some_and(|t| t.single),
+            },
         };
-        let runner = Runner::new(batch.clone(), terms, &job.journal);
+        let mut drafts: Vec<Draft> = match std::mem::take(&mut job.drafts) {
+            LoadedDrafts::Known(drafts) => drafts,
+            LoadedDrafts::Unknown | LoadedDrafts::Asked => Vec::new(),
+        };
+        let items = &batch.items;
+        let again = |d: &&Draft| items.iter().any(|item| item.id == d.id);
+        drafts.extend(self.kept.iter().filter(again).cloned());
+        let runner = Runner::new(now, batch.clone(), terms, &job.journal, &drafts);
         job.batch = Some(batch);
         job.work = Work::Running(Box::new(Active {
             runner,
             appending: None,
+            writing: false,
             next_page: now,
+            drafts: DraftWrites::new(now),
         }));
     }
 
@@ -268,6 +299,11 @@
             let purpose = Purpose::LoadPart(id.clone(), part);
             calls.push((purpose, StoreCall::Get(Kind::Parts, name)));
         }
+        if loading && matches!(job.drafts, LoadedDrafts::Unknown) {
+            job.drafts = LoadedDrafts::Asked;
+            let call = StoreCall::Get(Kind::Drafts, Arc::from(id.as_str()));
+            calls.push((Purpose::LoadDrafts(id.clone()), call));
+        }
         let reading = !matches!(job.work, Work::Running(_)) && !job.readers.is_empty();
         let unread = loading && job.complete.is_none();
         if !job.paging && (unread || reading) {
@@ -350,12 +386,13 @@
     }
 
     /// Starts the runner once everything is known.
-    fn advance_load(&mut self, id: &BatchId) {
+    pub(super) fn advance_load(&mut self, id: &BatchId) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
         if matches!(job.work, Work::Loading)
             && job.complete.is_some()
+            && matches!(job.drafts, LoadedDrafts::Known(_))
             && let Some(batch) = job.batch.clone()
         {
             self.start_runner(id, batch);
@@ -371,16 +408,22 @@
             let Work::Running(active) = &mut job.work else {
                 continue;
             };
-            if active.appending.is_some() || now < active.next_page {
+            if active.writing || now < active.next_page {
                 continue;
             }
-            let outcomes = active.runner.finished();
-            if outcomes.is_empty() {
-                continue;
-            }
-            let start = job.journal.len();
-            let page = Page { outcomes };
+            // A page whose write may still take effect is written again as it is.
+            let (start, page) = match active.appending.clone() {
+                Some(again) => again,
+                None => {
+                    let outcomes = active.runner.finished();
+                    if outcomes.is_empty() {
+                        continue;
+                    }
+                    (job.journal.len(), Page { outcomes })
+                }
+            };
             active.appending = Some((start, page.clone()));
+            active.writing = true;
             calls.push((id.clone(), start, page));
         }
         for (id, start, page) in calls {
@@ -411,6 +454,7 @@
         if active.appending.as_ref().is_none_or(|(at, _)| *at != start) {
             return;
         }
+        active.writing = false;
         match answer {
             Ok(Answer::Written(_)) => {
                 if let Some((_, page)) = active.appending.take() {
@@ -420,6 +464,7 @@
             }
             // Another page stands at this position, or this one after a lost answer.
             Err(ObjectError::Conflict(_)) => {
+                active.writing = true;
                 let name = Arc::from(page_name(id, start));
                 let call = StoreCall::Get(Kind::Pages, name);
                 self.call_store(Purpose::Append(id.clone(), start), call);
@@ -429,14 +474,7 @@
                 let page = page.clone();
                 self.list(id, start, &page);
             }
-            // The same page is written again, since the first write may still take effect.
-            _ => {
-                active.next_page = now + STORE_PAUSE;
-                job.retry = now + STORE_PAUSE;
-                if let Some((_, page)) = active.appending.clone() {
-                    self.append(id.clone(), start, page);
-                }
-            }
+            _ => active.next_page = now + STORE_PAUSE,
         }
     }
 
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -21,6 +21,7 @@
 use crate::decision::weights::Load;
 use crate::decision::weights::OrderEnd;
 use crate::domain::batch::Batch;
+use crate::domain::batch::Drafts;
 use crate::domain::batch::Head;
 use crate::domain::batch::Item;
 use crate::domain::batch::Outcome;
@@ -57,8 +58,8 @@
     Released(TargetName, CallEnd),
     /// A request of a workspace began to run.
     Began(WorkspaceName),
-    /// A generation has this many events.
-    Advanced(RunId, u64),
+    /// A generation has this many events, and now and then this text.
+    Advanced(RunId, u64, Option<Partial>),
     /// A generation ended with this text.
     RunEnded(RunId, RunEnd, Partial),
     /// A scoring request ended.
@@ -204,6 +205,10 @@
     LoadPage(BatchId, usize),
     /// Write the page at a position.
     Append(BatchId, usize),
+    /// Write the drafts of a job.
+    Draft(BatchId),
+    /// Read the drafts of a job.
+    LoadDrafts(BatchId),
     /// Mark a job as ended.
     End(BatchId),
     /// Become the runner of a job.
@@ -243,6 +248,8 @@
     Parts,
     /// Pages of results.
     Pages,
+    /// Drafts of texts.
+    Drafts,
     /// Processes of the system.
     Peers,
     /// Figures of usage windows.
@@ -260,6 +267,8 @@
     Part(Arc<str>),
     /// A page of results.
     Page(Page),
+    /// Drafts of texts.
+    Drafts(Drafts),
     /// A process of the system.
     Peer(Peer),
     /// Figures of a usage window.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! `Gateway::handle` takes a message, `Gateway::tick` the time, and both return effects. The
 //! control thread of the role owns the gateway; adapters carry the effects out and answer with
-//! messages. Every subject has its own file: `jobs` (life of a batch job), `submit`, `read`,
+//! messages. Every subject has its own file: `jobs` (life of a batch job), `submit`, `read`, `draft` (texts
+//! that outlive a process),
 //! `dispatch` (items to targets), `duty` (lease and weights), `usage`,
 //! `peers`, `source` (who watches the object API) and `view`.
 
 mod dispatch;
+mod draft;
 mod duty;
 mod jobs;
 pub mod message;
@@ -18,6 +20,7 @@
 mod view;
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -43,6 +46,7 @@
 use crate::decision::lease::Terms;
 use crate::decision::tally::Tally;
 use crate::decision::weights::Weights;
+use crate::domain::batch::Draft;
 use crate::domain::event::Event;
 use crate::domain::fleet::Peer;
 use crate::domain::name::BatchId;
@@ -91,6 +95,8 @@
     jobs: BTreeMap<BatchId, Job>,
     submissions: BTreeMap<BatchId, Submission>,
     searches: BTreeMap<BatchId, Vec<Search>>,
+    /// Texts of items that ended jobs did not list, since their items may come again.
+    kept: VecDeque<Draft>,
     peers: Peers,
     feed: Feed,
     duty: Duty,
@@ -151,6 +157,7 @@
             jobs: BTreeMap::new(),
             submissions: BTreeMap::new(),
             searches: BTreeMap::new(),
+            kept: VecDeque::new(),
             peers: Peers::default(),
             feed: Feed::default(),
             duty: Duty::new(&me),
@@ -183,7 +190,7 @@
                 let wall = self.wall();
                 self.tally.count(wall, workspace);
             }
-            Message::Advanced(run, events) => self.advanced(run, events),
+            Message::Advanced(run, events, draft) => self.advanced(run, events, draft),
             Message::RunEnded(run, end, partial) => self.run_ended(run, &end, partial),
             Message::Scored(run, end) => self.scored(run, &end),
             Message::Stored(purpose, answer) => {
@@ -221,6 +228,7 @@
         self.tick_source();
         self.dispatch();
         self.flush();
+        self.write_drafts();
         std::mem::take(&mut self.effects)
     }
 
--- a/crates/core/src/decision/gateway/view.rs
+++ b/crates/core/src/decision/gateway/view.rs
@@ -122,6 +122,8 @@
             Purpose::LoadPart(id, part) => self.loaded_part(&id, part, answer),
             Purpose::LoadPage(id, start) => self.loaded_page(&id, start, answer),
             Purpose::Append(id, start) => self.appended(&id, start, &answer),
+            Purpose::Draft(id) => self.drafted(&id, &answer),
+            Purpose::LoadDrafts(id) => self.loaded_drafts(&id, answer),
             Purpose::End(id) => self.ended(&id, &answer),
             Purpose::TakeOver(id) => {
                 let peer = &self.me.peer;
--- a/crates/core/src/decision/weights.rs
+++ b/crates/core/src/decision/weights.rs
@@ -24,7 +24,7 @@
 
 /// Time after a version is named until its loads begin. The step that comes with the version is
 /// dispatched first, and the loads go to the targets that stay free.
-const LEAD: Duration = Duration::from_millis(300);
+const LEAD: Duration = Duration::from_millis(150);
 
 /// Versions by which a busy target must be behind before its runs are interrupted by a load. The
 /// next step can still use a target that is one behind.
--- a/crates/core/src/domain/batch.rs
+++ b/crates/core/src/domain/batch.rs
@@ -121,7 +121,7 @@
 }
 
 /// What has been generated of an item's text.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Partial {
     /// Data of the events so far, separated by line feeds.
     pub text: String,
@@ -131,6 +131,24 @@
     pub versions: Vec<u64>,
 }
 
+/// The text of an item that is not listed yet, kept so that another run can go on from it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Draft {
+    /// The item.
+    pub id: ItemId,
+    /// Text so far.
+    pub partial: Partial,
+    /// True if the text is whole.
+    pub whole: bool,
+}
+
+/// Drafts of a job, stored as one object.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Drafts {
+    /// The drafts.
+    pub drafts: Vec<Draft>,
+}
+
 /// Returns the name of the object that holds a part of a submission.
 pub fn part_name(batch: &BatchId, part: usize) -> String {
     format!("{batch}.{part:04}")
