Repeat a request at once on a kept connection that was closed

Cause: a request on a kept connection that its target had closed counted as a failed attempt and paused the target.

Change: such a request is repeated at once where it may run twice, and never counts as not run.

--- a/crates/adapters/src/peer/mod.rs
+++ b/crates/adapters/src/peer/mod.rs
@@ -157,10 +157,13 @@
         .header("host", address.to_string())
         .body(Body::default())
         .map_err(|_| None)?;
-    let (head, body) = pool.call(address, request, limit, ANSWER_MOST).await.map_err(|e| {
-        log::debug!("{address}{path}: {e}");
-        None
-    })?;
+    let (head, body) = pool
+        .call(address, request, limit, ANSWER_MOST)
+        .await
+        .map_err(|e| {
+            log::debug!("{address}{path}: {e}");
+            None
+        })?;
     if head.status != StatusCode::OK {
         return Err(Some(head.status));
     }
--- a/crates/adapters/src/web/pool.rs
+++ b/crates/adapters/src/web/pool.rs
@@ -42,6 +42,8 @@
 pub enum SendError {
     /// Nothing was sent.
     NotSent(String),
+    /// A kept connection ended before any answer. The request may have arrived.
+    Dropped(String),
     /// The request may have arrived.
     MayHaveArrived(String),
 }
@@ -80,6 +82,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Self::NotSent(reason) => write!(f, "not sent: {reason}"),
+            Self::Dropped(reason) => write!(f, "kept connection dropped: {reason}"),
             Self::MayHaveArrived(reason) => write!(f, "no answer: {reason}"),
         }
     }
@@ -135,7 +138,7 @@
                 Err(mut e) => match e.take_message() {
                     // The connection was closed while it was kept.
                     Some(unsent) => request = unsent,
-                    None => return Err(lost(&e.into_error())),
+                    None => return Err(dropped(e.into_error())),
                 },
             }
         }
@@ -250,6 +253,15 @@
     Ok(sender)
 }
 
+/// Describes the failure of a request on a kept connection. Bytes that are no answer show that the
+/// other side was there.
+fn dropped(error: hyper::Error) -> SendError {
+    if error.is_parse() {
+        return lost(&error);
+    }
+    SendError::Dropped(error.to_string())
+}
+
 fn lost(error: &hyper::Error) -> SendError {
     SendError::MayHaveArrived(error.to_string())
 }
--- a/crates/adapters/src/web/serve.rs
+++ b/crates/adapters/src/web/serve.rs
@@ -97,12 +97,8 @@
     }
 
     /// Serves until `closing`. `limits` is asked for each new connection.
-    pub async fn serve<H, F>(
-        self,
-        closing: Closing,
-        limits: impl Fn() -> ServerLimits,
-        handle: H,
-    ) where
+    pub async fn serve<H, F>(self, closing: Closing, limits: impl Fn() -> ServerLimits, handle: H)
+    where
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
         F: Future<Output = Response<Body>> + Send + 'static,
     {
--- a/crates/core/src/decision/attempts.rs
+++ b/crates/core/src/decision/attempts.rs
@@ -40,6 +40,8 @@
     /// Attempts that ended and may have run.
     ran: u32,
     refusals: u32,
+    /// True if an attempt that does not count against the limit may have run.
+    unclear: bool,
     last: Time,
     due: Time,
 }
@@ -49,6 +51,8 @@
 pub enum AttemptEnd {
     /// The target did not run it, or nothing was sent.
     NotRun,
+    /// A kept connection ended before any answer, so the target most likely did not read it.
+    Dropped,
     /// It ran, or may have run.
     MayHaveRun,
 }
@@ -75,6 +79,7 @@
             running: 0,
             ran: 0,
             refusals: 0,
+            unclear: false,
             last: terms.start,
             due: terms.start,
             terms,
@@ -85,8 +90,12 @@
     pub fn next(&self, now: Time) -> AttemptStep {
         let terms = &self.terms;
         if now >= terms.until {
-            let clean = self.running == 0 && self.ran == 0;
-            return if clean { AttemptStep::Refuse } else { AttemptStep::TimeOut };
+            let clean = self.running == 0 && self.is_clean();
+            return if clean {
+                AttemptStep::Refuse
+            } else {
+                AttemptStep::TimeOut
+            };
         }
         if self.running > 0 {
             let hedge = self.last + terms.objective * HEDGE;
@@ -97,14 +106,18 @@
                 (false, _) => AttemptStep::Wait(terms.until),
             };
         }
-        let spent = self.ran >= terms.most || (self.ran > 0 && !terms.safe);
+        let spent = self.ran >= terms.most || (!self.is_clean() && !terms.safe);
         if spent {
             return AttemptStep::Fail;
         }
         let late = now >= terms.start + terms.objective / REFUSE;
         if self.refusals >= REFUSALS_MOST || (self.refusals > 0 && late) {
-            let clean = self.ran == 0;
-            return if clean { AttemptStep::Refuse } else { AttemptStep::Fail };
+            let clean = self.is_clean();
+            return if clean {
+                AttemptStep::Refuse
+            } else {
+                AttemptStep::Fail
+            };
         }
         if now < self.due {
             return AttemptStep::Wait(self.due);
@@ -132,7 +145,16 @@
                 self.refusals += 1;
                 self.due = now + PAUSE;
             }
+            AttemptEnd::Dropped => {
+                self.refusals += 1;
+                self.unclear = true;
+            }
             AttemptEnd::MayHaveRun => self.ran += 1,
         }
     }
+
+    /// Tells whether no attempt has run.
+    fn is_clean(&self) -> bool {
+        self.ran == 0 && !self.unclear
+    }
 }
--- a/crates/core/src/decision/batch/run.rs
+++ b/crates/core/src/decision/batch/run.rs
@@ -136,7 +136,13 @@
 
 impl Run<Generating> {
     /// Waits for another attempt after a pause.
-    pub fn retry(mut self, now: Time, pause: Duration, partial: Partial, failed: bool) -> Run<Waiting> {
+    pub fn retry(
+        mut self,
+        now: Time,
+        pause: Duration,
+        partial: Partial,
+        failed: bool,
+    ) -> Run<Waiting> {
         self.failures += u32::from(failed);
         let state = Waiting {
             partial,
--- a/crates/core/src/decision/batch/runner.rs
+++ b/crates/core/src/decision/batch/runner.rs
@@ -117,7 +117,9 @@
             if journal.has(&item.id) {
                 return Slot::Listed;
             }
-            let fitting = drafts.iter().filter(|d| d.id == item.id && terms.versions.fit(&d.partial));
+            let fitting = drafts
+                .iter()
+                .filter(|d| d.id == item.id && terms.versions.fit(&d.partial));
             let best = fitting.max_by_key(|d| (d.whole, d.partial.events));
             let partial = best.map(|d| d.partial.clone()).unwrap_or_default();
             let run = Run::new(item.clone(), partial);
@@ -283,7 +285,12 @@
     }
 
     /// Takes in the end of a scoring request.
-    pub fn scored(&mut self, now: Time, id: RunId, end: &ScoreEnd) -> Option<(TargetName, CallEnd)> {
+    pub fn scored(
+        &mut self,
+        now: Time,
+        id: RunId,
+        end: &ScoreEnd,
+    ) -> Option<(TargetName, CallEnd)> {
         let index = self.runs.remove(&id)?;
         let slot = self.slots.get_mut(index)?;
         let Slot::Scoring(run) = mem::replace(slot, Slot::Listed) else {
@@ -291,14 +298,19 @@
         };
         let target = run.state.target.clone();
         let (next, call) = match end {
-            ScoreEnd::Scored(score) => {
-                (Slot::Finished(run.complete(score.clone())), CallEnd::Answered)
-            }
+            ScoreEnd::Scored(score) => (
+                Slot::Finished(run.complete(score.clone())),
+                CallEnd::Answered,
+            ),
             ScoreEnd::Failed => (Slot::Texted(run.retry(now, RETRY, true)), CallEnd::Answered),
-            ScoreEnd::Refused => (Slot::Texted(run.retry(now, REFUSED, false)), CallEnd::Refused),
-            ScoreEnd::Misdirected => {
-                (Slot::Texted(run.retry(now, RETRY, false)), CallEnd::Misdirected)
-            }
+            ScoreEnd::Refused => (
+                Slot::Texted(run.retry(now, REFUSED, false)),
+                CallEnd::Refused,
+            ),
+            ScoreEnd::Misdirected => (
+                Slot::Texted(run.retry(now, RETRY, false)),
+                CallEnd::Misdirected,
+            ),
             ScoreEnd::Lost(_) => (Slot::Texted(run.retry(now, RETRY, false)), CallEnd::Failed),
         };
         *slot = next;
--- a/crates/core/src/decision/directory.rs
+++ b/crates/core/src/decision/directory.rs
@@ -182,7 +182,9 @@
 
     /// Returns all known requests at a target.
     pub fn busy(&self, name: &TargetName) -> u32 {
-        self.targets.get(name).map_or(0, |t| t.running + t.elsewhere)
+        self.targets
+            .get(name)
+            .map_or(0, |t| t.running + t.elsewhere)
     }
 
     /// Takes in the sums of the requests of other processes.
@@ -315,16 +317,28 @@
             (Some(pace), Some(median)) if median > 0.0 => (pace / median).max(1.0),
             _ => 1.0,
         };
-        let far = if self.listed.centre == *centre { 0.0 } else { FAR };
+        let far = if self.listed.centre == *centre {
+            0.0
+        } else {
+            FAR
+        };
         let held = need.prefer.as_ref() == Some(&self.listed.name);
         let prompt = if held { PREFERRED } else { 0.0 };
         let common = far - prompt + self.tie(need.seed);
-        let Some(versions) = need.model.as_ref().and_then(|need| self.versions_above(need)) else {
+        let Some(versions) = need
+            .model
+            .as_ref()
+            .and_then(|need| self.versions_above(need))
+        else {
             return (load + 0.5) * relative + common;
         };
         // Full engines are hardly slower, so runs are packed: the others stay free for a load of
         // the next version, which would interrupt runs.
-        let slow = if relative > EVEN { relative * PACE } else { 0.0 };
+        let slow = if relative > EVEN {
+            relative * PACE
+        } else {
+            0.0
+        };
         slow - load - NEWER * versions + common
     }
 
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -71,7 +71,11 @@
         for task in tasks {
             match task {
                 Task::Generate { .. } if full => {}
-                Task::Generate { index, avoid, group } => {
+                Task::Generate {
+                    index,
+                    avoid,
+                    group,
+                } => {
                     let Some(route) = &route else {
                         continue;
                     };
@@ -93,28 +97,7 @@
         group: Option<&GroupName>,
     ) -> bool {
         let now = self.now;
-        let draw = self.draw();
-        let Some(pool) = route.pool(draw) else {
-            return false;
-        };
-        let prefer = match self.jobs.get(id).map(|job| &job.work) {
-            Some(Work::Running(active)) => active.runner.home(group),
-            _ => None,
-        };
-        let mut need = Need {
-            model: head.model.clone().map(|model| (model, head.least)),
-            tried: avoid.into_iter().collect(),
-            prefer,
-            room: true,
-            paused: false,
-            seed: self.me.seed,
-        };
-        let mut choice = self.directory.choose(now, pool, &need, &self.me.centre);
-        if choice.is_none() && !need.tried.is_empty() {
-            need.tried.clear();
-            choice = self.directory.choose(now, pool, &need, &self.me.centre);
-        }
-        let Some(target) = choice else {
+        let Some(target) = self.choose_engine(id, head, route, avoid, group) else {
             return false;
         };
         let run = self.new_run();
@@ -129,7 +112,9 @@
             return true;
         };
         let version = self.directory.get(&target.name);
-        let version = version.zip(head.model.as_ref()).and_then(|(t, m)| t.version(m));
+        let version = version
+            .zip(head.model.as_ref())
+            .and_then(|(t, m)| t.version(m));
         self.log(
             Event::ItemSent,
             vec![
@@ -157,6 +142,39 @@
         true
     }
 
+    /// Chooses the target of an item.
+    fn choose_engine(
+        &mut self,
+        id: &BatchId,
+        head: &Head,
+        route: &Route,
+        avoid: Option<TargetName>,
+        group: Option<&GroupName>,
+    ) -> Option<Choice> {
+        let now = self.now;
+        let draw = self.draw();
+        let pool = route.pool(draw)?;
+        let prefer = match self.jobs.get(id).map(|job| &job.work) {
+            Some(Work::Running(active)) => active.runner.home(group),
+            _ => None,
+        };
+        let mut need = Need {
+            model: head.model.clone().map(|model| (model, head.least)),
+            tried: avoid.into_iter().collect(),
+            prefer,
+            room: true,
+            paused: false,
+            seed: self.me.seed,
+        };
+        let centre = &self.me.centre;
+        let choice = self.directory.choose(now, pool, &need, centre);
+        if choice.is_some() || need.tried.is_empty() {
+            return choice;
+        }
+        need.tried.clear();
+        self.directory.choose(now, pool, &need, centre)
+    }
+
     /// Sends a text to a target that scores it.
     fn score(&mut self, id: &BatchId, index: usize, scorer: Scorer) {
         let now = self.now;
@@ -183,7 +201,8 @@
             ..Need::default()
         };
         let pool = route.pool(draw)?;
-        self.directory.choose(self.now, pool, &need, &self.me.centre)
+        self.directory
+            .choose(self.now, pool, &need, &self.me.centre)
     }
 
     /// Returns the failures of the scoring request after which an item is given up.
@@ -219,7 +238,8 @@
                     let pool = self.directory.get(&target).map(|t| t.pool.clone());
                     let model = job.head.model.clone().map(|m| (m, job.head.least));
                     let spare = pool.is_some_and(|pool| {
-                        self.directory.has_fast_room(self.now, &pool, model.as_ref())
+                        self.directory
+                            .has_fast_room(self.now, &pool, model.as_ref())
                     });
                     if !spare {
                         break;
@@ -258,7 +278,10 @@
                 if let Some(pace) = pace {
                     self.directory.note_pace(&pace.target, pace.millis);
                 }
-                found = active.runner.ended(now, run, end, partial).map(|f| (id.clone(), f));
+                found = active
+                    .runner
+                    .ended(now, run, end, partial)
+                    .map(|f| (id.clone(), f));
                 break;
             }
         }
--- a/crates/core/src/decision/gateway/draft.rs
+++ b/crates/core/src/decision/gateway/draft.rs
@@ -154,15 +154,19 @@
         let group = item.and_then(|item| item.group.as_ref());
         outcome.complete && group.is_some_and(|group| groups.contains(group))
     };
-    let drafts = journal.outcomes().iter().filter(again).map(|outcome| Draft {
-        id: outcome.id.clone(),
-        partial: Partial {
-            text: outcome.text.to_string(),
-            // The number of events only matters for texts that go on.
-            events: u64::MAX,
-            versions: outcome.versions.clone(),
-        },
-        whole: true,
-    });
+    let drafts = journal
+        .outcomes()
+        .iter()
+        .filter(again)
+        .map(|outcome| Draft {
+            id: outcome.id.clone(),
+            partial: Partial {
+                text: outcome.text.to_string(),
+                // The number of events only matters for texts that go on.
+                events: u64::MAX,
+                versions: outcome.versions.clone(),
+            },
+            whole: true,
+        });
     drafts.collect()
 }
--- a/crates/core/src/decision/gateway/duty.rs
+++ b/crates/core/src/decision/gateway/duty.rs
@@ -146,7 +146,10 @@
 
     fn read_lease(&mut self) {
         self.duty.asked = Asked::Read;
-        self.call_store(Purpose::Lease, StoreCall::Get(Kind::Leases, Arc::from(DUTY)));
+        self.call_store(
+            Purpose::Lease,
+            StoreCall::Get(Kind::Leases, Arc::from(DUTY)),
+        );
     }
 
     fn write_lease(&mut self, write: LeaseWrite) {
@@ -171,12 +174,8 @@
             (Some(Side::Vacant(lease)), Asked::Write) => {
                 claimed(lease.answered(now, &as_write(answer)))
             }
-            (Some(Side::Held(lease)), Asked::Read) => {
-                kept(lease.observed(now, as_read(answer)))
-            }
-            (Some(Side::Held(lease)), Asked::Write) => {
-                kept(lease.answered(now, &as_write(answer)))
-            }
+            (Some(Side::Held(lease)), Asked::Read) => kept(lease.observed(now, as_read(answer))),
+            (Some(Side::Held(lease)), Asked::Write) => kept(lease.answered(now, &as_write(answer))),
             (side, Asked::Nothing) => (side, Turn::Same),
             (None, _) => (None, Turn::Same),
         };
@@ -288,7 +287,9 @@
     }
 }
 
-fn as_write(answer: Result<Answer, ObjectError>) -> Result<crate::domain::ids::Revision, ObjectError> {
+fn as_write(
+    answer: Result<Answer, ObjectError>,
+) -> Result<crate::domain::ids::Revision, ObjectError> {
     match answer? {
         Answer::Written(revision) => Ok(revision),
         Answer::Found(_) => Err(ObjectError::Invalid("not the answer to a write".to_owned())),
--- a/crates/core/src/decision/gateway/jobs.rs
+++ b/crates/core/src/decision/gateway/jobs.rs
@@ -141,9 +141,10 @@
 
     /// Tells whether a process is the runner of record.
     pub(super) fn is_mine(&self, me: &Peer) -> bool {
-        self.head.runner.as_ref().is_some_and(|runner| {
-            runner.host == me.host && runner.incarnation == me.incarnation
-        })
+        self.head
+            .runner
+            .as_ref()
+            .is_some_and(|runner| runner.host == me.host && runner.incarnation == me.incarnation)
     }
 
     /// Tells whether the job needs frequent ticks.
@@ -238,7 +239,10 @@
         };
         let route = self.table.as_ref().and_then(|t| find_route(t, &job.head));
         let attempts = route.as_ref().map_or(1, |r| r.attempts.max(1));
-        let retention = route.as_ref().and_then(|r| r.rollout()).map(|t| t.retention);
+        let retention = route
+            .as_ref()
+            .and_then(|r| r.rollout())
+            .map(|t| t.retention);
         // Without its route the job waits for a configuration that has it.
         let retention = retention.unwrap_or(Duration::from_secs(40));
         let accepted = Time(job.head.accepted.0.saturating_sub(epoch));
@@ -247,7 +251,10 @@
             until: accepted + retention,
             versions: VersionTerms {
                 least: job.head.least,
-                single: route.as_ref().and_then(|r| r.rollout()).is_some_and(|t| t.single),
+                single: route
+                    .as_ref()
+                    .and_then(|r| r.rollout())
+                    .is_some_and(|t| t.single),
             },
         };
         let mut drafts: Vec<Draft> = match std::mem::take(&mut job.drafts) {
@@ -707,10 +714,7 @@
 }
 
 /// Finds the route of a job in the newest configuration.
-pub(super) fn find_route(
-    table: &RouteTable,
-    head: &Head,
-) -> Option<Arc<Route>> {
+pub(super) fn find_route(table: &RouteTable, head: &Head) -> Option<Arc<Route>> {
     let routes = table.hosts.get(&head.host)?;
     routes.iter().find(|r| r.name == head.route).cloned()
 }
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -240,20 +240,38 @@
 
     /// Tells whether nothing is left to do after a drain.
     pub fn is_drained(&self) -> bool {
-        let held = self.jobs.values().any(|job| job.is_mine(&self.me.peer) && !job.head.ended);
+        let held = self
+            .jobs
+            .values()
+            .any(|job| job.is_mine(&self.me.peer) && !job.head.ended);
         self.draining && !held && self.submissions.is_empty() && self.duty.is_free()
     }
 
     fn ask(&mut self, call: CallId, question: Question) {
         match question {
             Question::Pick { pool, tried } => self.pick(call, &pool, tried),
-            Question::Submit { id, workspace, route, batch } => {
+            Question::Submit {
+                id,
+                workspace,
+                route,
+                batch,
+            } => {
                 self.submit(call, id, workspace, &route, batch);
             }
-            Question::Read { id, workspace, after, wait, here } => {
+            Question::Read {
+                id,
+                workspace,
+                after,
+                wait,
+                here,
+            } => {
                 self.read(call, id, workspace, after, wait, here);
             }
-            Question::Body { id, workspace, item } => self.body(call, id, workspace, item),
+            Question::Body {
+                id,
+                workspace,
+                item,
+            } => self.body(call, id, workspace, item),
             Question::End { id, workspace } => self.end(call, id, workspace),
             Question::Ping => {
                 let pong = Pong {
@@ -277,15 +295,21 @@
             seed: self.me.seed,
             ..Need::default()
         };
-        let mut choice = self.directory.choose(self.now, pool, &need, &self.me.centre);
+        let mut choice = self
+            .directory
+            .choose(self.now, pool, &need, &self.me.centre);
         if choice.is_none() && !need.tried.is_empty() {
             // A second attempt at the same target is better than none.
             need.tried.clear();
-            choice = self.directory.choose(self.now, pool, &need, &self.me.centre);
+            choice = self
+                .directory
+                .choose(self.now, pool, &need, &self.me.centre);
         }
         if choice.is_none() {
             need.paused = true;
-            choice = self.directory.choose(self.now, pool, &need, &self.me.centre);
+            choice = self
+                .directory
+                .choose(self.now, pool, &need, &self.me.centre);
         }
         self.reply(call, choice.map_or(Reply::NoTarget, Reply::Target));
     }
@@ -298,7 +322,11 @@
         if kind == Kind::Targets {
             self.watched = up.then_some(self.watched.unwrap_or(self.now));
         }
-        let event = if up { Event::WatchRegained } else { Event::WatchLost };
+        let event = if up {
+            Event::WatchRegained
+        } else {
+            Event::WatchLost
+        };
         self.log(event, vec![("kind", format!("{kind:?}"))]);
     }
 
--- a/crates/core/src/decision/gateway/peers.rs
+++ b/crates/core/src/decision/gateway/peers.rs
@@ -62,7 +62,10 @@
         let host: Arc<str> = Arc::from(self.me.peer.host.as_str());
         let record = Record::Peer(self.me.peer.clone());
         self.peers.next_announce = self.now + SILENCE_LIMIT;
-        self.call_store(Purpose::Announce, StoreCall::Create(Kind::Peers, host, record));
+        self.call_store(
+            Purpose::Announce,
+            StoreCall::Create(Kind::Peers, host, record),
+        );
     }
 
     /// Takes in the answer to the announcement. An entry of an earlier run is replaced.
@@ -140,7 +143,9 @@
                 runners.insert(runner.host.clone(), peer);
             }
         }
-        self.peers.health.retain(|host, _| runners.contains_key(host));
+        self.peers
+            .health
+            .retain(|host, _| runners.contains_key(host));
         for (host, peer) in runners {
             let health = self.peers.health.entry(host).or_insert_with(|| Health {
                 good: now,
--- a/crates/core/src/decision/gateway/source.rs
+++ b/crates/core/src/decision/gateway/source.rs
@@ -123,8 +123,10 @@
         let mut peers = self.others();
         peers.sort_by_key(|peer| rank_of(me.as_str(), &peer.host));
         let addresses = peers.iter().map(|peer| peer.address);
-        let relays: Vec<SocketAddr> =
-            addresses.filter(|a| !self.feed.avoided.contains_key(a)).take(RELAYS).collect();
+        let relays: Vec<SocketAddr> = addresses
+            .filter(|a| !self.feed.avoided.contains_key(a))
+            .take(RELAYS)
+            .collect();
         if relays != self.feed.relays {
             self.feed.relays.clone_from(&relays);
             self.effects.push(Effect::Relay(relays));
--- a/crates/core/src/decision/gateway/submit.rs
+++ b/crates/core/src/decision/gateway/submit.rs
@@ -56,7 +56,14 @@
     ) {
         if let Some(job) = self.jobs.get(&id) {
             let known = job.belongs_to(workspace.as_ref());
-            self.reply(call, if known { Reply::Accepted } else { Reply::NotAccepted });
+            self.reply(
+                call,
+                if known {
+                    Reply::Accepted
+                } else {
+                    Reply::NotAccepted
+                },
+            );
             return;
         }
         if let Some(submission) = self.submissions.get_mut(&id) {
@@ -149,7 +156,10 @@
                 }
                 self.learn_head(id, *revision, submission.head.clone());
                 // The job is new, so there is nothing to read before it runs.
-                let fresh = self.jobs.get_mut(id).filter(|job| job.is_mine(&self.me.peer));
+                let fresh = self
+                    .jobs
+                    .get_mut(id)
+                    .filter(|job| job.is_mine(&self.me.peer));
                 if let Some(job) = fresh {
                     job.complete = Some(now);
                     job.batch = Some(submission.batch.clone());
@@ -191,7 +201,11 @@
             ],
         );
         for call in submission.calls {
-            let reply = if unsure { Reply::Unsure } else { Reply::NotAccepted };
+            let reply = if unsure {
+                Reply::Unsure
+            } else {
+                Reply::NotAccepted
+            };
             self.reply(call, reply);
         }
     }
--- a/crates/core/src/decision/gateway/usage.rs
+++ b/crates/core/src/decision/gateway/usage.rs
@@ -109,7 +109,9 @@
         let limit = millis(self.me.report_limit);
         let wall = self.wall().0;
         let tally = &self.tally;
-        self.reports.open.retain(|window, _| wall < tally.end(*window).0 + limit);
+        self.reports
+            .open
+            .retain(|window, _| wall < tally.end(*window).0 + limit);
     }
 
     fn step_window(&mut self, window: u64) {
@@ -124,8 +126,10 @@
         let mut effects = Vec::new();
         match &mut open.state {
             State::Collecting(counts, next) => {
-                let missing: Vec<_> =
-                    others.iter().filter(|p| !counts.contains_key(&p.host)).collect();
+                let missing: Vec<_> = others
+                    .iter()
+                    .filter(|p| !counts.contains_key(&p.host))
+                    .collect();
                 if missing.is_empty() || now >= open.since + COLLECT_LIMIT {
                     let mut sum = self.tally.counts(window);
                     for (workspace, count) in counts.values().flatten() {
--- a/crates/core/src/decision/gateway/view.rs
+++ b/crates/core/src/decision/gateway/view.rs
@@ -34,7 +34,9 @@
             }
             Kind::Heads => {
                 let stored = |id: &BatchId| {
-                    views.iter().any(|view| matches!(view, View::Head(head, ..) if head == id))
+                    views
+                        .iter()
+                        .any(|view| matches!(view, View::Head(head, ..) if head == id))
                 };
                 let gone: Vec<BatchId> =
                     self.jobs.keys().filter(|id| !stored(id)).cloned().collect();
@@ -83,7 +85,10 @@
                 if self.weights.name(self.now, model.clone(), version) {
                     self.log(
                         Event::VersionNamed,
-                        vec![("model", model.to_string()), ("version", version.to_string())],
+                        vec![
+                            ("model", model.to_string()),
+                            ("version", version.to_string()),
+                        ],
                     );
                     self.tick_weights();
                 }
@@ -96,10 +101,17 @@
     }
 
     fn learn_table(&mut self, table: std::sync::Arc<RouteTable>) {
-        if self.table.as_ref().is_some_and(|known| known.version >= table.version) {
+        if self
+            .table
+            .as_ref()
+            .is_some_and(|known| known.version >= table.version)
+        {
             return;
         }
-        self.log(Event::ConfigInForce, vec![("version", table.version.to_string())]);
+        self.log(
+            Event::ConfigInForce,
+            vec![("version", table.version.to_string())],
+        );
         self.table = Some(table.clone());
         self.effects.push(Effect::Publish(table));
         self.dispatch();
@@ -108,7 +120,8 @@
     /// Tells whether entries of targets may be missing because of an outage.
     fn is_shaken(&self) -> bool {
         const SETTLED: std::time::Duration = std::time::Duration::from_millis(2_000);
-        self.watched.is_none_or(|since| self.now.since(since) < SETTLED)
+        self.watched
+            .is_none_or(|since| self.now.since(since) < SETTLED)
     }
 
     /// Routes the answer of the object API to its subject.
--- a/crates/core/src/decision/lease/vacant.rs
+++ b/crates/core/src/decision/lease/vacant.rs
@@ -142,7 +142,12 @@
             return Claim::Vacant(self);
         };
         let until = valid_until(tried.last, self.terms.length);
-        let held = Held::new(*revision, tried.fence, until, tried.last + self.terms.renewal);
+        let held = Held::new(
+            *revision,
+            tried.fence,
+            until,
+            tried.last + self.terms.renewal,
+        );
         Claim::Held(self.with(held))
     }
 
@@ -183,7 +188,14 @@
         let tried = self.state.tried?;
         let own = record.holder == Some(self.me) && record.fence == tried.fence;
         let until = valid_until(tried.first, record.length());
-        own.then(|| Held::new(*revision, record.fence, until, tried.first + self.terms.renewal))
+        own.then(|| {
+            Held::new(
+                *revision,
+                record.fence,
+                until,
+                tried.first + self.terms.renewal,
+            )
+        })
     }
 }
 
--- a/crates/core/src/decision/weights.rs
+++ b/crates/core/src/decision/weights.rs
@@ -184,7 +184,8 @@
         if replica.busy == 0 {
             return now >= named.since + LEAD;
         }
-        let home = |r: &&Replica| r.model == replica.model && self.homes.get(&r.target) == Some(&r.model);
+        let home =
+            |r: &&Replica| r.model == replica.model && self.homes.get(&r.target) == Some(&r.model);
         let usable = |r: &&Replica| r.version.0 + BEHIND > named.version.0;
         let all = replicas.iter().filter(home).count();
         let fit = replicas.iter().filter(home).filter(usable).count();
@@ -198,8 +199,11 @@
         let targets: BTreeSet<&TargetName> = replicas.iter().map(|r| &r.target).collect();
         let quota = targets.len().div_ceil(models.len().max(1));
         let floor = targets.len() / models.len().max(1);
-        self.homes
-            .retain(|target, model| replicas.iter().any(|r| r.target == *target && r.model == *model));
+        self.homes.retain(|target, model| {
+            replicas
+                .iter()
+                .any(|r| r.target == *target && r.model == *model)
+        });
         let homes = &self.homes;
         let count = |model: &ModelName| homes.values().filter(|home| *home == model).count();
         // A target of a model with too many moves on once another model has too few.
@@ -220,7 +224,10 @@
                 continue;
             }
             let of_target = replicas.iter().filter(|r| r.target == *target);
-            let lag = |r: &Replica| self.named(&r.model).map_or(0, |v| v.0.saturating_sub(r.version.0));
+            let lag = |r: &Replica| {
+                self.named(&r.model)
+                    .map_or(0, |v| v.0.saturating_sub(r.version.0))
+            };
             let count = |r: &Replica| counts.get(&r.model).copied().unwrap_or(0);
             let best = of_target.min_by_key(|r| (count(r) >= quota, lag(r), count(r)));
             if let Some(best) = best {
--- a/crates/core/src/domain/table.rs
+++ b/crates/core/src/domain/table.rs
@@ -126,7 +126,11 @@
     }
 
     /// Finds the workspace that a request on a route runs for, or none on an open route.
-    pub fn admit(&self, route: &Route, key: Option<&[u8]>) -> Result<Option<WorkspaceName>, Denial> {
+    pub fn admit(
+        &self,
+        route: &Route,
+        key: Option<&[u8]>,
+    ) -> Result<Option<WorkspaceName>, Denial> {
         if route.open || !self.keyed {
             return Ok(None);
         }
--- /dev/null
+++ b/crates/core/tests/directory.rs
@@ -0,0 +1,146 @@
+//! Directory of targets: which one is chosen, and when an entry is dropped.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use sardinepath_core::decision::directory::CallEnd;
+use sardinepath_core::decision::directory::Directory;
+use sardinepath_core::decision::directory::Need;
+use sardinepath_core::domain::fleet::Listed;
+use sardinepath_core::domain::ids::WeightVersion;
+use sardinepath_core::domain::name::CentreName;
+use sardinepath_core::domain::name::ModelName;
+use sardinepath_core::domain::name::PoolName;
+use sardinepath_core::domain::name::TargetName;
+use sardinepath_core::domain::time::Time;
+
+fn listed(name: &str, version: u64) -> Listed {
+    Listed {
+        name: TargetName::from(name),
+        pool: PoolName::from("engines"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        centre: CentreName::from("here"),
+        slots: 2,
+        leaving: false,
+        models: vec![(ModelName::from("m"), WeightVersion(version))],
+        born: 1,
+    }
+}
+
+fn directory(targets: &[Listed]) -> Directory {
+    let mut directory = Directory::default();
+    for target in targets {
+        directory.insert(target.clone());
+    }
+    directory
+}
+
+fn run(least: u64) -> Need {
+    Need {
+        model: Some((ModelName::from("m"), WeightVersion(least))),
+        room: true,
+        ..Need::default()
+    }
+}
+
+fn choose(directory: &mut Directory, now: u64, need: &Need) -> Option<String> {
+    let pool = PoolName::from("engines");
+    let choice = directory.choose(Time(now), &pool, need, &CentreName::from("here"));
+    choice.map(|c| c.name.to_string())
+}
+
+/// Fails if an item goes to a target whose weights are too old.
+#[test]
+fn a_target_with_older_weights_gets_no_run() {
+    let mut directory = directory(&[listed("old", 3), listed("new", 4)]);
+
+    let chosen: Vec<_> = (0..3).map(|_| choose(&mut directory, 0, &run(4))).collect();
+
+    assert_eq!(chosen, [Some("new".into()), Some("new".into()), None]);
+}
+
+/// Fails if runs spread over all targets, so that a load always interrupts some.
+#[test]
+fn runs_are_packed() {
+    let mut directory = directory(&[listed("a", 1), listed("b", 1)]);
+
+    let first = choose(&mut directory, 0, &run(1));
+    let second = choose(&mut directory, 0, &run(1));
+
+    assert_eq!(first, second);
+}
+
+/// Fails if plain requests pile up at one target.
+#[test]
+fn plain_requests_spread() {
+    let mut directory = directory(&[listed("a", 1), listed("b", 1)]);
+
+    let first = choose(&mut directory, 0, &Need::default());
+    let second = choose(&mut directory, 0, &Need::default());
+
+    assert_ne!(first, second);
+}
+
+/// Fails if a leaving target gets new work.
+#[test]
+fn a_leaving_target_is_not_chosen() {
+    let mut leaving = listed("a", 1);
+    leaving.leaving = true;
+    let mut directory = directory(&[leaving]);
+
+    assert_eq!(choose(&mut directory, 0, &Need::default()), None);
+}
+
+/// Fails if an entry of an earlier run of a target replaces that of the present one.
+#[test]
+fn an_entry_of_an_earlier_run_is_left_out() {
+    let mut present = listed("a", 2);
+    present.born = 20;
+    let mut earlier = listed("a", 9);
+    earlier.born = 10;
+    let directory = directory(&[present.clone(), earlier]);
+
+    assert_eq!(directory.get(&present.name), Some(&present));
+}
+
+/// Fails if a failing target is used again at once, or never again.
+#[test]
+fn a_failed_target_pauses() {
+    let mut directory = directory(&[listed("a", 1)]);
+    let name = TargetName::from(choose(&mut directory, 0, &Need::default()).unwrap());
+
+    directory.release(Time(0), &name, CallEnd::Failed);
+
+    assert_eq!(choose(&mut directory, 249, &Need::default()), None);
+    assert!(choose(&mut directory, 250, &Need::default()).is_some());
+}
+
+/// Fails if a target is given up because its entry lapsed while the object API was away, or if
+/// one that does not come back is kept.
+#[test]
+fn an_entry_that_lapsed_in_an_outage_has_two_seconds_to_come_back() {
+    let mut directory = directory(&[listed("a", 1), listed("b", 1)]);
+    directory.replace(Time(10_000), Vec::new(), true);
+    directory.insert(listed("a", 1));
+
+    let away = directory.expire(Time(60_000), None);
+    let early = directory.expire(Time(61_999), Some(Time(60_000)));
+    let late = directory.expire(Time(62_000), Some(Time(60_000)));
+
+    assert_eq!((away, early), (Vec::new(), Vec::new()));
+    assert_eq!(late, [TargetName::from("b")]);
+    assert!(directory.get(&TargetName::from("a")).is_some());
+}
+
+/// Fails if a target that is much slower than the others is not noticed.
+#[test]
+fn a_slow_target_is_noticed_and_comes_last() {
+    let mut directory = directory(&[listed("a", 1), listed("b", 1), listed("c", 1)]);
+    for (name, millis) in [("a", 40.0), ("b", 40.0), ("c", 150.0)] {
+        directory.note_pace(&TargetName::from(name), millis);
+    }
+
+    let chosen: Vec<_> = (0..5).filter_map(|_| choose(&mut directory, 0, &run(1))).collect();
+
+    assert!(directory.is_slow(&TargetName::from("c")));
+    assert_eq!(chosen.last(), Some(&"c".to_owned()));
+    assert_eq!(chosen.iter().filter(|name| *name == "c").count(), 1);
+}
--- a/crates/sardinepath/src/main.rs
+++ b/crates/sardinepath/src/main.rs
@@ -30,7 +30,9 @@
             settings,
             metrics,
             log,
-        }) => run_on_platform(&settings, log, |settings| role::run_gateway(settings, metrics)),
+        }) => run_on_platform(&settings, log, |settings| {
+            role::run_gateway(settings, metrics)
+        }),
         Ok(Command::Standby { settings, log }) => {
             run_on_platform(&settings, log, role::run_standby)
         }
