--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -138,7 +138,9 @@
         directory.note_pace(&TargetName::from(name), millis);
     }
 
-    let chosen: Vec<_> = (0..5).filter_map(|_| choose(&mut directory, 0, &run(1))).collect();
+    let chosen: Vec<_> = (0..5)
+        .filter_map(|_| choose(&mut directory, 0, &run(1)))
+        .collect();
 
     assert!(directory.is_slow(&TargetName::from("c")));
     assert_eq!(chosen.last(), Some(&"c".to_owned()));
--- /dev/null
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -0,0 +1,553 @@
+//! A world of gateways, one store and targets in virtual time, with faults.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use sardinepath_core::decision::batch::RunEnd;
+use sardinepath_core::decision::batch::RunId;
+use sardinepath_core::decision::batch::ScoreEnd;
+use sardinepath_core::decision::gateway::Gateway;
+use sardinepath_core::decision::gateway::Identity;
+use sardinepath_core::decision::gateway::message::Answer;
+use sardinepath_core::decision::gateway::message::CallId;
+use sardinepath_core::decision::gateway::message::Effect;
+use sardinepath_core::decision::gateway::message::Kind;
+use sardinepath_core::decision::gateway::message::Message;
+use sardinepath_core::decision::gateway::message::Pong;
+use sardinepath_core::decision::gateway::message::Question;
+use sardinepath_core::decision::gateway::message::Record;
+use sardinepath_core::decision::gateway::message::Reply;
+use sardinepath_core::decision::gateway::message::ReportEnd;
+use sardinepath_core::decision::gateway::message::StoreCall;
+use sardinepath_core::decision::gateway::message::View;
+use sardinepath_core::decision::lease::Terms;
+use sardinepath_core::decision::tally::Counts;
+use sardinepath_core::decision::weights::OrderEnd;
+use sardinepath_core::domain::batch::Batch;
+use sardinepath_core::domain::batch::Item;
+use sardinepath_core::domain::batch::Outcome;
+use sardinepath_core::domain::batch::Scorer;
+use sardinepath_core::domain::fleet::Listed;
+use sardinepath_core::domain::fleet::Peer;
+use sardinepath_core::domain::ids::Incarnation;
+use sardinepath_core::domain::ids::Revision;
+use sardinepath_core::domain::ids::WeightVersion;
+use sardinepath_core::domain::name::BatchId;
+use sardinepath_core::domain::name::CentreName;
+use sardinepath_core::domain::name::GroupName;
+use sardinepath_core::domain::name::HostName;
+use sardinepath_core::domain::name::ItemId;
+use sardinepath_core::domain::name::ModelName;
+use sardinepath_core::domain::name::PoolName;
+use sardinepath_core::domain::name::RouteName;
+use sardinepath_core::domain::name::TargetName;
+use sardinepath_core::domain::name::WorkspaceName;
+use sardinepath_core::domain::table::RolloutTerms;
+use sardinepath_core::domain::table::Route;
+use sardinepath_core::domain::table::RouteKind;
+use sardinepath_core::domain::table::RouteTable;
+use sardinepath_core::domain::time::Time;
+use sardinepath_core::port::object::ObjectError;
+
+/// Milliseconds of one step of the world.
+pub const STEP: u64 = 20;
+
+/// Milliseconds of a call to the store.
+const STORE_TIME: u64 = 20;
+
+/// Milliseconds of a generation.
+const RUN_TIME: u64 = 700;
+
+/// Key of an object.
+type Key = (Kind, Arc<str>);
+
+/// What the store does to the calls of one gateway.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreFault {
+    None,
+    /// Calls have no effect and fail.
+    Away,
+    /// Calls have their effect, but no answer.
+    AnswerLost,
+    /// Calls have their effect three seconds later, and no answer.
+    Late,
+}
+
+pub struct Node {
+    pub gateway: Option<Gateway>,
+    pub fault: StoreFault,
+    /// A frozen process handles nothing until it wakes.
+    pub frozen: bool,
+    incarnation: u64,
+    inbox: Vec<(u64, Message)>,
+    replies: BTreeMap<CallId, Reply>,
+    runs: BTreeSet<RunId>,
+}
+
+pub struct World {
+    pub now: u64,
+    pub nodes: Vec<Node>,
+    store: BTreeMap<Key, (u64, Record)>,
+    revision: u64,
+    /// Calls whose effect comes later.
+    late: Vec<(u64, StoreCall)>,
+    next_call: u64,
+    /// Starts of generations by item.
+    pub starts: BTreeMap<ItemId, Vec<u64>>,
+    /// Reports by window, with the host and fencing token of each.
+    pub reports: BTreeMap<u64, Vec<(usize, u64, Counts)>>,
+    /// Orders by target, with the host, fencing token and time of each.
+    pub orders: Vec<(usize, u64, u64)>,
+}
+
+pub fn host(index: usize) -> HostName {
+    HostName::from(format!("g{index}"))
+}
+
+pub fn batch_id() -> BatchId {
+    BatchId::from("b1")
+}
+
+pub fn workspace() -> Option<WorkspaceName> {
+    Some(WorkspaceName::from("press"))
+}
+
+fn address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 7_000 + u16::try_from(index).unwrap()))
+}
+
+pub fn route() -> Arc<Route> {
+    Arc::new(Route {
+        name: RouteName::from("dreams"),
+        host: Arc::from("dreams.example"),
+        prefix: Arc::from("/dreams/"),
+        kind: RouteKind::Rollout(RolloutTerms {
+            due: Duration::from_millis(7_500),
+            retention: Duration::from_secs(600),
+            single: false,
+        }),
+        timeout: Duration::from_secs(10),
+        objective: Duration::from_millis(400),
+        split: vec![(PoolName::from("engines"), 1)],
+        attempts: 3,
+        open: false,
+        rank: 0,
+    })
+}
+
+fn score_route() -> Arc<Route> {
+    Arc::new(Route {
+        name: RouteName::from("scores"),
+        prefix: Arc::from("/scores/"),
+        kind: RouteKind::Safe,
+        ..(*route()).clone()
+    })
+}
+
+fn table() -> Arc<RouteTable> {
+    let mut table = RouteTable {
+        version: 1,
+        keyed: true,
+        ..RouteTable::default()
+    };
+    table
+        .hosts
+        .insert(Arc::from("dreams.example"), vec![route(), score_route()]);
+    Arc::new(table)
+}
+
+/// Makes a submission of groups of four items.
+pub fn batch(items: usize) -> Arc<Batch> {
+    let item = |index: usize| {
+        Arc::new(Item {
+            id: ItemId::from(format!("i{index}")),
+            path: Arc::from("/dreams/x"),
+            headers: Vec::new(),
+            body: Arc::from(&b"body"[..]),
+            size: 10,
+            group: Some(GroupName::from(format!("g{}", index / 4))),
+            scorer: Some(Scorer {
+                id: Arc::from(format!("s{index}")),
+                host: Arc::from("dreams.example"),
+                path: Arc::from("/scores/x"),
+                body: Arc::from(&b"text"[..]),
+            }),
+        })
+    };
+    Arc::new(Batch {
+        model: Some(ModelName::from("m")),
+        least: WeightVersion(1),
+        items: (0..items).map(item).collect(),
+        source: Arc::from(items.to_string()),
+    })
+}
+
+fn target(index: usize) -> Listed {
+    Listed {
+        name: TargetName::from(format!("t{index}")),
+        pool: PoolName::from("engines"),
+        address: address(500 + index),
+        centre: CentreName::from("c"),
+        slots: 8,
+        leaving: false,
+        models: vec![(ModelName::from("m"), WeightVersion(1))],
+        born: 1,
+    }
+}
+
+impl World {
+    /// Starts gateways that know four targets and a configuration.
+    pub fn new(gateways: usize) -> Self {
+        let node = || Node {
+            gateway: None,
+            fault: StoreFault::None,
+            frozen: false,
+            incarnation: 0,
+            inbox: Vec::new(),
+            replies: BTreeMap::new(),
+            runs: BTreeSet::new(),
+        };
+        let mut world = Self {
+            now: 10_000,
+            nodes: (0..gateways).map(|_| node()).collect(),
+            store: BTreeMap::new(),
+            revision: 1,
+            late: Vec::new(),
+            next_call: 0,
+            starts: BTreeMap::new(),
+            reports: BTreeMap::new(),
+            orders: Vec::new(),
+        };
+        for index in 0..gateways {
+            world.start(index);
+        }
+        world.run(1_000);
+        world
+    }
+
+    /// Starts a process, also after a kill.
+    pub fn start(&mut self, index: usize) {
+        let incarnation = self.nodes[index].incarnation + 1;
+        let me = Identity {
+            peer: Peer {
+                host: host(index),
+                address: address(index),
+                incarnation: Incarnation(u64::try_from(index).unwrap() * 1_000 + incarnation),
+            },
+            centre: CentreName::from("c"),
+            epoch: 1_000_000_000,
+            lease: Terms {
+                length: Duration::from_secs(3),
+                renewal: Duration::from_secs(1),
+                poll: Duration::from_millis(1_500),
+                retry: Duration::from_millis(400),
+            },
+            window: Some(Duration::from_secs(5)),
+            report_limit: Duration::from_secs(10),
+            seed: incarnation + 77 * u64::try_from(index).unwrap(),
+        };
+        let node = &mut self.nodes[index];
+        node.incarnation = incarnation;
+        node.gateway = Some(Gateway::new(me, Time(self.now)));
+        node.inbox.clear();
+        node.replies.clear();
+        node.runs.clear();
+        let targets = (0..4).map(|i| View::Target(target(i))).collect();
+        let heads = self.views(Kind::Heads);
+        let peers = self.views(Kind::Peers);
+        for message in [
+            Message::Changed(View::Table(table())),
+            Message::Listing(Kind::Targets, targets),
+            Message::Listing(Kind::Heads, heads),
+            Message::Listing(Kind::Peers, peers),
+        ] {
+            self.send(index, STORE_TIME, message);
+        }
+    }
+
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index].gateway = None;
+        self.nodes[index].inbox.clear();
+    }
+
+    /// Asks a gateway. The reply is found with `reply`.
+    pub fn ask(&mut self, index: usize, question: Question) -> CallId {
+        self.next_call += 1;
+        let call = CallId(self.next_call);
+        self.send(index, 0, Message::Ask(call, question));
+        call
+    }
+
+    pub fn reply(&self, index: usize, call: CallId) -> Option<&Reply> {
+        self.nodes[index].replies.get(&call)
+    }
+
+    pub fn submit(&mut self, index: usize, items: usize) -> CallId {
+        let question = Question::Submit {
+            id: batch_id(),
+            workspace: workspace(),
+            route: route(),
+            batch: batch(items),
+        };
+        self.ask(index, question)
+    }
+
+    /// Reads all results at a gateway, from the start until nothing new comes.
+    pub fn read_all(&mut self, index: usize) -> Vec<Arc<Outcome>> {
+        let mut all: Vec<Arc<Outcome>> = Vec::new();
+        loop {
+            let question = Question::Read {
+                id: batch_id(),
+                workspace: workspace(),
+                after: all.len(),
+                wait: Duration::ZERO,
+                here: true,
+            };
+            let call = self.ask(index, question);
+            self.run(1_500);
+            match self.reply(index, call) {
+                Some(Reply::Results(_, _, outcomes)) if !outcomes.is_empty() => {
+                    all.extend(outcomes.iter().cloned());
+                }
+                Some(Reply::Results(..)) => return all,
+                other => panic!("no results: {other:?}"),
+            }
+        }
+    }
+
+    pub fn message(&mut self, index: usize, message: Message) {
+        self.send(index, 0, message);
+    }
+
+    /// Names of the results that stand in the store, in their order.
+    pub fn listed(&self) -> Vec<ItemId> {
+        let pages = self
+            .store
+            .iter()
+            .filter(|((kind, _), _)| *kind == Kind::Pages);
+        let mut listed = Vec::new();
+        for ((_, name), (_, record)) in pages {
+            let Record::Page(page) = record else {
+                panic!("not a page")
+            };
+            let start: usize = name.rsplit_once('.').unwrap().1.parse().unwrap();
+            assert_eq!(start, listed.len(), "pages leave no gap and do not overlap");
+            listed.extend(page.outcomes.iter().map(|o| o.id.clone()));
+        }
+        listed
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += STEP;
+            let due: Vec<_> = self
+                .late
+                .extract_if(.., |(at, _)| *at <= self.now)
+                .collect();
+            for (_, call) in due {
+                let _ = self.apply(call);
+            }
+            for index in 0..self.nodes.len() {
+                self.step(index);
+            }
+        }
+    }
+
+    fn step(&mut self, index: usize) {
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        if node.frozen || node.gateway.is_none() {
+            return;
+        }
+        let mut due: Vec<_> = node.inbox.extract_if(.., |(at, _)| *at <= now).collect();
+        due.sort_by_key(|(at, _)| *at);
+        for (_, message) in due {
+            if let Message::RunEnded(run, ..) | Message::Scored(run, _) = &message
+                && !self.nodes[index].runs.remove(run)
+            {
+                continue;
+            }
+            let Some(gateway) = &mut self.nodes[index].gateway else {
+                return;
+            };
+            let effects = gateway.handle(Time(now), message);
+            self.perform(index, effects);
+        }
+        let Some(gateway) = &mut self.nodes[index].gateway else {
+            return;
+        };
+        let effects = gateway.tick(Time(now));
+        self.perform(index, effects);
+    }
+
+    fn perform(&mut self, index: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Reply(call, reply) => drop(self.nodes[index].replies.insert(call, reply)),
+                Effect::Store(purpose, call) => {
+                    let answer = self.call(index, call);
+                    self.send(index, STORE_TIME, Message::Stored(purpose, answer));
+                }
+                Effect::Decode(id, source) => {
+                    let decoded = batch(source.parse().unwrap());
+                    self.send(index, 0, Message::Decoded(id, Some(decoded)));
+                }
+                Effect::Run(order) => {
+                    self.starts
+                        .entry(order.item.id.clone())
+                        .or_default()
+                        .push(self.now);
+                    self.nodes[index].runs.insert(order.id);
+                    let mut partial = order.partial.clone();
+                    let next = partial.events + 1;
+                    order.terms.push(&mut partial, next, 1, "text").unwrap();
+                    let message = Message::RunEnded(order.id, RunEnd::Complete, partial);
+                    self.send(index, RUN_TIME, message);
+                }
+                Effect::Score(run, ..) => {
+                    self.nodes[index].runs.insert(run);
+                    let end = ScoreEnd::Scored(Arc::from("digest"));
+                    self.send(index, STEP, Message::Scored(run, end));
+                }
+                Effect::Stop(run) => drop(self.nodes[index].runs.remove(&run)),
+                Effect::Ping(peer) => {
+                    let pong = self.pong(&peer);
+                    self.send(index, STEP, Message::Pinged(peer.host, pong));
+                }
+                Effect::Collect(window, peer) => {
+                    let alive = self.pong(&peer).is_some();
+                    let counts = alive.then(Counts::new);
+                    self.send(index, STEP, Message::Collected(window, peer.host, counts));
+                }
+                Effect::Order(load, _, permit) => {
+                    if permit.allows(Time(self.now)) {
+                        self.orders.push((index, permit.fence.0, self.now));
+                    }
+                    self.send(
+                        index,
+                        STEP,
+                        Message::Ordered(load.target, OrderEnd::Accepted),
+                    );
+                }
+                Effect::Report(window, counts, permit) => {
+                    let entry = (index, permit.fence.0, counts);
+                    self.reports.entry(window).or_default().push(entry);
+                    self.send(index, STEP, Message::Reported(window, ReportEnd::Accepted));
+                }
+                Effect::Publish(_)
+                | Effect::Close
+                | Effect::Follow(_)
+                | Effect::Relay(_)
+                | Effect::Move(_)
+                | Effect::Log(..) => {}
+            }
+        }
+    }
+
+    fn pong(&self, peer: &Peer) -> Option<Pong> {
+        let index = (0..self.nodes.len()).find(|i| host(*i) == peer.host)?;
+        let node = &self.nodes[index];
+        let alive = node.gateway.is_some() && !node.frozen;
+        let incarnation = u64::try_from(index).unwrap() * 1_000 + node.incarnation;
+        let cut = node.fault == StoreFault::Away;
+        alive.then(|| Pong {
+            incarnation: Incarnation(incarnation),
+            silence: if cut { 60_000 } else { 0 },
+            load: BTreeMap::new(),
+        })
+    }
+
+    fn call(&mut self, index: usize, call: StoreCall) -> Result<Answer, ObjectError> {
+        match self.nodes[index].fault {
+            StoreFault::None => self.apply(call),
+            StoreFault::Away => Err(ObjectError::Unavailable("away".into())),
+            StoreFault::AnswerLost => {
+                let _ = self.apply(call);
+                Err(ObjectError::Unknown("lost".into()))
+            }
+            StoreFault::Late => {
+                self.late.push((self.now + 3_000, call));
+                Err(ObjectError::Unknown("late".into()))
+            }
+        }
+    }
+
+    fn apply(&mut self, call: StoreCall) -> Result<Answer, ObjectError> {
+        let conflict = |revision: u64| Err(ObjectError::Conflict(Some(Revision(revision))));
+        match call {
+            StoreCall::Get(kind, name) => {
+                let found = self.store.get(&(kind, name));
+                Ok(Answer::Found(
+                    found.map(|(at, record)| (Revision(*at), record.clone())),
+                ))
+            }
+            StoreCall::Create(kind, name, record) => match self.store.get(&(kind, name.clone())) {
+                Some((at, _)) => conflict(*at),
+                None => self.put(kind, name, record),
+            },
+            StoreCall::Update(kind, name, record, revision) => {
+                match self.store.get(&(kind, name.clone())) {
+                    Some((at, _)) if *at == revision.0 => self.put(kind, name, record),
+                    Some((at, _)) => conflict(*at),
+                    None => Err(ObjectError::Conflict(None)),
+                }
+            }
+            StoreCall::Delete(kind, name) => {
+                self.store.remove(&(kind, name));
+                Ok(Answer::Written(Revision(0)))
+            }
+        }
+    }
+
+    fn put(&mut self, kind: Kind, name: Arc<str>, record: Record) -> Result<Answer, ObjectError> {
+        self.revision += 1;
+        let revision = self.revision;
+        let view = view(&name, revision, &record);
+        self.store.insert((kind, name), (revision, record));
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].fault != StoreFault::Away {
+                let view = view.clone();
+                view.map(|view| self.send(index, STORE_TIME, Message::Changed(view)));
+            }
+        }
+        Ok(Answer::Written(Revision(revision)))
+    }
+
+    /// Tells a gateway everything again, as a watch does after a cut.
+    pub fn relist(&mut self, index: usize) {
+        for kind in [Kind::Heads, Kind::Peers] {
+            let views = self.views(kind);
+            self.send(index, STORE_TIME, Message::Listing(kind, views));
+        }
+    }
+
+    fn views(&self, kind: Kind) -> Vec<View> {
+        let objects = self.store.iter().filter(|((of, _), _)| *of == kind);
+        objects
+            .filter_map(|((_, name), (at, record))| view(name, *at, record))
+            .collect()
+    }
+
+    fn send(&mut self, index: usize, delay: u64, message: Message) {
+        if self.nodes[index].gateway.is_some() {
+            self.nodes[index].inbox.push((self.now + delay, message));
+        }
+    }
+}
+
+fn view(name: &str, revision: u64, record: &Record) -> Option<View> {
+    match record {
+        Record::Head(head) => Some(View::Head(
+            BatchId::from(name),
+            Revision(revision),
+            head.clone(),
+        )),
+        Record::Peer(peer) => Some(View::Peer(peer.clone())),
+        _ => None,
+    }
+}
--- a/crates/core/tests/weights.rs
+++ b/crates/core/tests/weights.rs
@@ -86,7 +86,11 @@
     let mut all = fleet(8, &models, 1);
     complete(&mut weights, &mut all);
     let serves = |r: &Replica| r.model.as_str() == "a" && r.version.0 == 2;
-    let gone: Vec<TargetName> = all.iter().filter(|r| serves(r)).map(|r| r.target.clone()).collect();
+    let gone: Vec<TargetName> = all
+        .iter()
+        .filter(|r| serves(r))
+        .map(|r| r.target.clone())
+        .collect();
     all.retain(|r| !gone.contains(&r.target));
 
     let loads = complete(&mut weights, &mut all);
