Add a randomized soak of real gateways under faults

Stand-ins of the platform's store, targets and usage interface, a loopback proxy before the store of each gateway, signals, and callers that check the promises.

--- a/crates/adapters/src/web/mod.rs
+++ b/crates/adapters/src/web/mod.rs
@@ -40,3 +40,8 @@
     let _ = socket.set_tcp_user_timeout(Some(SEND_LIMIT));
     let _ = stream.set_nodelay(true);
 }
+
+/// Wraps a connection for the server or client of the HTTP library.
+pub fn io(stream: TcpStream) -> hyper_util::rt::TokioIo<TcpStream> {
+    hyper_util::rt::TokioIo::new(stream)
+}
--- /dev/null
+++ b/soak/src/fleet.rs
@@ -0,0 +1,201 @@
+//! Gateways as separate processes, each behind a proxy of its own before the store.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use anyhow::Context;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use hyper::Request;
+use hyper::body::Incoming;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use sardinepath_adapters::web::Closing;
+use sardinepath_adapters::web::Listener;
+use sardinepath_platform::names;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::proxy::Proxy;
+use crate::store::LIMITS;
+use crate::store::answer;
+
+/// Accepted usage reports: window, holder, fencing token and counts.
+pub type Reports = Vec<(u64, String, u64, Value)>;
+
+/// A gateway process.
+#[derive(Debug)]
+pub struct GatewayProcess {
+    /// Address for callers.
+    pub front: SocketAddr,
+    /// Address for questions about readiness.
+    pub ready: SocketAddr,
+    /// Proxy before the store.
+    pub store: Proxy,
+    program: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+impl GatewayProcess {
+    /// Writes the settings of a gateway into a folder and starts it.
+    pub async fn start(
+        program: &Path,
+        folder: &Path,
+        index: usize,
+        store: SocketAddr,
+        cloud: SocketAddr,
+    ) -> anyhow::Result<Self> {
+        let store = Proxy::start(store).await?;
+        let (front, ready, internal) = (free()?, free()?, free()?);
+        let settings = json!({
+            "node": format!("g{index}"), "ip": "127.0.0.1", "zone": "z",
+            "listen": { "front": front.to_string(), "ready": ready.to_string() },
+            "internalPortRange": [internal.port(), internal.port()],
+            "bounds": {
+                "leaseDurationMs": 3_000, "usageWindowS": 2.0, "usageLateS": 10.0, "gracePeriodS": 8.0,
+            },
+            "platform": { "address": store.address.to_string() },
+            "cloud": { "address": cloud.to_string(), "duties": ["usage"] },
+        });
+        let file = folder.join(format!("g{index}.json"));
+        std::fs::write(&file, settings.to_string())?;
+        let mut process = Self {
+            front,
+            ready,
+            store,
+            program: program.to_owned(),
+            settings: file,
+            log: folder.join(format!("g{index}.log")),
+            child: None,
+        };
+        process.spawn()?;
+        Ok(process)
+    }
+
+    /// Starts the process if it does not run.
+    pub fn spawn(&mut self) -> anyhow::Result<()> {
+        if self.is_running() {
+            return Ok(());
+        }
+        let log: File = OpenOptions::new()
+            .create(true)
+            .append(true)
+            .open(&self.log)?;
+        let child = Command::new(&self.program)
+            .arg("gateway")
+            .arg("--settings")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()
+            .with_context(|| format!("could not start {}", self.program.display()))?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub fn signal(&mut self, signal: Signal) {
+        if !self.is_running() {
+            return;
+        }
+        let pid = self
+            .child
+            .as_ref()
+            .and_then(|c| i32::try_from(c.id()).ok())
+            .and_then(Pid::from_raw);
+        if let Some(pid) = pid {
+            // The process may have just ended.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Tells whether the process runs.
+    pub fn is_running(&mut self) -> bool {
+        self.child
+            .as_mut()
+            .is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Returns the code with which the process ended by itself.
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child.as_mut()?.try_wait().ok()??.code()
+    }
+}
+
+impl Drop for GatewayProcess {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // The process may have ended already.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+/// Starts the interface for usage reports. It checks fencing tokens.
+pub async fn start_cloud() -> anyhow::Result<(Arc<Mutex<Reports>>, SocketAddr)> {
+    let reports: Arc<Mutex<Reports>> = Arc::default();
+    let listener = Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+    let address = listener.address()?;
+    let books = reports.clone();
+    let highest: Arc<Mutex<BTreeMap<String, u64>>> = Arc::default();
+    let handle = move |request: Request<Incoming>| {
+        let (books, highest) = (books.clone(), highest.clone());
+        async move {
+            let (head, body) = request.into_parts();
+            let body = body
+                .collect()
+                .await
+                .map(|b| b.to_bytes())
+                .unwrap_or_default();
+            let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+            let text = |name: &str| {
+                head.headers
+                    .get(name)
+                    .and_then(|v| v.to_str().ok())
+                    .unwrap_or("")
+            };
+            let fence: u64 = text(names::FENCE).parse().unwrap_or(0);
+            let mut highest = highest.lock().unwrap_or_else(PoisonError::into_inner);
+            let known = highest.entry("usage".to_owned()).or_default();
+            if fence < *known {
+                return answer(StatusCode::CONFLICT, &json!({}));
+            }
+            *known = fence;
+            let window = body["windowNumber"].as_u64().unwrap_or(0);
+            let entry = (
+                window,
+                text(names::HOLDER).to_owned(),
+                fence,
+                body["counts"].clone(),
+            );
+            books
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .push(entry);
+            answer(StatusCode::OK, &json!({}))
+        }
+    };
+    tokio::spawn(listener.serve(Closing::default(), || LIMITS, handle));
+    Ok((reports, address))
+}
+
+/// Returns a free address of the loopback.
+fn free() -> anyhow::Result<SocketAddr> {
+    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+}
--- /dev/null
+++ b/soak/src/store.rs
@@ -0,0 +1,308 @@
+//! Stand-in of the platform's metadata store.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use http::Response;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use hyper::Request;
+use hyper::body::Incoming;
+use sardinepath_adapters::web::Body;
+use sardinepath_adapters::web::Closing;
+use sardinepath_adapters::web::Listener;
+use sardinepath_adapters::web::ServerLimits;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+/// Limits of a stand-in's listener.
+pub const LIMITS: ServerLimits = ServerLimits {
+    head: 64 * 1024,
+    idle: Duration::from_secs(60),
+    connections: 4_000,
+};
+
+/// What the store does wrong.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreFault {
+    /// Nothing.
+    #[default]
+    None,
+    /// Every call gets 503.
+    Busy,
+    /// No call gets an answer, and none has an effect.
+    Silent,
+    /// Every answer takes this long.
+    Slow(Duration),
+    /// Writes are done and not answered.
+    AnswerLost,
+    /// Writes are done after this time and not answered.
+    Late(Duration),
+}
+
+/// A store in memory.
+#[derive(Debug, Default)]
+pub struct StoreStandIn {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    objects: BTreeMap<(String, String), Value>,
+    /// Changes with their revision, kind, object and whether it was removed.
+    history: Vec<(u64, String, Value, bool)>,
+    revision: u64,
+    /// Oldest revision from which a watch can start.
+    oldest: u64,
+    fault: StoreFault,
+}
+
+impl StoreStandIn {
+    /// Starts a store on a free port of the loopback.
+    pub async fn start() -> anyhow::Result<(Arc<Self>, SocketAddr)> {
+        let store = Arc::new(Self::default());
+        store.lock().revision = 10;
+        let listener = Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0))).await?;
+        let address = listener.address()?;
+        let served = store.clone();
+        let handle = move |request| serve(served.clone(), request);
+        tokio::spawn(listener.serve(Closing::default(), || LIMITS, handle));
+        Ok((store, address))
+    }
+
+    /// Sets what the store does wrong from now on.
+    pub fn set_fault(&self, fault: StoreFault) {
+        self.lock().fault = fault;
+    }
+
+    /// Writes the content of an object, as an operator, trainer or target does.
+    pub fn put(&self, kind: &str, name: &str, spec: &Value) {
+        self.lock().put(kind, name, spec.clone());
+        self.changed.notify_waiters();
+    }
+
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.lock().remove(kind, name);
+        self.changed.notify_waiters();
+    }
+
+    /// Forgets the history, so that watches have to list again.
+    pub fn compact(&self) {
+        let mut state = self.lock();
+        state.history.clear();
+        state.oldest = state.revision + 1;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Returns an object.
+    pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
+        self.lock()
+            .objects
+            .get(&(kind.to_owned(), name.to_owned()))
+            .cloned()
+    }
+
+    /// Returns the contents of all objects of a kind by name.
+    pub fn all(&self, kind: &str) -> BTreeMap<String, Value> {
+        let state = self.lock();
+        let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
+        of_kind
+            .map(|((_, name), object)| (name.clone(), object["spec"].clone()))
+            .collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn watch(&self, kind: &str, revision: u64, wait: Duration) -> (StatusCode, Value) {
+        let until = Instant::now() + wait;
+        loop {
+            let changed = self.changed.notified();
+            {
+                let state = self.lock();
+                if revision + 1 < state.oldest {
+                    return (StatusCode::GONE, json!({}));
+                }
+                let new = state
+                    .history
+                    .iter()
+                    .filter(|(at, of, ..)| *at > revision && of == kind);
+                let events: Vec<Value> = new
+                    .map(|(_, _, object, gone)| json!({ "object": object, "deleted": gone }))
+                    .collect();
+                if !events.is_empty() || Instant::now() >= until {
+                    let at = state.revision;
+                    return (
+                        StatusCode::OK,
+                        json!({ "events": events, "storeRevision": at }),
+                    );
+                }
+            }
+            // The end of the wait is checked above.
+            let _ = timeout(until.saturating_duration_since(Instant::now()), changed).await;
+        }
+    }
+
+    fn write(
+        &self,
+        method: &Method,
+        kind: &str,
+        name: Option<&str>,
+        body: &Value,
+    ) -> (StatusCode, Value) {
+        let mut state = self.lock();
+        let named = body["metadata"]["name"].as_str();
+        let Some(name) = name.or(named) else {
+            return (StatusCode::BAD_REQUEST, json!({}));
+        };
+        let (name, status) = match name.strip_suffix("/status") {
+            Some(name) => (name, true),
+            None => (name, false),
+        };
+        let found = state
+            .objects
+            .get(&(kind.to_owned(), name.to_owned()))
+            .cloned();
+        let expected = body["metadata"]["revision"].as_u64();
+        let answer = match (method, found) {
+            (&Method::POST, Some(object)) => (StatusCode::CONFLICT, object),
+            (&Method::PUT | &Method::DELETE, None) => (StatusCode::NOT_FOUND, json!({})),
+            (_, Some(object))
+                if expected.is_some_and(|e| Some(e) != object["metadata"]["revision"].as_u64()) =>
+            {
+                (StatusCode::CONFLICT, object)
+            }
+            (&Method::DELETE, Some(object)) => {
+                state.remove(kind, name);
+                (StatusCode::OK, object)
+            }
+            (_, Some(mut object)) if status => {
+                object["status"] = body["status"].clone();
+                state
+                    .objects
+                    .insert((kind.to_owned(), name.to_owned()), object.clone());
+                (StatusCode::OK, object)
+            }
+            _ => (StatusCode::OK, state.put(kind, name, body["spec"].clone())),
+        };
+        drop(state);
+        self.changed.notify_waiters();
+        answer
+    }
+}
+
+impl State {
+    fn put(&mut self, kind: &str, name: &str, spec: Value) -> Value {
+        let key = (kind.to_owned(), name.to_owned());
+        if let Some(object) = self.objects.get(&key)
+            && object["spec"] == spec
+        {
+            return object.clone();
+        }
+        self.revision += 1;
+        let at = self.revision;
+        let object = json!({ "metadata": { "name": name, "revision": at }, "spec": spec });
+        self.objects.insert(key, object.clone());
+        self.history
+            .push((at, kind.to_owned(), object.clone(), false));
+        object
+    }
+
+    fn remove(&mut self, kind: &str, name: &str) {
+        let removed = self.objects.remove(&(kind.to_owned(), name.to_owned()));
+        if let Some(object) = removed {
+            self.revision += 1;
+            self.history
+                .push((self.revision, kind.to_owned(), object, true));
+        }
+    }
+}
+
+async fn serve(store: Arc<StoreStandIn>, request: Request<Incoming>) -> Response<Body> {
+    let (head, body) = request.into_parts();
+    let body = body
+        .collect()
+        .await
+        .map(|b| b.to_bytes())
+        .unwrap_or_default();
+    let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let fault = store.lock().fault;
+    let writes = head.method != Method::GET;
+    match fault {
+        StoreFault::Busy => return answer(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
+        StoreFault::Silent => std::future::pending().await,
+        StoreFault::Slow(time) => sleep(time).await,
+        StoreFault::Late(time) if writes => sleep(time).await,
+        _ => {}
+    }
+    let path = head.uri.path().trim_start_matches("/objects/").to_owned();
+    let (kind, name) = match path.split_once('/') {
+        Some((kind, name)) => (kind.to_owned(), Some(name.to_owned())),
+        None => (path, None),
+    };
+    let query = head.uri.query().unwrap_or("");
+    let field = |name: &str| {
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs
+            .find(|(key, _)| *key == name)
+            .map(|(_, value)| value.to_owned())
+    };
+    let number = |name: &str| field(name).and_then(|text| text.parse::<u64>().ok());
+    let (status, value) = if writes {
+        store.write(&head.method, &kind, name.as_deref(), &body)
+    } else if let Some(name) = name {
+        match store.get(&kind, &name) {
+            Some(object) => (StatusCode::OK, object),
+            None => (StatusCode::NOT_FOUND, json!({})),
+        }
+    } else if let Some(revision) = number("watch") {
+        let wait = Duration::from_millis(number("waitMs").unwrap_or(0));
+        store.watch(&kind, revision, wait).await
+    } else {
+        (StatusCode::OK, store.list(&kind, field("after").as_deref()))
+    };
+    if writes && matches!(fault, StoreFault::AnswerLost | StoreFault::Late(_)) {
+        std::future::pending().await
+    }
+    answer(status, &value)
+}
+
+impl StoreStandIn {
+    /// Returns a page of two objects, so that clients have to ask for more.
+    fn list(&self, kind: &str, after: Option<&str>) -> Value {
+        const PAGE: usize = 2;
+        let state = self.lock();
+        let of_kind = state.objects.iter().filter(|((k, _), _)| k == kind);
+        let rest: Vec<&Value> = of_kind
+            .filter(|((_, name), _)| after.is_none_or(|after| name.as_str() > after))
+            .map(|(_, object)| object)
+            .collect();
+        json!({
+            "items": rest.iter().take(PAGE).collect::<Vec<_>>(),
+            "morePages": rest.len() > PAGE,
+            "storeRevision": state.revision,
+        })
+    }
+}
+
+/// Returns an answer with a JSON body.
+pub fn answer(status: StatusCode, value: &Value) -> Response<Body> {
+    let mut response = Response::new(Body::new(Bytes::from(value.to_string())));
+    *response.status_mut() = status;
+    response
+}
