Send runs to the fastest targets first and move them from slower ones

Change: the pace counts in proportion from 12 in 100 on, and runs move from targets that are a quarter slower.

--- a/crates/core/src/decision/directory.rs
+++ b/crates/core/src/decision/directory.rs
@@ -31,7 +31,7 @@
 const PACE_SHARE: f64 = 0.4;
 
 /// A target is slow if it takes this many times as long for an event as the median of its pool.
-const SLOW: f64 = 1.8;
+const SLOW: f64 = 1.25;
 
 /// All known targets.
 #[derive(Debug, Default)]
@@ -311,7 +311,7 @@
         /// Weight of the pace, so that a slow target comes after all others.
         const PACE: f64 = 4.0;
         /// Pace relative to the median up to which targets count as equally fast.
-        const EVEN: f64 = 1.4;
+        const EVEN: f64 = 1.12;
         let load = f64::from(self.running + self.elsewhere) / f64::from(self.listed.slots.max(1));
         let relative = match (self.pace, median) {
             (Some(pace), Some(median)) if median > 0.0 => (pace / median).max(1.0),
@@ -335,7 +335,7 @@
         // Full engines are hardly slower, so runs are packed: the others stay free for a load of
         // the next version, which would interrupt runs.
         let slow = if relative > EVEN {
-            relative * PACE
+            (relative - 1.0) * PACE
         } else {
             0.0
         };
