--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -21,6 +21,7 @@
 use sardinepath_core::decision::gateway::message::Record;
 use sardinepath_core::decision::gateway::message::Reply;
 use sardinepath_core::decision::gateway::message::ReportEnd;
+use sardinepath_core::decision::gateway::message::RunOrder;
 use sardinepath_core::decision::gateway::message::StoreCall;
 use sardinepath_core::decision::gateway::message::View;
 use sardinepath_core::decision::lease::Terms;
@@ -397,18 +398,7 @@
                     let decoded = batch(source.parse().unwrap());
                     self.send(index, 0, Message::Decoded(id, Some(decoded)));
                 }
-                Effect::Run(order) => {
-                    self.starts
-                        .entry(order.item.id.clone())
-                        .or_default()
-                        .push(self.now);
-                    self.nodes[index].runs.insert(order.id);
-                    let mut partial = order.partial.clone();
-                    let next = partial.events + 1;
-                    order.terms.push(&mut partial, next, 1, "text").unwrap();
-                    let message = Message::RunEnded(order.id, RunEnd::Complete, partial);
-                    self.send(index, RUN_TIME, message);
-                }
+                Effect::Run(order) => self.generate(index, &order),
                 Effect::Score(run, ..) => {
                     self.nodes[index].runs.insert(run);
                     let end = ScoreEnd::Scored(Arc::from("digest"));
@@ -449,6 +439,17 @@
         }
     }
 
+    fn generate(&mut self, index: usize, order: &RunOrder) {
+        let starts = self.starts.entry(order.item.id.clone()).or_default();
+        starts.push(self.now);
+        self.nodes[index].runs.insert(order.id);
+        let mut partial = order.partial.clone();
+        let next = partial.events + 1;
+        order.terms.push(&mut partial, next, 1, "text").unwrap();
+        let message = Message::RunEnded(order.id, RunEnd::Complete, partial);
+        self.send(index, RUN_TIME, message);
+    }
+
     fn pong(&self, peer: &Peer) -> Option<Pong> {
         let index = (0..self.nodes.len()).find(|i| host(*i) == peer.host)?;
         let node = &self.nodes[index];
@@ -512,7 +513,9 @@
         for index in 0..self.nodes.len() {
             if self.nodes[index].fault != StoreFault::Away {
                 let view = view.clone();
-                view.map(|view| self.send(index, STORE_TIME, Message::Changed(view)));
+                if let Some(view) = view {
+                    self.send(index, STORE_TIME, Message::Changed(view));
+                }
             }
         }
         Ok(Answer::Written(Revision(revision)))
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -19,6 +19,7 @@
 use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::Incoming;
+use rand::RngExt;
 use rustix::process::Pid;
 use rustix::process::Signal;
 use rustix::process::kill_process;
@@ -32,6 +33,9 @@
 use crate::store::LIMITS;
 use crate::store::answer;
 
+/// Ports of gateways.
+const PORTS: std::ops::Range<u16> = 20_000..32_000;
+
 /// Accepted usage reports: window, holder, fencing token and counts.
 pub type Reports = Vec<(u64, String, u64, Value)>;
 
@@ -196,6 +200,14 @@
 }
 
 /// Returns a free address of the loopback.
+///
+/// Its port lies below those that the system gives to outgoing connections, one of which could
+/// otherwise take it while the gateway is down. Seed 120 failed for this reason.
 fn free() -> anyhow::Result<SocketAddr> {
-    Ok(TcpListener::bind("127.0.0.1:0")?.local_addr()?)
+    loop {
+        let port = rand::rng().random_range(PORTS);
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return Ok(listener.local_addr()?);
+        }
+    }
 }
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -4,6 +4,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -30,6 +31,9 @@
 /// Time after the last fault in which everything accepted must be done.
 const SETTLE: Duration = Duration::from_secs(25);
 
+/// Time for a gateway that was terminated before it is started again.
+const DRAIN: Duration = Duration::from_secs(4);
+
 /// Time for the gateways to become ready.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
@@ -83,49 +87,17 @@
 
 /// Runs a plan.
 pub async fn run(plan: &Plan) -> anyhow::Result<Outcome> {
-    std::fs::create_dir_all(&plan.folder)?;
-    let (store, store_address) = StoreStandIn::start().await?;
-    let (reports, cloud) = start_cloud().await?;
-    store.put("config", "main", &config(1, &[KEY, "spare"]));
-    let mut targets = Vec::new();
-    for index in 0..5 {
-        let (name, pool) = if index < 3 {
-            ("e", "engines")
-        } else {
-            ("s", "shop")
-        };
-        targets.push(TargetStandIn::start(store.clone(), &format!("{name}{index}"), pool).await?);
-    }
-    let mut fleet = Vec::new();
-    for index in 0..plan.gateways {
-        let gateway =
-            GatewayProcess::start(&plan.program, &plan.folder, index, store_address, cloud).await?;
-        fleet.push(gateway);
-    }
-    let callers = Callers::new(fleet.iter().map(|g| g.front).collect());
-    let mut run = Run {
-        random: ChaCha8Rng::seed_from_u64(plan.seed),
-        store,
-        fleet,
-        targets,
-        version: 1,
-        start: Instant::now(),
-        history: Vec::new(),
-        ends: Vec::new(),
-        faults: Vec::new(),
-    };
+    let (mut run, reports) = Run::start(plan).await?;
+    let callers = Callers::new(run.fleet.iter().map(|g| g.front).collect());
     run.wait_ready().await?;
     run.start = Instant::now();
     let stop = run.start + plan.time;
-    let plain: Vec<_> = (0..3)
-        .map(|name| {
-            tokio::spawn(callers.clone().plain(
-                name,
-                if name == 2 { "/once/" } else { "/page/" },
-                stop,
-            ))
-        })
-        .collect();
+    let paths = ["/page/", "/page/", "/once/"];
+    let plain = paths.iter().enumerate().map(|(name, path)| {
+        let caller = callers.clone();
+        tokio::spawn(caller.plain(name, path, stop))
+    });
+    let plain: Vec<_> = plain.collect();
     let trainer = tokio::spawn(train(callers.clone(), run.store.clone(), stop));
     run.disturb(stop).await;
     run.heal();
@@ -185,6 +157,41 @@
 }
 
 impl Run {
+    /// Starts the stand-ins and the gateways.
+    async fn start(plan: &Plan) -> anyhow::Result<(Self, Arc<Mutex<Reports>>)> {
+        std::fs::create_dir_all(&plan.folder)?;
+        let (store, address) = StoreStandIn::start().await?;
+        let (reports, cloud) = start_cloud().await?;
+        store.put("config", "main", &config(1, &[KEY, "spare"]));
+        let mut targets = Vec::new();
+        for index in 0..5 {
+            let (name, pool) = if index < 3 {
+                ("e", "engines")
+            } else {
+                ("s", "shop")
+            };
+            let name = format!("{name}{index}");
+            targets.push(TargetStandIn::start(store.clone(), &name, pool).await?);
+        }
+        let mut fleet = Vec::new();
+        for index in 0..plan.gateways {
+            let (program, folder) = (&plan.program, &plan.folder);
+            fleet.push(GatewayProcess::start(program, folder, index, address, cloud).await?);
+        }
+        let run = Self {
+            random: ChaCha8Rng::seed_from_u64(plan.seed),
+            store,
+            fleet,
+            targets,
+            version: 1,
+            start: Instant::now(),
+            history: Vec::new(),
+            ends: Vec::new(),
+            faults: Vec::new(),
+        };
+        Ok((run, reports))
+    }
+
     async fn wait_ready(&mut self) -> anyhow::Result<()> {
         let until = Instant::now() + START_LIMIT;
         for gateway in &self.fleet {
@@ -207,66 +214,23 @@
         }
     }
 
+    /// Inflicts one fault.
     fn inflict(&mut self) {
         let node = self.random.random_range(0..self.fleet.len());
         let length = Duration::from_millis(self.random.random_range(300..3_500));
-        let end = Instant::now() + length;
         let short = Duration::from_millis(self.random.random_range(50..300));
         match self.random.random_range(0..14) {
-            0 | 1 => {
-                self.note(format!("kill g{node}"));
-                self.fleet[node].signal(Signal::KILL);
-                self.ends.push((end, Undo::Start(node)));
-            }
-            2 => {
-                self.note(format!("terminate g{node}"));
-                self.fleet[node].signal(Signal::TERM);
-                self.ends
-                    .push((end + Duration::from_secs(4), Undo::Start(node)));
-            }
-            3 | 4 => {
-                self.note(format!("freeze g{node} for {length:?}"));
-                self.fleet[node].signal(Signal::STOP);
-                self.ends.push((end, Undo::Wake(node)));
-            }
-            5..=7 => {
-                let kinds = [
-                    Disturbance::Delay(short),
-                    Disturbance::Refuse,
-                    Disturbance::Silence,
-                    Disturbance::OneWay,
-                ];
-                let kind = kinds[self.random.random_range(0..kinds.len())];
-                self.note(format!(
-                    "path g{node} to the store: {kind:?} for {length:?}"
-                ));
-                self.fleet[node].store.disturb(kind);
-                self.ends.push((end, Undo::Path(node)));
-            }
-            8 | 9 => {
-                let kinds = [
-                    StoreFault::Busy,
-                    StoreFault::Silent,
-                    StoreFault::Slow(short),
-                    StoreFault::AnswerLost,
-                    StoreFault::Late(Duration::from_millis(1_500)),
-                ];
-                let kind = kinds[self.random.random_range(0..kinds.len())];
-                self.note(format!("store: {kind:?} for {length:?}"));
-                self.store.set_fault(kind);
-                self.ends.push((end, Undo::Store));
-            }
+            0..=4 => self.hit_process(node, length),
+            5..=7 => self.hit_path(node, length, short),
+            8 | 9 => self.hit_store(length, short),
             10 => {
                 self.note("store: history dropped".to_owned());
                 self.store.compact();
             }
             11 => {
                 self.version += 1;
-                let keys: &[&str] = if self.version.is_multiple_of(2) {
-                    &[KEY]
-                } else {
-                    &[KEY, "spare"]
-                };
+                let spare = !self.version.is_multiple_of(2);
+                let keys: &[&str] = if spare { &[KEY, "spare"] } else { &[KEY] };
                 self.note(format!("configuration {}", self.version));
                 self.store
                     .put("config", "main", &config(self.version, keys));
@@ -275,7 +239,8 @@
                 let target = self.random.random_range(0..3);
                 self.note(format!("target {target} slow for {length:?}"));
                 self.targets[target].set_pace(Duration::from_millis(90));
-                self.ends.push((end, Undo::Pace(target)));
+                self.ends
+                    .push((Instant::now() + length, Undo::Pace(target)));
             }
             _ => {
                 self.note(format!("hang-up signal to g{node}"));
@@ -284,6 +249,59 @@
         }
     }
 
+    /// Kills, terminates or freezes a gateway.
+    fn hit_process(&mut self, node: usize, length: Duration) {
+        let end = Instant::now() + length;
+        match self.random.random_range(0..5) {
+            0 | 1 => {
+                self.note(format!("kill g{node}"));
+                self.fleet[node].signal(Signal::KILL);
+                self.ends.push((end, Undo::Start(node)));
+            }
+            2 => {
+                self.note(format!("terminate g{node}"));
+                self.fleet[node].signal(Signal::TERM);
+                self.ends.push((end + DRAIN, Undo::Start(node)));
+            }
+            _ => {
+                self.note(format!("freeze g{node} for {length:?}"));
+                self.fleet[node].signal(Signal::STOP);
+                self.ends.push((end, Undo::Wake(node)));
+            }
+        }
+    }
+
+    /// Disturbs the path of a gateway to the store.
+    fn hit_path(&mut self, node: usize, length: Duration, short: Duration) {
+        let kinds = [
+            Disturbance::Delay(short),
+            Disturbance::Refuse,
+            Disturbance::Silence,
+            Disturbance::OneWay,
+        ];
+        let kind = kinds[self.random.random_range(0..kinds.len())];
+        self.note(format!(
+            "path g{node} to the store: {kind:?} for {length:?}"
+        ));
+        self.fleet[node].store.disturb(kind);
+        self.ends.push((Instant::now() + length, Undo::Path(node)));
+    }
+
+    /// Makes the store fail for all.
+    fn hit_store(&mut self, length: Duration, short: Duration) {
+        let kinds = [
+            StoreFault::Busy,
+            StoreFault::Silent,
+            StoreFault::Slow(short),
+            StoreFault::AnswerLost,
+            StoreFault::Late(Duration::from_millis(1_500)),
+        ];
+        let kind = kinds[self.random.random_range(0..kinds.len())];
+        self.note(format!("store: {kind:?} for {length:?}"));
+        self.store.set_fault(kind);
+        self.ends.push((Instant::now() + length, Undo::Store));
+    }
+
     fn end_due(&mut self, now: Instant) {
         let due: Vec<_> = self.ends.extract_if(.., |(at, _)| *at <= now).collect();
         for (_, undo) in due {
