Forget what a gateway ran once it runs no job

The load that the former runner had reported was never taken back, so every target counted as full. A test that hands a job over while the targets are full failed first.

Change: the sum of the loads is made again when a process runs no job any more.

--- a/crates/core/src/decision/gateway/draft.rs
+++ b/crates/core/src/decision/gateway/draft.rs
@@ -102,6 +102,18 @@
         }
     }
 
+    /// Writes the drafts of running jobs before they are handed over.
+    pub(super) fn write_drafts_now(&mut self) {
+        let now = self.now;
+        for job in self.jobs.values_mut() {
+            if let Work::Running(active) = &mut job.work {
+                active.drafts.next = now;
+                active.drafts.events = 0;
+            }
+        }
+        self.write_drafts();
+    }
+
     /// Takes in the answer to a write of drafts. A write that failed is not repeated, since the
     /// next one has newer texts.
     pub(super) fn drafted(&mut self, id: &BatchId, answer: &Result<Answer, ObjectError>) {
--- a/crates/core/src/decision/gateway/jobs.rs
+++ b/crates/core/src/decision/gateway/jobs.rs
@@ -149,7 +149,10 @@
 
     /// Tells whether the job needs frequent ticks.
     pub(super) fn is_busy(&self) -> bool {
-        !matches!(self.work, Work::Idle) || !self.readers.is_empty() || !self.bodies.is_empty()
+        !matches!(self.work, Work::Idle)
+            || !self.readers.is_empty()
+            || !self.bodies.is_empty()
+            || self.suspected.is_some()
     }
 
     /// Tells whether a workspace owns the job.
@@ -173,6 +176,7 @@
             self.jobs.insert(id.clone(), Job::new(head, revision, now));
         }
         self.settle_job(id);
+        self.check_runner(id);
     }
 
     /// Starts or stops work on a job after its head changed.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -336,6 +336,7 @@
         }
         self.draining = true;
         self.effects.push(Effect::Close);
+        self.write_drafts_now();
         self.hand_over();
         let host = Arc::from(self.me.peer.host.as_str());
         self.call_store(Purpose::Leave, StoreCall::Delete(Kind::Peers, host));
--- a/crates/core/src/decision/gateway/peers.rs
+++ b/crates/core/src/decision/gateway/peers.rs
@@ -143,9 +143,13 @@
                 runners.insert(runner.host.clone(), peer);
             }
         }
+        let before = self.peers.health.len();
         self.peers
             .health
             .retain(|host, _| runners.contains_key(host));
+        if self.peers.health.len() < before {
+            self.sum_loads();
+        }
         for (host, peer) in runners {
             let health = self.peers.health.entry(host).or_insert_with(|| Health {
                 good: now,
@@ -181,6 +185,12 @@
         } else {
             health.load.clear();
         }
+        self.sum_loads();
+    }
+
+    /// Tells the directory what the other processes run. What a process ran counts no longer once
+    /// it runs no job.
+    fn sum_loads(&mut self) {
         let mut loads: BTreeMap<TargetName, u32> = BTreeMap::new();
         for health in self.peers.health.values() {
             for (target, load) in &health.load {
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -1,7 +1,6 @@
 //! A world of gateways, one store and targets in virtual time, with faults.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -85,7 +84,7 @@
     incarnation: u64,
     inbox: Vec<(u64, Message)>,
     replies: BTreeMap<CallId, Reply>,
-    runs: BTreeSet<RunId>,
+    runs: BTreeMap<RunId, TargetName>,
 }
 
 pub struct World {
@@ -209,7 +208,7 @@
             incarnation: 0,
             inbox: Vec::new(),
             replies: BTreeMap::new(),
-            runs: BTreeSet::new(),
+            runs: BTreeMap::new(),
         };
         let mut world = Self {
             now: 10_000,
@@ -369,7 +368,7 @@
         due.sort_by_key(|(at, _)| *at);
         for (_, message) in due {
             if let Message::RunEnded(run, ..) | Message::Scored(run, _) = &message
-                && !self.nodes[index].runs.remove(run)
+                && self.nodes[index].runs.remove(run).is_none()
             {
                 continue;
             }
@@ -399,8 +398,8 @@
                     self.send(index, 0, Message::Decoded(id, Some(decoded)));
                 }
                 Effect::Run(order) => self.generate(index, &order),
-                Effect::Score(run, ..) => {
-                    self.nodes[index].runs.insert(run);
+                Effect::Score(run, choice, _) => {
+                    self.nodes[index].runs.insert(run, choice.name);
                     let end = ScoreEnd::Scored(Arc::from("digest"));
                     self.send(index, STEP, Message::Scored(run, end));
                 }
@@ -442,7 +441,8 @@
     fn generate(&mut self, index: usize, order: &RunOrder) {
         let starts = self.starts.entry(order.item.id.clone()).or_default();
         starts.push(self.now);
-        self.nodes[index].runs.insert(order.id);
+        let target = order.target.name.clone();
+        self.nodes[index].runs.insert(order.id, target);
         let mut partial = order.partial.clone();
         let next = partial.events + 1;
         order.terms.push(&mut partial, next, 1, "text").unwrap();
@@ -450,6 +450,14 @@
         self.send(index, RUN_TIME, message);
     }
 
+    fn load(&self, index: usize) -> BTreeMap<TargetName, u32> {
+        let mut load = BTreeMap::new();
+        for target in self.nodes[index].runs.values() {
+            *load.entry(target.clone()).or_default() += 1;
+        }
+        load
+    }
+
     fn pong(&self, peer: &Peer) -> Option<Pong> {
         let index = (0..self.nodes.len()).find(|i| host(*i) == peer.host)?;
         let node = &self.nodes[index];
@@ -459,7 +467,7 @@
         alive.then(|| Pong {
             incarnation: Incarnation(incarnation),
             silence: if cut { 60_000 } else { 0 },
-            load: BTreeMap::new(),
+            load: self.load(index),
         })
     }
 
