Write results when they complete a group

Cause: calls to the store are the largest price; pages were written every 300 ms although trainers wait for whole groups.

Change: a page is written when a finished result completes its group, or a second after the last page. Finished texts are in the drafts meanwhile.

--- a/crates/core/src/decision/batch/runner.rs
+++ b/crates/core/src/decision/batch/runner.rs
@@ -1,6 +1,7 @@
 //! Runs the items of one batch job.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::mem;
 use std::sync::Arc;
 use std::time::Duration;
@@ -378,6 +379,16 @@
             Slot::Generating(run) => Some(draft(&run.item.id, &run.state.draft, false)),
             Slot::Texted(run) => Some(draft(&run.item.id, &run.state.partial, true)),
             Slot::Scoring(run) => Some(draft(&run.item.id, &run.state.partial, true)),
+            Slot::Finished(outcome) if outcome.complete => Some(Draft {
+                id: outcome.id.clone(),
+                partial: Partial {
+                    text: outcome.text.to_string(),
+                    // Only the order among the drafts depends on it, since the text is whole.
+                    events: 1,
+                    versions: outcome.versions.clone(),
+                },
+                whole: true,
+            }),
             Slot::Finished(_) | Slot::Listed => None,
         });
         let mut drafts: Vec<Draft> = drafts.filter(|d| d.partial.events > 0).collect();
@@ -391,6 +402,20 @@
         drafts
     }
 
+    /// Tells whether a finished result completes its group, which its trainer waits for.
+    pub fn completes_group(&self) -> bool {
+        let pending = |slot: &&Slot| !matches!(slot, Slot::Finished(_) | Slot::Listed);
+        let group = |index: usize| self.batch.items[index].group.as_ref();
+        let slots = || self.slots.iter().enumerate();
+        let open: HashSet<&GroupName> = slots()
+            .filter(|(_, slot)| pending(slot))
+            .filter_map(|(index, _)| group(index))
+            .collect();
+        slots().any(|(index, slot)| {
+            matches!(slot, Slot::Finished(_)) && group(index).is_none_or(|g| !open.contains(g))
+        })
+    }
+
     /// Notes that items are listed. Returns the runs that are no longer needed.
     pub fn listed(&mut self, ids: &[ItemId]) -> Vec<(RunId, TargetName)> {
         let mut needless = Vec::new();
--- a/crates/core/src/decision/gateway/jobs.rs
+++ b/crates/core/src/decision/gateway/jobs.rs
@@ -44,6 +44,9 @@
 /// Time between two pages of one job, so that several results share a write.
 const PAGE_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Longest time after a page until finished results are written although they complete no group.
+const PAGE_LONGEST: Duration = Duration::from_millis(1_000);
+
 /// Time for which an end that the object API does not confirm is tried.
 const END_LIMIT: Duration = Duration::from_millis(2_500);
 
@@ -427,7 +430,8 @@
                 Some(again) => again,
                 None => {
                     let outcomes = active.runner.finished();
-                    if outcomes.is_empty() {
+                    let late = now >= active.next_page + (PAGE_LONGEST - PAGE_INTERVAL);
+                    if outcomes.is_empty() || !(late || active.runner.completes_group()) {
                         continue;
                     }
                     (job.journal.len(), Page { outcomes })
