--- a/crates/core/src/decision/gateway/source.rs
+++ b/crates/core/src/decision/gateway/source.rs
@@ -23,7 +23,7 @@
 const DIRECT_MOST: usize = 6;
 
 /// Processes of a larger fleet that watch the object API.
-const WATCHERS: usize = 3;
+const WATCHERS: usize = 2;
 
 /// Time without an answer after which the object API counts as away for this process.
 const AWAY: Duration = Duration::from_millis(400);
