Let the rank of a workspace take precedence, and remove what is not used

Cause: a workspace's priority was decoded and not used. Fields and a function that nothing reads were left from the first draft.

Change: the rank of a job is that of its workspace, or else of its route.

--- a/crates/core/src/decision/directory.rs
+++ b/crates/core/src/decision/directory.rs
@@ -219,12 +219,6 @@
         })
     }
 
-    /// Tells whether any target of the pool could take the request once it has room.
-    pub fn serves(&self, pool: &PoolName, need: &Need) -> bool {
-        let mut targets = self.targets.values();
-        targets.any(|t| t.listed.pool == *pool && !t.listed.leaving && t.has_version(need))
-    }
-
     /// Notes that a request at a target ended.
     pub fn release(&mut self, now: Time, name: &TargetName, end: CallEnd) {
         let Some(target) = self.targets.get_mut(name) else {
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -36,8 +36,7 @@
         let mut active: Vec<(u32, u64, BatchId)> = Vec::new();
         for (id, job) in &self.jobs {
             if matches!(job.work, Work::Running(_)) {
-                let route = self.table.as_ref().and_then(|t| find_route(t, &job.head));
-                let rank = route.map_or(u32::MAX, |r| r.rank);
+                let rank = self.rank(&job.head);
                 active.push((rank, job.head.accepted.0, id.clone()));
             }
         }
@@ -48,6 +47,15 @@
         self.move_slow();
     }
 
+    /// Returns the rank of a job, or the last one without its route.
+    fn rank(&self, head: &Head) -> u32 {
+        let table = self.table.as_ref();
+        let found = table.and_then(|table| Some((table, find_route(table, head)?)));
+        found.map_or(u32::MAX, |(table, route)| {
+            table.rank(&route, head.workspace.as_ref())
+        })
+    }
+
     fn dispatch_job(&mut self, id: &BatchId) {
         let now = self.now;
         let scorings = self.scorings(id);
@@ -137,7 +145,7 @@
                 least: head.least,
                 single: route.rollout().is_some_and(|terms| terms.single),
             },
-            rank: route.rank,
+            rank: self.rank(head),
         })));
         true
     }
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -215,8 +215,6 @@
     TakeOver(BatchId),
     /// Hand a job over.
     HandOver(BatchId),
-    /// Delete an object of an old job.
-    Sweep(BatchId),
     /// Store the figures of a window.
     Freeze(u64),
     /// Read the figures of a window.
--- a/crates/core/src/decision/gateway/view.rs
+++ b/crates/core/src/decision/gateway/view.rs
@@ -151,7 +151,7 @@
             Purpose::Freeze(window) => self.frozen(window, &answer),
             Purpose::Frozen(window) => self.read_frozen(window, answer),
             Purpose::Announce | Purpose::Announced => self.announced(answer),
-            Purpose::Sweep(_) | Purpose::Leave => {}
+            Purpose::Leave => {}
         }
     }
 }
--- a/crates/core/src/domain/table.rs
+++ b/crates/core/src/domain/table.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use crate::domain::key::KeyDigest;
-use crate::domain::name::ModelName;
 use crate::domain::name::PoolName;
 use crate::domain::name::RouteName;
 use crate::domain::name::WorkspaceName;
@@ -24,8 +23,6 @@
     pub ranks: BTreeMap<WorkspaceName, u32>,
     /// True if requests on routes that are not open need a key.
     pub keyed: bool,
-    /// Models of each pool.
-    pub models: BTreeMap<PoolName, Vec<ModelName>>,
     /// Bounds of what callers may send.
     pub limits: CallerLimits,
 }
@@ -69,8 +66,6 @@
 /// Terms of the batch jobs of a route.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RolloutTerms {
-    /// Time from the first submission until all results are due.
-    pub due: Duration,
     /// Time from the first submission after which an item may be given up.
     pub retention: Duration,
     /// True if all tokens of a result must come from one version.
@@ -84,8 +79,6 @@
     pub head: usize,
     /// Largest request body in bytes.
     pub body: u64,
-    /// Time for a request head.
-    pub head_time: Duration,
     /// Time that a connection may stay idle.
     pub idle: Duration,
 }
@@ -105,7 +98,6 @@
         Self {
             head: 16 * 1024,
             body: 32 << 20,
-            head_time: Duration::from_secs(3),
             idle: Duration::from_secs(15),
         }
     }
@@ -137,6 +129,12 @@
         self.workspace(key).map(Some)
     }
 
+    /// Returns the rank of a workspace on a route. That of the workspace takes precedence.
+    pub fn rank(&self, route: &Route, workspace: Option<&WorkspaceName>) -> u32 {
+        let own = workspace.and_then(|workspace| self.ranks.get(workspace));
+        own.copied().unwrap_or(route.rank)
+    }
+
     /// Sorts the routes of each host so that the longest prefix comes first.
     pub fn sort(&mut self) {
         for routes in self.hosts.values_mut() {
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -125,7 +125,6 @@
         host: Arc::from("dreams.example"),
         prefix: Arc::from("/dreams/"),
         kind: RouteKind::Rollout(RolloutTerms {
-            due: Duration::from_millis(7_500),
             retention: Duration::from_secs(600),
             single: false,
         }),
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -220,15 +220,11 @@
         let answered = plain(target.clone(), request, pool.clone());
         async move { Ok::<_, std::convert::Infallible>(answered.await) }
     });
-    let io = hyper_io(stream);
+    let io = sardinepath_adapters::web::io(stream);
     // The other side may leave at any time.
     let _ = http1::Builder::new().serve_connection(io, service).await;
 }
 
-fn hyper_io(stream: TcpStream) -> impl hyper::rt::Read + hyper::rt::Write + Unpin {
-    sardinepath_adapters::web::io(stream)
-}
-
 async fn plain(
     target: Arc<TargetStandIn>,
     request: Request<Incoming>,
