--- a/crates/core/src/decision/gateway/source.rs
+++ b/crates/core/src/decision/gateway/source.rs
@@ -97,7 +97,8 @@
         let mut peers: Vec<&Peer> = self.all_peers().collect();
         let me = &self.me.peer.host;
         let away = self.feed.away.is_some_and(|at| self.now.since(at) >= AWAY);
-        if peers.len() > DIRECT_MOST {
+        // A process without the store looks at all others, since the watchers may have lost it too.
+        if peers.len() > DIRECT_MOST && !away {
             peers.sort_by_key(|peer| rank_of("watch", &peer.host));
             peers.truncate(WATCHERS);
         }
