--- a/crates/core/src/decision/batch/mod.rs
+++ b/crates/core/src/decision/batch/mod.rs
@@ -6,6 +6,7 @@
 //! reads it and goes on behind it. An item may be generated twice, but it is listed once.
 
 mod journal;
+mod results;
 mod run;
 mod runner;
 
--- a/crates/core/src/decision/batch/runner.rs
+++ b/crates/core/src/decision/batch/runner.rs
@@ -1,7 +1,6 @@
 //! Runs the items of one batch job.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::mem;
 use std::sync::Arc;
 use std::time::Duration;
@@ -24,7 +23,6 @@
 use crate::domain::batch::Partial;
 use crate::domain::batch::Scorer;
 use crate::domain::name::GroupName;
-use crate::domain::name::ItemId;
 use crate::domain::name::TargetName;
 use crate::domain::time::Time;
 
@@ -37,9 +35,6 @@
 /// Most moves of one item away from slow targets.
 const MOVES_MOST: u32 = 3;
 
-/// Most bytes of results in one page. An object holds at most one megabyte.
-const PAGE_MOST: usize = 700 * 1024;
-
 /// Limits of the runs of a job.
 #[derive(Clone, Copy, Debug)]
 pub struct RunnerTerms {
@@ -87,16 +82,17 @@
     /// The submission.
     pub batch: Arc<Batch>,
     terms: RunnerTerms,
-    slots: Vec<Slot>,
-    runs: HashMap<RunId, usize>,
+    pub(super) slots: Vec<Slot>,
+    pub(super) runs: HashMap<RunId, usize>,
     /// Positions in the order of dispatch.
     order: Vec<usize>,
     /// Target of the last dispatch of each group.
     homes: HashMap<GroupName, TargetName>,
 }
 
+/// An item in its present state.
 #[derive(Debug)]
-enum Slot {
+pub(super) enum Slot {
     Waiting(Run<Waiting>),
     Generating(Run<Generating>),
     Texted(Run<Texted>),
@@ -351,117 +347,10 @@
         }
     }
 
-    /// Returns finished results for the next page.
-    pub fn finished(&self) -> Vec<Arc<Outcome>> {
-        let mut room = PAGE_MOST;
-        let finished = self.slots.iter().filter_map(|slot| match slot {
-            Slot::Finished(outcome) => Some(outcome.clone()),
-            _ => None,
-        });
-        let fitting = finished.take_while(|outcome| {
-            let fits = room > 0;
-            room = room.saturating_sub(outcome.weight());
-            fits
-        });
-        fitting.collect()
-    }
-
-    /// Returns the texts of items that are not listed, as many as fit into one object. The longest
-    /// come first, since they would take the longest to generate again.
-    pub fn drafts(&self) -> Vec<Draft> {
-        let draft = |id: &ItemId, partial: &Partial, whole: bool| Draft {
-            id: id.clone(),
-            partial: partial.clone(),
-            whole,
-        };
-        let drafts = self.slots.iter().filter_map(|slot| match slot {
-            Slot::Waiting(run) => Some(draft(&run.item.id, &run.state.partial, false)),
-            Slot::Generating(run) => Some(draft(&run.item.id, &run.state.draft, false)),
-            Slot::Texted(run) => Some(draft(&run.item.id, &run.state.partial, true)),
-            Slot::Scoring(run) => Some(draft(&run.item.id, &run.state.partial, true)),
-            Slot::Finished(outcome) if outcome.complete => Some(Draft {
-                id: outcome.id.clone(),
-                partial: Partial {
-                    text: outcome.text.to_string(),
-                    // Only the order among the drafts depends on it, since the text is whole.
-                    events: 1,
-                    versions: outcome.versions.clone(),
-                },
-                whole: true,
-            }),
-            Slot::Finished(_) | Slot::Listed => None,
-        });
-        let mut drafts: Vec<Draft> = drafts.filter(|d| d.partial.events > 0).collect();
-        drafts.sort_by_key(|d| std::cmp::Reverse(d.partial.events));
-        let mut room = PAGE_MOST;
-        drafts.retain(|d| {
-            let fits = room > d.partial.text.len();
-            room = room.saturating_sub(d.partial.text.len());
-            fits
-        });
-        drafts
-    }
-
-    /// Tells whether a finished result completes its group, which its trainer waits for.
-    pub fn completes_group(&self) -> bool {
-        let pending = |slot: &&Slot| !matches!(slot, Slot::Finished(_) | Slot::Listed);
-        let group = |index: usize| self.batch.items[index].group.as_ref();
-        let slots = || self.slots.iter().enumerate();
-        let open: HashSet<&GroupName> = slots()
-            .filter(|(_, slot)| pending(slot))
-            .filter_map(|(index, _)| group(index))
-            .collect();
-        slots().any(|(index, slot)| {
-            matches!(slot, Slot::Finished(_)) && group(index).is_none_or(|g| !open.contains(g))
-        })
-    }
-
-    /// Notes that items are listed. Returns the runs that are no longer needed.
-    pub fn listed(&mut self, ids: &[ItemId]) -> Vec<(RunId, TargetName)> {
-        let mut needless = Vec::new();
-        for slot in &mut self.slots {
-            let id = match slot {
-                Slot::Waiting(run) => &run.item.id,
-                Slot::Generating(run) => &run.item.id,
-                Slot::Texted(run) => &run.item.id,
-                Slot::Scoring(run) => &run.item.id,
-                Slot::Finished(outcome) => &outcome.id,
-                Slot::Listed => continue,
-            };
-            if !ids.contains(id) {
-                continue;
-            }
-            match mem::replace(slot, Slot::Listed) {
-                Slot::Generating(run) => needless.push((run.state.id, run.state.target)),
-                Slot::Scoring(run) => needless.push((run.state.id, run.state.target)),
-                _ => {}
-            }
-        }
-        for (id, _) in &needless {
-            self.runs.remove(id);
-        }
-        needless
-    }
-
-    /// Returns all running attempts with their targets.
-    pub fn running(&self) -> Vec<(RunId, TargetName)> {
-        let running = self.slots.iter().filter_map(|slot| match slot {
-            Slot::Generating(run) => Some((run.state.id, run.state.target.clone())),
-            Slot::Scoring(run) => Some((run.state.id, run.state.target.clone())),
-            _ => None,
-        });
-        running.collect()
-    }
-
     /// Tells whether an attempt belongs to this job.
     pub fn owns(&self, id: RunId) -> bool {
         self.runs.contains_key(&id)
     }
-
-    /// Tells whether every item is listed.
-    pub fn is_done(&self) -> bool {
-        self.slots.iter().all(|slot| matches!(slot, Slot::Listed))
-    }
 }
 
 /// Orders items so that the groups with the longest item come first, since these end last.
--- /dev/null
+++ b/crates/core/src/decision/gateway/ending.rs
@@ -0,0 +1,99 @@
+//! Ends jobs for their callers.
+
+use std::time::Duration;
+
+use crate::decision::gateway::Gateway;
+use crate::decision::gateway::jobs::Ending;
+use crate::decision::gateway::message::Answer;
+use crate::decision::gateway::message::CallId;
+use crate::decision::gateway::message::Purpose;
+use crate::decision::gateway::message::Reply;
+use crate::decision::gateway::read::Wanted;
+use crate::domain::batch::Head;
+use crate::domain::event::Event;
+use crate::domain::name::BatchId;
+use crate::domain::name::WorkspaceName;
+use crate::port::object::ObjectError;
+
+/// Time for which an end that the object API does not confirm is tried.
+const END_LIMIT: Duration = Duration::from_millis(2_500);
+
+impl Gateway {
+    /// Marks a job as ended.
+    pub(super) fn end(&mut self, call: CallId, id: BatchId, workspace: Option<WorkspaceName>) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(&id) else {
+            self.find(call, id, Wanted::End(workspace));
+            return;
+        };
+        if !job.belongs_to(workspace.as_ref()) {
+            self.reply(call, Reply::Absent);
+            return;
+        }
+        if job.head.ended {
+            self.reply(call, Reply::Ended);
+            return;
+        }
+        let until = now + END_LIMIT;
+        match &mut job.ending {
+            Some(ending) => ending.calls.push(call),
+            None => {
+                job.ending = Some(Ending {
+                    calls: vec![call],
+                    until,
+                });
+                self.write_end(&id);
+            }
+        }
+    }
+
+    pub(super) fn write_end(&mut self, id: &BatchId) {
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        let head = Head {
+            ended: true,
+            ..job.head.clone()
+        };
+        let revision = job.revision;
+        self.update_head(Purpose::End(id.clone()), id, head, revision);
+    }
+
+    /// Takes in the answer to the write that ends a job.
+    pub(super) fn ended(&mut self, id: &BatchId, answer: &Result<Answer, ObjectError>) {
+        match answer {
+            Ok(Answer::Written(revision)) => {
+                let Some(job) = self.jobs.get(id) else {
+                    return;
+                };
+                let head = Head {
+                    ended: true,
+                    ..job.head.clone()
+                };
+                self.learn_head(id, *revision, head);
+            }
+            _ => self.refresh(id),
+        }
+    }
+
+    /// Answers callers that wait for an end that is stored.
+    pub(super) fn confirm_end(&mut self, id: &BatchId) {
+        let ending = self.jobs.get_mut(id).and_then(|job| job.ending.take());
+        for call in ending.map(|e| e.calls).unwrap_or_default() {
+            self.log(Event::BatchEnded, vec![("batch", id.to_string())]);
+            self.reply(call, Reply::Ended);
+        }
+    }
+
+    pub(super) fn expire_end(&mut self, id: &BatchId) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if job.ending.as_ref().is_some_and(|e| now >= e.until) {
+            for call in job.ending.take().map(|e| e.calls).unwrap_or_default() {
+                self.reply(call, Reply::Unsure);
+            }
+        }
+    }
+}
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! `Gateway::handle` takes a message, `Gateway::tick` the time, and both return effects. The
 //! control thread of the role owns the gateway; adapters carry the effects out and answer with
-//! messages. Every subject has its own file: `jobs` (life of a batch job), `submit`, `read`, `draft` (texts
+//! messages. Every subject has its own file: `jobs` (life of a batch job),
+//! `head`, `load`, `pages`, `ending`, `submit`, `read`, `draft` (texts
 //! that outlive a process),
 //! `dispatch` (items to targets), `duty` (lease and weights), `usage`,
 //! `peers`, `source` (who watches the object API) and `view`.
@@ -10,8 +11,12 @@
 mod dispatch;
 mod draft;
 mod duty;
+mod ending;
+mod head;
 mod jobs;
+mod load;
 pub mod message;
+mod pages;
 mod peers;
 mod read;
 mod source;
--- /dev/null
+++ b/crates/core/src/decision/gateway/pages.rs
@@ -0,0 +1,140 @@
+//! Writes finished results in pages, and lists them once they are stored.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::decision::directory::CallEnd;
+use crate::decision::gateway::Gateway;
+use crate::decision::gateway::STORE_PAUSE;
+use crate::decision::gateway::jobs::Work;
+use crate::decision::gateway::message::Answer;
+use crate::decision::gateway::message::Effect;
+use crate::decision::gateway::message::Kind;
+use crate::decision::gateway::message::Purpose;
+use crate::decision::gateway::message::Record;
+use crate::decision::gateway::message::StoreCall;
+use crate::domain::batch::Page;
+use crate::domain::batch::page_name;
+use crate::domain::event::Event;
+use crate::domain::name::BatchId;
+use crate::domain::name::ItemId;
+use crate::port::object::ObjectError;
+
+/// Time between two pages of one job, so that several results share a write.
+const PAGE_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Longest time after a page until finished results are written although they complete no group.
+const PAGE_LONGEST: Duration = Duration::from_millis(1_000);
+
+impl Gateway {
+    /// Writes finished results.
+    pub(super) fn flush(&mut self) {
+        let now = self.now;
+        let mut calls = Vec::new();
+        for (id, job) in &mut self.jobs {
+            let Work::Running(active) = &mut job.work else {
+                continue;
+            };
+            if active.writing || now < active.next_page {
+                continue;
+            }
+            // A page whose write may still take effect is written again as it is.
+            let (start, page) = match active.appending.clone() {
+                Some(again) => again,
+                None => {
+                    let outcomes = active.runner.finished();
+                    let late = now >= active.next_page + (PAGE_LONGEST - PAGE_INTERVAL);
+                    if outcomes.is_empty() || !(late || active.runner.completes_group()) {
+                        continue;
+                    }
+                    (job.journal.len(), Page { outcomes })
+                }
+            };
+            active.appending = Some((start, page.clone()));
+            active.writing = true;
+            calls.push((id.clone(), start, page));
+        }
+        for (id, start, page) in calls {
+            self.append(id, start, page);
+        }
+    }
+
+    pub(super) fn append(&mut self, id: BatchId, start: usize, page: Page) {
+        let name = Arc::from(page_name(&id, start));
+        let call = StoreCall::Create(Kind::Pages, name, Record::Page(page));
+        self.call_store(Purpose::Append(id, start), call);
+    }
+
+    /// Takes in the answer to the write of a page.
+    pub(super) fn appended(
+        &mut self,
+        id: &BatchId,
+        start: usize,
+        answer: &Result<Answer, ObjectError>,
+    ) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Work::Running(active) = &mut job.work else {
+            return;
+        };
+        if active.appending.as_ref().is_none_or(|(at, _)| *at != start) {
+            return;
+        }
+        active.writing = false;
+        match answer {
+            Ok(Answer::Written(_)) => {
+                if let Some((_, page)) = active.appending.take() {
+                    active.next_page = now + PAGE_INTERVAL;
+                    self.list(id, start, &page);
+                }
+            }
+            // Another page stands at this position, or this one after a lost answer.
+            Err(ObjectError::Conflict(_)) => {
+                active.writing = true;
+                let name = Arc::from(page_name(id, start));
+                let call = StoreCall::Get(Kind::Pages, name);
+                self.call_store(Purpose::Append(id.clone(), start), call);
+            }
+            Ok(Answer::Found(Some((_, Record::Page(page))))) => {
+                active.appending = None;
+                let page = page.clone();
+                self.list(id, start, &page);
+            }
+            _ => active.next_page = now + STORE_PAUSE,
+        }
+    }
+
+    /// Adds a stored page to the journal and tells readers.
+    pub(super) fn list(&mut self, id: &BatchId, start: usize, page: &Page) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        job.journal.extend(start, &page.outcomes);
+        let ids: Vec<ItemId> = page.outcomes.iter().map(|o| o.id.clone()).collect();
+        let mut needless = Vec::new();
+        let mut done = false;
+        if let Work::Running(active) = &mut job.work {
+            needless = active.runner.listed(&ids);
+            done = active.runner.is_done();
+        }
+        let listed = job.journal.len();
+        for (run, target) in needless {
+            self.effects.push(Effect::Stop(run));
+            self.directory.release(now, &target, CallEnd::Dropped);
+        }
+        let total = self.jobs.get(id).map_or(0, |job| job.head.total);
+        self.log(
+            Event::ResultsListed,
+            vec![
+                ("batch", id.to_string()),
+                ("listed", listed.to_string()),
+                ("total", total.to_string()),
+                ("done", done.to_string()),
+            ],
+        );
+        self.answer_readers(id);
+    }
+}
