Log when an item has its whole text, and look up jobs by attempt

Each end of an attempt also searched all jobs for its owner.

Change: event item_whole with target, events, moves and time; item_failed names the item; the log is written in pieces of at most 4 KB that end with a line; the gateway keeps the job of each attempt.

--- a/crates/core/src/decision/batch/run.rs
+++ b/crates/core/src/decision/batch/run.rs
@@ -41,6 +41,8 @@
     pub id: RunId,
     /// The target.
     pub target: TargetName,
+    /// Time of the dispatch.
+    pub sent: Time,
     /// Time of the last known event, at first of the dispatch.
     pub since: Time,
     /// Events so far.
@@ -126,6 +128,7 @@
         let state = Generating {
             id,
             target,
+            sent: now,
             since: now,
             events,
             draft: partial.clone(),
--- a/crates/core/src/decision/batch/runner.rs
+++ b/crates/core/src/decision/batch/runner.rs
@@ -23,6 +23,7 @@
 use crate::domain::batch::Partial;
 use crate::domain::batch::Scorer;
 use crate::domain::name::GroupName;
+use crate::domain::name::ItemId;
 use crate::domain::name::TargetName;
 use crate::domain::time::Time;
 
@@ -76,6 +77,23 @@
     pub millis: f64,
 }
 
+/// A generation that ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndedRun {
+    /// The item.
+    pub item: ItemId,
+    /// The target.
+    pub target: TargetName,
+    /// What the end says of the target.
+    pub call: CallEnd,
+    /// Moves of the item to other targets before.
+    pub moves: u32,
+    /// Attempts at which a target failed before.
+    pub failures: u32,
+    /// Time since the item was sent to this target.
+    pub spent: Duration,
+}
+
 /// The items of a job that this process runs.
 #[derive(Debug)]
 pub struct Runner {
@@ -231,20 +249,27 @@
         })
     }
 
-    /// Takes in the end of a generation. Returns the target and what it says of it.
+    /// Takes in the end of a generation.
     pub fn ended(
         &mut self,
         now: Time,
         id: RunId,
         end: &RunEnd,
         partial: Partial,
-    ) -> Option<(TargetName, CallEnd)> {
+    ) -> Option<EndedRun> {
         let index = self.runs.remove(&id)?;
         let slot = self.slots.get_mut(index)?;
         let Slot::Generating(run) = mem::replace(slot, Slot::Listed) else {
             return None;
         };
-        let target = run.state.target.clone();
+        let mut ended = EndedRun {
+            item: run.item.id.clone(),
+            target: run.state.target.clone(),
+            call: CallEnd::Answered,
+            moves: run.moves,
+            failures: run.failures,
+            spent: now.since(run.state.sent),
+        };
         let (next, call) = match end {
             RunEnd::Complete => (Slot::Texted(run.finish(now, partial)), CallEnd::Answered),
             RunEnd::Impossible => (Slot::Finished(run.give_up()), CallEnd::Answered),
@@ -278,7 +303,8 @@
             }
         };
         *slot = next;
-        Some((target, call))
+        ended.call = call;
+        Some(ended)
     }
 
     /// Takes in the end of a scoring request.
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -4,6 +4,7 @@
 
 use crate::decision::batch::RunEnd;
 use crate::decision::batch::RunId;
+use crate::decision::batch::Runner;
 use crate::decision::batch::ScoreEnd;
 use crate::decision::batch::Task;
 use crate::decision::batch::VersionTerms;
@@ -134,6 +135,7 @@
                 ("least", head.least.to_string()),
             ],
         );
+        self.runs.insert(run, id.clone());
         self.effects.push(Effect::Run(Box::new(RunOrder {
             id: run,
             target,
@@ -193,6 +195,7 @@
         if let Some(Work::Running(active)) = self.jobs.get_mut(id).map(|job| &mut job.work) {
             active.runner.score(index, run, target.name.clone());
             if active.runner.owns(run) {
+                self.runs.insert(run, id.clone());
                 self.effects.push(Effect::Score(run, target, scorer));
                 return;
             }
@@ -260,70 +263,59 @@
         }
     }
 
+    /// Returns the runner of the job to which an attempt belongs.
+    fn runner_of(&mut self, run: RunId) -> Option<&mut Runner> {
+        let batch = self.runs.get(&run)?;
+        match &mut self.jobs.get_mut(batch)?.work {
+            Work::Running(active) => Some(&mut active.runner),
+            _ => None,
+        }
+    }
+
     pub(super) fn advanced(&mut self, run: RunId, events: u64, draft: Option<Partial>) {
         let now = self.now;
-        for job in self.jobs.values_mut() {
-            if let Work::Running(active) = &mut job.work
-                && active.runner.owns(run)
-            {
-                if let Some(pace) = active.runner.advanced(now, run, events, draft) {
-                    self.directory.note_pace(&pace.target, pace.millis);
-                }
-                return;
-            }
+        let runner = self.runner_of(run);
+        let pace = runner.and_then(|runner| runner.advanced(now, run, events, draft));
+        if let Some(pace) = pace {
+            self.directory.note_pace(&pace.target, pace.millis);
         }
     }
 
     pub(super) fn run_ended(&mut self, run: RunId, end: &RunEnd, partial: Partial) {
         let now = self.now;
         let events = partial.events;
-        let mut found = None;
-        for (id, job) in &mut self.jobs {
-            if let Work::Running(active) = &mut job.work
-                && active.runner.owns(run)
-            {
-                let pace = active.runner.advanced(now, run, events, None);
-                if let Some(pace) = pace {
-                    self.directory.note_pace(&pace.target, pace.millis);
-                }
-                found = active
-                    .runner
-                    .ended(now, run, end, partial)
-                    .map(|f| (id.clone(), f));
-                break;
-            }
-        }
-        let Some((batch, (target, call))) = found else {
+        self.advanced(run, events, None);
+        let runner = self.runner_of(run);
+        let ended = runner.and_then(|runner| runner.ended(now, run, end, partial));
+        let batch = self.runs.remove(&run);
+        let (Some(batch), Some(ended)) = (batch, ended) else {
             return;
         };
-        self.directory.release(now, &target, call);
-        if *end != RunEnd::Complete {
-            self.log(
-                Event::ItemFailed,
-                vec![
-                    ("batch", batch.to_string()),
-                    ("run", run.0.to_string()),
-                    ("target", target.to_string()),
-                    ("events", events.to_string()),
-                    ("end", format!("{end:?}")),
-                ],
-            );
+        self.directory.release(now, &ended.target, ended.call);
+        let mut fields = vec![
+            ("batch", batch.to_string()),
+            ("item", ended.item.to_string()),
+            ("target", ended.target.to_string()),
+            ("events", events.to_string()),
+        ];
+        if *end == RunEnd::Complete {
+            fields.push(("moves", ended.moves.to_string()));
+            fields.push(("failures", ended.failures.to_string()));
+            fields.push(("millis", ended.spent.as_millis().to_string()));
+            self.log(Event::ItemWhole, fields);
+        } else {
+            fields.push(("end", format!("{end:?}")));
+            self.log(Event::ItemFailed, fields);
         }
         self.dispatch_job(&batch);
     }
 
     pub(super) fn scored(&mut self, run: RunId, end: &ScoreEnd) {
         let now = self.now;
-        let mut found = None;
-        for (id, job) in &mut self.jobs {
-            if let Work::Running(active) = &mut job.work
-                && active.runner.owns(run)
-            {
-                found = active.runner.scored(now, run, end).map(|f| (id.clone(), f));
-                break;
-            }
-        }
-        let Some((batch, (target, call))) = found else {
+        let runner = self.runner_of(run);
+        let scored = runner.and_then(|runner| runner.scored(now, run, end));
+        let batch = self.runs.remove(&run);
+        let (Some(batch), Some((target, call))) = (batch, scored) else {
             return;
         };
         self.directory.release(now, &target, call);
--- a/crates/core/src/decision/gateway/jobs.rs
+++ b/crates/core/src/decision/gateway/jobs.rs
@@ -195,6 +195,7 @@
             ],
         );
         for (run, target) in running {
+            self.runs.remove(&run);
             self.effects.push(Effect::Stop(run));
             self.directory.release(now, &target, CallEnd::Dropped);
         }
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod view;
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
@@ -98,6 +99,8 @@
     table: Option<Arc<RouteTable>>,
     directory: Directory,
     jobs: BTreeMap<BatchId, Job>,
+    /// Jobs of the attempts that run.
+    runs: HashMap<RunId, BatchId>,
     submissions: BTreeMap<BatchId, Submission>,
     searches: BTreeMap<BatchId, Vec<Search>>,
     /// Texts of items that ended jobs did not list, since their items may come again.
@@ -160,6 +163,7 @@
             table: None,
             directory: Directory::default(),
             jobs: BTreeMap::new(),
+            runs: HashMap::new(),
             submissions: BTreeMap::new(),
             searches: BTreeMap::new(),
             kept: VecDeque::new(),
--- a/crates/core/src/decision/gateway/pages.rs
+++ b/crates/core/src/decision/gateway/pages.rs
@@ -122,6 +122,7 @@
         }
         let listed = job.journal.len();
         for (run, target) in needless {
+            self.runs.remove(&run);
             self.effects.push(Effect::Stop(run));
             self.directory.release(now, &target, CallEnd::Dropped);
         }
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -170,10 +170,12 @@
     ResultsListed = (636, Info, "results_listed", "results of a batch job are listed"),
     /// An item was sent to a target. Fields: `batch`, `item`, `target`, `events`, `believed`, `least`.
     ItemSent = (640, Info, "item_sent", "an item is sent to a target"),
-    /// The run of an item did not end with a whole text. Fields: `batch`, `run`, `target`, `events`, `end`.
+    /// The run of an item did not end with a whole text. Fields: `batch`, `item`, `target`, `events`, `end`.
     ItemFailed = (641, Warn, "item_failed", "the run of an item ended without a whole text"),
     /// A scoring request failed. Fields: `batch`, `run`, `target`, `end`.
     ScoringFailed = (642, Warn, "scoring_failed", "a scoring request failed"),
+    /// An item has its whole text. Fields: `batch`, `item`, `target`, `events`, `moves`, `failures`, `millis`.
+    ItemWhole = (643, Info, "item_whole", "an item has its whole text"),
     /// A request was answered. Fields: `request`, `route`, `status`, `attempts`, `target`, `millis`.
     RequestAnswered = (650, Debug, "request_answered", "a request is answered"),
     /// A request was refused. Fields: `request`, `status`, `reason`, `attempts`, `millis`, `config`.
--- a/crates/sardinepath/src/logging/queue.rs
+++ b/crates/sardinepath/src/logging/queue.rs
@@ -33,6 +33,9 @@
 /// Time for the last lines at the end of the process.
 const FLUSH_LIMIT: Duration = Duration::from_millis(300);
 
+/// Bytes of one write. A pipe takes this much at once, so that no line is torn.
+const WRITE_MOST: usize = 4_096;
+
 /// What the writer thread is told.
 enum Line {
     Text(Vec<u8>),
@@ -73,8 +76,7 @@
     fn fits(&self, record: &Record<'_>) -> bool {
         let mut rates = self.rates.lock().unwrap_or_else(PoisonError::into_inner);
         let now = Instant::now();
-        let text = record.args().to_string();
-        let rate = rates.entry(text).or_insert(Rate {
+        let rate = rates.entry(record.args().to_string()).or_insert(Rate {
             since: now,
             count: 0,
         });
@@ -141,9 +143,27 @@
             text.push(b'\n');
         }
         // Without a reader there is nobody to tell.
-        let _ = out.write_all(&text).and_then(|()| out.flush());
+        let _ = write_whole_lines(&mut out, &text);
         for done in flushed {
             let _ = done.send(());
         }
     }
 }
+
+/// Writes lines in pieces that end with a line.
+fn write_whole_lines(out: &mut io::Stdout, mut text: &[u8]) -> io::Result<()> {
+    while !text.is_empty() {
+        let room = &text[..text.len().min(WRITE_MOST)];
+        let end = match room.iter().rposition(|byte| *byte == b'\n') {
+            Some(last) => last + 1,
+            None => text
+                .iter()
+                .position(|byte| *byte == b'\n')
+                .map_or(text.len(), |end| end + 1),
+        };
+        out.write_all(&text[..end])?;
+        out.flush()?;
+        text = &text[end..];
+    }
+    Ok(())
+}
