Run the jobs of a route at one gateway, and load weights on busy targets

(2) Loads were ordered by the version number, so that a model whose trainer is ahead came last. (3) Each job ran at the gateway that happened to get it: 60 to 96 new connections a job, and the texts kept for groups that come again were at another gateway in 19 of 20 cases. (4) Short items of the first groups took slots before long items of the last ones.

Change: loads go to busy targets unless texts must come from one version; those of no use for the present step first, then the model with the smallest share of loaded targets, and half of the useful ones stay open. Submissions are passed to the gateway that runs the newest job of the route, else to the first by rank among hosts with enough processor time. Long items of all groups are sent first, those of one group together. Slow targets lose their longest run first.

--- a/crates/adapters/src/peer/mod.rs
+++ b/crates/adapters/src/peer/mod.rs
@@ -3,6 +3,8 @@
 //! `GET /ping` returns a `Pong`. `GET /counts/{window}` returns the counts of a usage window.
 //! `GET /results/{batch}` with `after`, `wait` (milliseconds) and `workspace` in the query returns
 //! `ResultPage`, 404 if there is no such job, and 503 if this process cannot be sure.
+//! `POST /submissions/{batch}` with `host`, `path` and `workspace` in the query and a submission as
+//! its body returns 202 if the job is accepted, 503 if nothing of it will run, and 502 otherwise.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -29,6 +31,7 @@
 
 use crate::web::Body;
 use crate::web::Pool;
+use crate::web::SendError;
 
 /// Time for a question about the state of another process.
 const PING_LIMIT: Duration = Duration::from_millis(450);
@@ -42,6 +45,35 @@
 /// Characters that stay as they are in a path or query.
 const PLAIN: &AsciiSet = &NON_ALPHANUMERIC.remove(b'-').remove(b'_').remove(b'.');
 
+/// Time for the acceptance of a submission.
+const SUBMIT_LIMIT: Duration = Duration::from_millis(400);
+
+/// A submission that is passed on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Submission {
+    /// Name of the job.
+    pub id: BatchId,
+    /// Host that selects the route.
+    pub host: Arc<str>,
+    /// Path that selects the route.
+    pub path: String,
+    /// Workspace of the key.
+    pub workspace: Option<WorkspaceName>,
+}
+
+/// What became of a submission that was passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Passed {
+    /// The job is accepted.
+    Accepted,
+    /// Nothing of it will run there.
+    NotAccepted,
+    /// The other process was not reached.
+    NotSent,
+    /// The job may be accepted.
+    Unsure,
+}
+
 /// Results of a job.
 #[derive(Debug, Serialize, Deserialize)]
 struct ResultPage {
@@ -84,6 +116,61 @@
     }
 }
 
+/// Passes a submission on to another process.
+pub async fn submit(
+    pool: &Pool,
+    address: SocketAddr,
+    submission: &Submission,
+    body: Bytes,
+) -> Passed {
+    let encode = |text: &str| utf8_percent_encode(text, PLAIN).to_string();
+    let mut path = format!(
+        "/submissions/{}?host={}&path={}",
+        encode(submission.id.as_str()),
+        encode(&submission.host),
+        encode(&submission.path),
+    );
+    if let Some(workspace) = &submission.workspace {
+        path.push_str(&format!("&workspace={}", encode(workspace.as_str())));
+    }
+    let request = Request::post(&path).header("host", address.to_string());
+    let Ok(request) = request.body(Body::new(body)) else {
+        return Passed::NotSent;
+    };
+    match pool.call(address, request, SUBMIT_LIMIT, ANSWER_MOST).await {
+        Ok((head, _)) => match head.status {
+            StatusCode::ACCEPTED => Passed::Accepted,
+            StatusCode::SERVICE_UNAVAILABLE => Passed::NotAccepted,
+            _ => Passed::Unsure,
+        },
+        Err(SendError::NotSent(_)) => Passed::NotSent,
+        Err(SendError::Dropped(_) | SendError::MayHaveArrived(_)) => Passed::Unsure,
+    }
+}
+
+/// Decodes a submission that another process passes on.
+pub fn submission(path: &str, query: Option<&str>) -> Option<Submission> {
+    let id = path.strip_prefix("/submissions/")?;
+    Some(Submission {
+        id: BatchId::from(decode(id)?),
+        host: Arc::from(decode(field(query, "host")?)?),
+        path: decode(field(query, "path")?)?,
+        workspace: match field(query, "workspace") {
+            Some(workspace) => Some(WorkspaceName::from(decode(workspace)?)),
+            None => None,
+        },
+    })
+}
+
+/// Encodes what became of a submission that another process passed on.
+pub fn passed(passed: Passed) -> Response<Body> {
+    status(match passed {
+        Passed::Accepted => StatusCode::ACCEPTED,
+        Passed::NotAccepted | Passed::NotSent => StatusCode::SERVICE_UNAVAILABLE,
+        Passed::Unsure => StatusCode::BAD_GATEWAY,
+    })
+}
+
 /// Decodes a question of another process.
 pub fn question(path: &str, query: Option<&str>) -> Option<Question> {
     let mut parts = path.trim_start_matches('/').split('/');
@@ -92,17 +179,15 @@
         ("counts", Some(window)) => window.parse().ok().map(Question::Count),
         ("results", Some(id)) => {
             let id = BatchId::from(decode(id)?);
-            let field = |name: &str| {
-                let mut pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
-                pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
-            };
-            let wait = field("wait").and_then(|w| w.parse().ok()).unwrap_or(0);
-            let workspace = field("workspace").and_then(decode);
+            let wait = field(query, "wait").and_then(|w| w.parse().ok());
+            let workspace = field(query, "workspace").and_then(decode);
             Some(Question::Read {
                 id,
                 workspace: workspace.map(WorkspaceName::from),
-                after: field("after").and_then(|a| a.parse().ok()).unwrap_or(0),
-                wait: Duration::from_millis(wait),
+                after: field(query, "after")
+                    .and_then(|a| a.parse().ok())
+                    .unwrap_or(0),
+                wait: Duration::from_millis(wait.unwrap_or(0)),
                 here: true,
             })
         }
@@ -142,6 +227,12 @@
     }
 }
 
+/// Returns a field of a query as it stands there.
+fn field<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
+    let mut pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
 fn decode(text: &str) -> Option<String> {
     let decoded = percent_decode_str(text).decode_utf8();
     decoded.ok().map(std::borrow::Cow::into_owned)
--- a/crates/core/src/decision/batch/runner.rs
+++ b/crates/core/src/decision/batch/runner.rs
@@ -1,5 +1,6 @@
 //! Runs the items of one batch job.
 
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::mem;
 use std::sync::Arc;
@@ -30,8 +31,8 @@
 /// Pause before an item goes to another target after a broken attempt.
 const RETRY: Duration = Duration::from_millis(20);
 
-/// Pause after a target refused an item without running it.
-const REFUSED: Duration = Duration::from_millis(60);
+/// Pause after a target refused an item without running it. The target itself pauses for longer.
+const REFUSED: Duration = Duration::from_millis(20);
 
 /// Most moves of one item away from slow targets.
 const MOVES_MOST: u32 = 3;
@@ -354,14 +355,15 @@
         }
     }
 
-    /// Returns a run at a target that should move elsewhere, if it can still move.
+    /// Returns the longest run at a target that can still move elsewhere.
     pub fn movable(&self, target: &TargetName) -> Option<RunId> {
-        self.slots.iter().find_map(|slot| match slot {
-            Slot::Generating(run) if run.state.target == *target && run.moves < MOVES_MOST => {
-                Some(run.state.id)
-            }
+        let there = self.slots.iter().filter_map(|slot| match slot {
+            Slot::Generating(run) => Some(run),
             _ => None,
-        })
+        });
+        let there = there.filter(|run| run.state.target == *target && run.moves < MOVES_MOST);
+        let longest = there.max_by_key(|run| run.item.size);
+        longest.map(|run| run.state.id)
     }
 
     /// Counts a move of a run to another target.
@@ -379,19 +381,26 @@
     }
 }
 
-/// Orders items so that the groups with the longest item come first, since these end last.
+/// Orders items so that the long ones of all groups come first, since groups end with them, and
+/// those of one group follow each other. They share a target then, whose failure hits one group.
 fn dispatch_order(items: &[Arc<Item>]) -> Vec<usize> {
+    let mean = mean_size(items);
     let mut longest: HashMap<Option<&GroupName>, u64> = HashMap::new();
     for item in items {
         let most = longest.entry(item.group.as_ref()).or_default();
         *most = (*most).max(item.size);
     }
     let mut order: Vec<usize> = (0..items.len()).collect();
-    let key = |index: &usize| {
+    order.sort_by_key(|index| {
         let item = &items[*index];
-        let most = longest.get(&item.group.as_ref()).copied().unwrap_or(0);
-        std::cmp::Reverse(most)
-    };
-    order.sort_by_key(key);
+        let group = item.group.as_ref();
+        let most = longest.get(&group).copied().unwrap_or(0);
+        (item.size < mean, Reverse(most), group, Reverse(item.size))
+    });
     order
 }
+
+fn mean_size(items: &[Arc<Item>]) -> u64 {
+    let count = u64::try_from(items.len().max(1)).unwrap_or(u64::MAX);
+    items.iter().map(|item| item.size).sum::<u64>() / count
+}
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -29,7 +29,7 @@
 const SCORINGS: u32 = 4;
 
 /// Most runs that move away from slow targets in one tick.
-const MOVES_PER_TICK: usize = 4;
+const MOVES_PER_TICK: usize = 8;
 
 impl Gateway {
     /// Sends what can be sent now, the oldest jobs first.
@@ -231,6 +231,7 @@
 
     /// Moves runs from targets that are much slower than the others, while there is room there.
     fn move_slow(&mut self) {
+        let now = self.now;
         let slow: Vec<TargetName> = self
             .directory
             .load()
@@ -249,8 +250,7 @@
                     let pool = self.directory.get(&target).map(|t| t.pool.clone());
                     let model = job.head.model.clone().map(|m| (m, job.head.least));
                     let spare = pool.is_some_and(|pool| {
-                        self.directory
-                            .has_fast_room(self.now, &pool, model.as_ref())
+                        self.directory.has_fast_room(now, &pool, model.as_ref())
                     });
                     if !spare {
                         break;
--- a/crates/core/src/decision/gateway/duty.rs
+++ b/crates/core/src/decision/gateway/duty.rs
@@ -1,10 +1,12 @@
 //! The duty of one process at a time: orders to targets and usage reports, under one lease.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::Identity;
+use crate::decision::gateway::jobs::find_route;
 use crate::decision::gateway::message::Answer;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::Kind;
@@ -23,9 +25,11 @@
 use crate::decision::lease::VacantStep;
 use crate::decision::weights::OrderEnd;
 use crate::decision::weights::Replica;
+use crate::domain::batch::Head;
 use crate::domain::event::Event;
 use crate::domain::ids::Incarnation;
 use crate::domain::name::DutyName;
+use crate::domain::name::ModelName;
 use crate::domain::name::TargetName;
 use crate::port::object::Expect;
 use crate::port::object::ObjectError;
@@ -219,6 +223,7 @@
         let Some(permit) = self.permit() else {
             return;
         };
+        let fixed = self.fixed_models();
         let mut replicas = Vec::new();
         for target in self.directory.listed().filter(|t| !t.leaving) {
             for (model, version) in &target.models {
@@ -227,6 +232,7 @@
                     model: model.clone(),
                     version: *version,
                     busy: self.directory.busy(&target.name),
+                    fixed: fixed.contains(model),
                 });
             }
         }
@@ -246,6 +252,21 @@
         }
     }
 
+    /// Returns the models whose texts must come from one version.
+    fn fixed_models(&self) -> BTreeSet<ModelName> {
+        let Some(table) = &self.table else {
+            return BTreeSet::new();
+        };
+        let single = |head: &&Head| {
+            let route = find_route(table, head);
+            let terms = route.as_ref().and_then(|route| route.rollout());
+            terms.is_some_and(|terms| terms.single)
+        };
+        let heads = self.jobs.values().map(|job| &job.head);
+        let models = heads.filter(single).filter_map(|head| head.model.clone());
+        models.collect()
+    }
+
     pub(super) fn ordered(&mut self, target: &TargetName, end: OrderEnd) {
         self.weights.ended(self.now, target, end);
         if end == OrderEnd::Fenced {
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -27,6 +27,7 @@
 use crate::domain::batch::Outcome;
 use crate::domain::batch::Page;
 use crate::domain::batch::Partial;
+use crate::domain::batch::Runner;
 use crate::domain::batch::Scorer;
 use crate::domain::event::Event;
 use crate::domain::fleet::Listed;
@@ -39,6 +40,7 @@
 use crate::domain::name::ItemId;
 use crate::domain::name::ModelName;
 use crate::domain::name::PoolName;
+use crate::domain::name::RouteName;
 use crate::domain::name::TargetName;
 use crate::domain::name::WorkspaceName;
 use crate::domain::table::Route;
@@ -78,6 +80,8 @@
     Probed(bool),
     /// The process that passes objects on does not answer, or has no contact itself.
     FeedLost(SocketAddr),
+    /// The process with this address did not take a submission.
+    Shunned(SocketAddr),
     /// Another process answered, or did not.
     Pinged(HostName, Option<Pong>),
     /// Another process told its counts of a window, or did not.
@@ -100,6 +104,13 @@
         /// Targets that had it already.
         tried: Vec<TargetName>,
     },
+    /// Which process should accept and run a batch job.
+    Place {
+        /// Name of the job.
+        id: BatchId,
+        /// Route.
+        route: RouteName,
+    },
     /// Accept a batch job.
     Submit {
         /// Name of the job.
@@ -163,8 +174,10 @@
     Absent,
     /// Results with the number of items and the position of the first result.
     Results(usize, usize, Vec<Arc<Outcome>>),
-    /// This process has the answer.
+    /// The process with this address has the answer.
     Forward(SocketAddr),
+    /// This process should do it itself.
+    Here,
     /// Body of the item.
     Body(Arc<[u8]>),
     /// The job has ended.
@@ -395,7 +408,7 @@
     /// Score a text.
     Score(RunId, Choice, Scorer),
     /// Ask another process for its state.
-    Ping(Peer),
+    Ping(Runner),
     /// Ask another process for its counts of a window.
     Collect(u64, Peer),
     /// Order a target to load a version, if the permit still allows it.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -3,7 +3,7 @@
 //! `Gateway::handle` takes a message, `Gateway::tick` the time, and both return effects. The
 //! control thread of the role owns the gateway; adapters carry the effects out and answer with
 //! messages. Every subject has its own file: `jobs` (life of a batch job),
-//! `head`, `load`, `pages`, `ending`, `submit`, `read`, `draft` (texts
+//! `head`, `load`, `pages`, `ending`, `place` (who runs a new one), `submit`, `read`, `draft` (texts
 //! that outlive a process),
 //! `dispatch` (items to targets), `duty` (lease and weights), `usage`,
 //! `peers`, `source` (who watches the object API) and `view`.
@@ -18,6 +18,7 @@
 pub mod message;
 mod pages;
 mod peers;
+mod place;
 mod read;
 mod source;
 mod submit;
@@ -216,6 +217,7 @@
             Message::Contact(kind, up) => self.note_contact(kind, up),
             Message::Probed(up) => self.probed(up),
             Message::FeedLost(address) => self.feed_lost(address),
+            Message::Shunned(address) => self.shun(address),
             Message::Pinged(host, pong) => self.pinged(host, pong),
             Message::Collected(window, host, counts) => self.collected(window, host, counts),
             Message::Ordered(target, end) => self.ordered(&target, end),
@@ -259,6 +261,7 @@
     fn ask(&mut self, call: CallId, question: Question) {
         match question {
             Question::Pick { pool, tried } => self.pick(call, &pool, tried),
+            Question::Place { id, route } => self.place(call, &id, &route),
             Question::Submit {
                 id,
                 workspace,
--- a/crates/core/src/decision/gateway/peers.rs
+++ b/crates/core/src/decision/gateway/peers.rs
@@ -1,6 +1,7 @@
 //! Other processes of the system: who runs which job, and who takes over.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -42,6 +43,8 @@
     announced: bool,
     listed: bool,
     next_announce: Time,
+    /// Processes that get no submissions, with the end of that time.
+    pub(super) shunned: BTreeMap<SocketAddr, Time>,
 }
 
 /// What is known of a process that runs a job.
@@ -130,17 +133,12 @@
         if !self.peers.announced && !self.draining && now >= self.peers.next_announce {
             self.announce();
         }
-        let mut runners: BTreeMap<HostName, Peer> = BTreeMap::new();
+        let mut runners: BTreeMap<HostName, Runner> = BTreeMap::new();
         for job in self.jobs.values().filter(|job| !job.head.ended) {
             if let Some(runner) = &job.head.runner
                 && runner.host != self.me.peer.host
             {
-                let peer = Peer {
-                    host: runner.host.clone(),
-                    address: runner.address,
-                    incarnation: runner.incarnation,
-                };
-                runners.insert(runner.host.clone(), peer);
+                runners.insert(runner.host.clone(), runner.clone());
             }
         }
         let before = self.peers.health.len();
@@ -150,7 +148,7 @@
         if self.peers.health.len() < before {
             self.sum_loads();
         }
-        for (host, peer) in runners {
+        for (host, runner) in runners {
             let health = self.peers.health.entry(host).or_insert_with(|| Health {
                 good: now,
                 next: now,
@@ -161,7 +159,7 @@
             if !health.waiting && now >= health.next {
                 health.waiting = true;
                 health.next = now + PING_INTERVAL;
-                self.effects.push(Effect::Ping(peer));
+                self.effects.push(Effect::Ping(runner));
             }
         }
     }
@@ -214,7 +212,7 @@
         }
         let gone = job.head.runner.as_ref().is_none_or(|r| self.is_gone(r));
         let vacant = job.head.runner.is_none();
-        let lead = self.lead(id, job.head.runner.as_ref(), vacant);
+        let lead = self.lead(&job.head, vacant);
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -227,12 +225,7 @@
             return;
         }
         job.moving = true;
-        let peer = &self.me.peer;
-        let runner = Runner {
-            host: peer.host.clone(),
-            address: peer.address,
-            incarnation: peer.incarnation,
-        };
+        let runner = Runner::from(&self.me.peer);
         let before = job.head.runner.as_ref().map(|r| r.host.to_string());
         let head = Head {
             runner: Some(runner),
@@ -270,20 +263,20 @@
         silent || replaced || known.incarnation != runner.incarnation
     }
 
-    /// Returns how long this process waits before it takes a job over. Candidates are ordered by
-    /// a hash of job and host, so that jobs spread over them.
-    fn lead(&self, id: &BatchId, runner: Option<&Runner>, vacant: bool) -> Duration {
-        let me = &self.me.peer.host;
-        if runner.is_some_and(|r| r.host == *me) {
+    /// Returns how long this process waits before it takes a job over. Candidates are ordered as
+    /// for new jobs of the route.
+    fn lead(&self, head: &Head, vacant: bool) -> Duration {
+        let me = &self.me.peer;
+        let runner = head.runner.as_ref();
+        if runner.is_some_and(|r| r.host == me.host) {
             return Duration::ZERO;
         }
-        let own = rank_of(id.as_str(), me);
+        let subject = head.route.as_str();
+        let own = self.precedence(subject, me);
         let ahead = self
-            .peers
-            .known
-            .keys()
-            .filter(|host| *host != me && runner.is_none_or(|r| r.host != **host))
-            .filter(|host| rank_of(id.as_str(), host) < own)
+            .all_peers()
+            .filter(|peer| runner.is_none_or(|r| r.host != peer.host))
+            .filter(|peer| self.precedence(subject, peer) < own)
             .count();
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
         let first = if vacant { VACANT_LEAD } else { Duration::ZERO };
--- a/crates/core/src/decision/gateway/submit.rs
+++ b/crates/core/src/decision/gateway/submit.rs
@@ -71,12 +71,7 @@
             return;
         }
         let parts = split(&batch.source);
-        let peer = &self.me.peer;
-        let runner = Runner {
-            host: peer.host.clone(),
-            address: peer.address,
-            incarnation: peer.incarnation,
-        };
+        let runner = Runner::from(&self.me.peer);
         let head = Head {
             workspace,
             route: route.name.clone(),
--- a/crates/core/src/decision/gateway/view.rs
+++ b/crates/core/src/decision/gateway/view.rs
@@ -139,12 +139,7 @@
             Purpose::LoadDrafts(id) => self.loaded_drafts(&id, answer),
             Purpose::End(id) => self.ended(&id, &answer),
             Purpose::TakeOver(id) => {
-                let peer = &self.me.peer;
-                let runner = Runner {
-                    host: peer.host.clone(),
-                    address: peer.address,
-                    incarnation: peer.incarnation,
-                };
+                let runner = Runner::from(&self.me.peer);
                 self.moved(&id, Some(runner), &answer);
             }
             Purpose::HandOver(id) => self.moved(&id, None, &answer),
--- a/crates/core/src/decision/weights.rs
+++ b/crates/core/src/decision/weights.rs
@@ -26,9 +26,9 @@
 /// dispatched first, and the loads go to the targets that stay free.
 const LEAD: Duration = Duration::from_millis(150);
 
-/// Versions by which a busy target must be behind before its runs are interrupted by a load. The
-/// next step can still use a target that is one behind.
-const BEHIND: u64 = 2;
+/// Versions by which a target is behind when the step that comes with the newest version can no
+/// longer use it.
+const USELESS: u64 = 2;
 
 /// Time after which an order that was not accepted is tried again.
 const RETRY: Duration = Duration::from_millis(250);
@@ -61,6 +61,8 @@
     pub version: WeightVersion,
     /// Requests that run there.
     pub busy: u32,
+    /// True if a run must end under the version under which it began. Others go on during a load.
+    pub fixed: bool,
 }
 
 /// An order to load a version.
@@ -91,6 +93,40 @@
     since: Time,
 }
 
+impl Named {
+    fn is_useless(self, version: WeightVersion) -> bool {
+        version.0 + USELESS <= self.version.0
+    }
+}
+
+/// Targets of one model.
+#[derive(Clone, Copy, Debug, Default)]
+struct Share {
+    all: usize,
+    /// Those that the present step can use.
+    useful: usize,
+    /// Those with the newest version.
+    loaded: usize,
+    /// Those that load.
+    loading: usize,
+}
+
+impl Share {
+    fn loaded_percent(&self) -> usize {
+        (self.loaded + self.loading) * 100 / self.all.max(1)
+    }
+
+    /// Tells whether a target may load now. A target that loads takes no new runs, so a part of
+    /// those that the present step can use stays open.
+    fn allows(&self, now: Time, replica: &Replica, named: Named) -> bool {
+        let useless = named.is_useless(replica.version);
+        if replica.fixed && replica.busy > 0 {
+            return useless && self.useful * 2 < self.all;
+        }
+        useless || (now >= named.since + LEAD && self.loading * 2 < self.useful.max(1))
+    }
+}
+
 #[derive(Debug)]
 enum Order {
     /// Sent, not answered yet.
@@ -117,38 +153,43 @@
         self.named.get(model).map(|named| named.version)
     }
 
-    /// Returns the orders to send now. Targets with the oldest version come first, then those
-    /// with the fewest requests.
+    /// Returns the orders to send now. Targets that are of no use for the present step come first,
+    /// then those of the model with the smallest share of loaded targets.
     pub fn next(&mut self, now: Time, replicas: &[Replica]) -> Vec<Load> {
         self.settle(now, replicas);
-        let active = |o: &&Order| !matches!(o, Order::Resting(_));
+        self.assign(replicas);
         let targets: BTreeSet<&TargetName> = replicas.iter().map(|r| &r.target).collect();
         let most = ((targets.len() + WAVE / 2) / WAVE).max(1);
-        self.assign(replicas);
-        let mut free = most.saturating_sub(self.orders.values().filter(active).count());
-        let mut behind: Vec<&Replica> = replicas
+        let mut free = most.saturating_sub(self.active().count());
+        let mut shares = self.shares(replicas);
+        let mut behind: Vec<(&Replica, Named)> = replicas
             .iter()
             .filter(|r| !self.orders.contains_key(&r.target))
             .filter(|r| self.homes.get(&r.target) == Some(&r.model))
-            .filter(|r| self.is_due(now, r, replicas))
+            .filter_map(|r| Some((r, *self.named.get(&r.model)?)))
+            .filter(|(r, named)| r.version < named.version)
             .collect();
-        behind.sort_by_key(|r| (r.busy > 0, r.version, r.busy));
+        behind.sort_by_key(|(r, named)| {
+            let share = shares.get(&r.model).map_or(0, Share::loaded_percent);
+            (!named.is_useless(r.version), share, r.busy)
+        });
         let mut loads = Vec::new();
-        for replica in behind {
-            if free == 0 {
-                break;
-            }
-            let Some(version) = self.named(&replica.model) else {
+        for (replica, named) in behind {
+            let Some(share) = shares.get_mut(&replica.model) else {
                 continue;
             };
+            if free == 0 || !share.allows(now, replica, named) {
+                continue;
+            }
             let load = Load {
                 target: replica.target.clone(),
                 model: replica.model.clone(),
-                version,
+                version: named.version,
             };
             let order = Order::Sent(load.clone());
             if self.orders.insert(load.target.clone(), order).is_none() {
                 free -= 1;
+                share.loading += 1;
                 loads.push(load);
             }
         }
@@ -173,23 +214,35 @@
         self.homes.clear();
     }
 
-    /// Tells whether a target should load the newest version now.
-    fn is_due(&self, now: Time, replica: &Replica, replicas: &[Replica]) -> bool {
-        let Some(named) = self.named.get(&replica.model) else {
-            return false;
-        };
-        if replica.version >= named.version {
-            return false;
+    /// Returns the loads that are sent or under way.
+    fn active(&self) -> impl Iterator<Item = &Load> {
+        self.orders.values().filter_map(|order| match order {
+            Order::Sent(load) | Order::Loading(load, _) => Some(load),
+            Order::Resting(_) => None,
+        })
+    }
+
+    /// Counts the targets of each model.
+    fn shares(&self, replicas: &[Replica]) -> BTreeMap<ModelName, Share> {
+        let mut shares: BTreeMap<ModelName, Share> = BTreeMap::new();
+        for replica in replicas {
+            let Some(named) = self.named.get(&replica.model) else {
+                continue;
+            };
+            if self.homes.get(&replica.target) != Some(&replica.model) {
+                continue;
+            }
+            let share = shares.entry(replica.model.clone()).or_default();
+            share.all += 1;
+            share.useful += usize::from(!named.is_useless(replica.version));
+            share.loaded += usize::from(replica.version >= named.version);
         }
-        if replica.busy == 0 {
-            return now >= named.since + LEAD;
+        for load in self.active() {
+            if let Some(share) = shares.get_mut(&load.model) {
+                share.loading += 1;
+            }
         }
-        let home =
-            |r: &&Replica| r.model == replica.model && self.homes.get(&r.target) == Some(&r.model);
-        let usable = |r: &&Replica| r.version.0 + BEHIND > named.version.0;
-        let all = replicas.iter().filter(home).count();
-        let fit = replicas.iter().filter(home).filter(usable).count();
-        replica.version.0 + BEHIND <= named.version.0 && fit * 2 < all
+        shares
     }
 
     /// Assigns each target to a model: the one of which it has the newest version, as far as the
--- a/crates/core/src/domain/batch.rs
+++ b/crates/core/src/domain/batch.rs
@@ -6,6 +6,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::domain::fleet::Peer;
 use crate::domain::ids::Incarnation;
 use crate::domain::ids::WeightVersion;
 use crate::domain::name::BatchId;
@@ -98,6 +99,16 @@
     pub incarnation: Incarnation,
 }
 
+impl From<&Peer> for Runner {
+    fn from(peer: &Peer) -> Self {
+        Self {
+            host: peer.host.clone(),
+            address: peer.address,
+            incarnation: peer.incarnation,
+        }
+    }
+}
+
 /// Result of an item. It never changes once it is listed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Outcome {
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -168,6 +168,8 @@
     BatchEnded = (635, Info, "batch_ended", "the caller ended the batch job"),
     /// Results were listed. Fields: `batch`, `listed`, `total`, `done`.
     ResultsListed = (636, Info, "results_listed", "results of a batch job are listed"),
+    /// A submission was passed on to the process that runs the jobs of its route. Fields: `batch`, `to`, `end`.
+    BatchPassed = (637, Info, "batch_passed", "a submission is passed on to another process"),
     /// An item was sent to a target. Fields: `batch`, `item`, `target`, `events`, `believed`, `least`.
     ItemSent = (640, Info, "item_sent", "an item is sent to a target"),
     /// The run of an item did not end with a whole text. Fields: `batch`, `item`, `target`, `events`, `end`.
--- a/crates/core/src/domain/fleet.rs
+++ b/crates/core/src/domain/fleet.rs
@@ -43,6 +43,9 @@
     pub address: SocketAddr,
     /// This run of the process.
     pub incarnation: Incarnation,
+    /// Processor time that it may use, in percent of a core.
+    #[serde(default)]
+    pub power: u32,
 }
 
 impl Listed {
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -19,9 +19,11 @@
 use sardinepath_core::domain::name::ItemId;
 use sardinepath_core::domain::name::ModelName;
 
+use crate::gateway_support::POWER;
 use crate::gateway_support::STEP;
 use crate::gateway_support::StoreFault;
 use crate::gateway_support::World;
+use crate::gateway_support::address;
 use crate::gateway_support::batch_id;
 use crate::gateway_support::workspace;
 
@@ -349,6 +351,65 @@
     assert_whole(&world, 60);
 }
 
+/// Fails if gateways send the jobs of one route to different processes, whose connections and kept
+/// texts are of no use to each other.
+#[test]
+fn gateways_agree_on_the_runner_of_a_route() {
+    let mut world = World::new(5);
+
+    let places: BTreeSet<usize> = (0..5).map(|node| world.place(node)).collect();
+
+    assert_eq!(places.len(), 1, "{places:?}");
+}
+
+/// Fails if the jobs go to a host with little processor time while another one has enough.
+#[test]
+fn weak_hosts_run_no_jobs_beside_strong_ones() {
+    for strong in 0..4 {
+        let mut powers = [9; 4];
+        powers[strong] = POWER;
+        let mut world = World::with_powers(&powers);
+
+        let place = world.place((strong + 1) % 4);
+
+        assert_eq!(place, strong);
+    }
+}
+
+/// Fails if a job goes to a process that did not take the last one, or never comes back to it.
+#[test]
+fn a_process_that_takes_no_submission_gets_none_for_a_while() {
+    let mut world = World::new(4);
+    let first = world.place(0);
+    let asked = (first + 1) % 4;
+
+    world.message(asked, Message::Shunned(address(first)));
+    let meanwhile = world.place(asked);
+    world.run(3_500);
+    let later = world.place(asked);
+
+    assert_ne!(meanwhile, first);
+    assert_eq!(later, first);
+}
+
+/// Fails if the jobs of a route leave the process that took them over.
+#[test]
+fn new_jobs_follow_a_job_that_was_taken_over() {
+    let mut world = World::new(4);
+    let first = world.place(0);
+    world.submit(first, 400);
+    world.run(600);
+    world.kill(first);
+    world.run(4_000);
+    world.start(first);
+    world.run(600);
+
+    let places: BTreeSet<usize> = (0..4).map(|node| world.place(node)).collect();
+
+    assert_eq!(places.len(), 1, "{places:?}");
+    assert!(!places.contains(&first), "{places:?}");
+}
+
 /// Fails if a window is reported with two different figures, or by two with one token.
 #[test]
 fn a_window_is_reported_once() {
--- /dev/null
+++ b/crates/core/tests/runner.rs
@@ -0,0 +1,99 @@
+//! Items of one batch job: in which order they are sent, and which move to other targets.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+use std::sync::Arc;
+
+use sardinepath_core::decision::batch::Journal;
+use sardinepath_core::decision::batch::RunId;
+use sardinepath_core::decision::batch::Runner;
+use sardinepath_core::decision::batch::RunnerTerms;
+use sardinepath_core::decision::batch::Task;
+use sardinepath_core::decision::batch::VersionTerms;
+use sardinepath_core::domain::batch::Batch;
+use sardinepath_core::domain::batch::Item;
+use sardinepath_core::domain::ids::WeightVersion;
+use sardinepath_core::domain::name::GroupName;
+use sardinepath_core::domain::name::ItemId;
+use sardinepath_core::domain::name::ModelName;
+use sardinepath_core::domain::name::TargetName;
+use sardinepath_core::domain::time::Time;
+
+const START: Time = Time(1_000);
+
+/// Makes a job with items of these sizes, in groups of two.
+fn runner(sizes: &[u64]) -> Runner {
+    let item = |(index, size): (usize, &u64)| {
+        Arc::new(Item {
+            id: ItemId::from(format!("i{index}")),
+            path: Arc::from("/dreams/x"),
+            headers: Vec::new(),
+            body: Arc::from(&b"body"[..]),
+            size: *size,
+            group: Some(GroupName::from(format!("g{}", index / 2))),
+            scorer: None,
+        })
+    };
+    let batch = Batch {
+        model: Some(ModelName::from("m")),
+        least: WeightVersion(1),
+        items: sizes.iter().enumerate().map(item).collect(),
+        source: Arc::from(""),
+    };
+    let terms = RunnerTerms {
+        attempts: 3,
+        until: Time(600_000),
+        versions: VersionTerms {
+            least: WeightVersion(1),
+            single: false,
+        },
+    };
+    Runner::new(START, Arc::new(batch), terms, &Journal::default(), &[])
+}
+
+fn generated(tasks: Vec<Task>) -> Vec<usize> {
+    let index = |task| match task {
+        Task::Generate { index, .. } => Some(index),
+        Task::Score { .. } => None,
+    };
+    tasks.into_iter().filter_map(index).collect()
+}
+
+/// Sends every item to the same target.
+fn send_all(runner: &mut Runner, target: &TargetName) {
+    for index in generated(runner.tasks(START)) {
+        let run = RunId(u64::try_from(index).unwrap());
+        runner.generate(START, index, run, target.clone()).unwrap();
+    }
+}
+
+/// Fails if a long item waits behind short ones for a slot, and its group is late with it.
+#[test]
+fn long_items_are_sent_before_short_ones() {
+    let mut runner = runner(&[10, 500, 20, 30, 900, 40]);
+
+    let order = generated(runner.tasks(START));
+
+    assert_eq!(order, [4, 1, 5, 0, 3, 2]);
+}
+
+/// Fails if the long items of a group are sent apart, so that more targets can make it late.
+#[test]
+fn long_items_of_a_group_are_sent_together() {
+    let mut runner = runner(&[700, 900, 800, 850, 1, 1]);
+
+    let order = generated(runner.tasks(START));
+
+    assert_eq!(order[..4], [1, 0, 3, 2]);
+}
+
+/// Fails if a short item takes the place at a fast target that a long one needs.
+#[test]
+fn the_longest_item_moves_first() {
+    let mut runner = runner(&[10, 500, 20, 900]);
+    let slow = TargetName::from("slow");
+    send_all(&mut runner, &slow);
+
+    let moved = runner.movable(&slow);
+
+    assert_eq!(moved, Some(RunId(3)));
+}
