List whole groups at once, and replace runners that died in an outage

Change: results that complete a group are written after 40 ms, those of open groups after 2.5 s; silence of a process is told from silence of the store towards it; texts are told with every progress message and drafts written each 0.7 s.

--- a/crates/core/src/decision/batch/mod.rs
+++ b/crates/core/src/decision/batch/mod.rs
@@ -11,6 +11,7 @@
 mod runner;
 
 pub use crate::decision::batch::journal::Journal;
+pub use crate::decision::batch::results::Completed;
 pub use crate::decision::batch::run::Generating;
 pub use crate::decision::batch::run::Run;
 pub use crate::decision::batch::run::Scoring;
--- a/crates/core/src/decision/batch/results.rs
+++ b/crates/core/src/decision/batch/results.rs
@@ -17,6 +17,19 @@
 /// Most bytes of results in one page. An object holds at most one megabyte.
 const PAGE_MOST: usize = 700 * 1024;
 
+/// What finished results complete, in the order of its urgency.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Completed {
+    /// There are none.
+    Nothing,
+    /// No group.
+    Part,
+    /// Items without a group.
+    Single,
+    /// A group, which its trainer waits for.
+    Group,
+}
+
 impl Runner {
     /// Returns finished results for the next page.
     pub fn finished(&self) -> Vec<Arc<Outcome>> {
@@ -69,8 +82,8 @@
         drafts
     }
 
-    /// Tells whether a finished result completes its group, which its trainer waits for.
-    pub fn completes_group(&self) -> bool {
+    /// Tells what the finished results complete.
+    pub fn completed(&self) -> Completed {
         let pending = |slot: &&Slot| !matches!(slot, Slot::Finished(_) | Slot::Listed);
         let group = |index: usize| self.batch.items[index].group.as_ref();
         let slots = || self.slots.iter().enumerate();
@@ -78,9 +91,13 @@
             .filter(|(_, slot)| pending(slot))
             .filter_map(|(index, _)| group(index))
             .collect();
-        slots().any(|(index, slot)| {
-            matches!(slot, Slot::Finished(_)) && group(index).is_none_or(|g| !open.contains(g))
-        })
+        let finished = slots().filter(|(_, slot)| matches!(slot, Slot::Finished(_)));
+        let of_each = finished.map(|(index, _)| match group(index) {
+            Some(group) if open.contains(group) => Completed::Part,
+            Some(_) => Completed::Group,
+            None => Completed::Single,
+        });
+        of_each.max().unwrap_or(Completed::Nothing)
     }
 
     /// Notes that items are listed. Returns the runs that are no longer needed.
--- a/crates/core/src/decision/batch/run.rs
+++ b/crates/core/src/decision/batch/run.rs
@@ -45,8 +45,6 @@
     pub sent: Time,
     /// Time of the last known event, at first of the dispatch.
     pub since: Time,
-    /// Events so far.
-    pub events: u64,
     /// Text as last told, which may lag behind.
     pub draft: Partial,
 }
@@ -123,14 +121,12 @@
 
     /// Goes to a target. Returns the text so far, which goes with the attempt.
     pub fn start(self, now: Time, id: RunId, target: TargetName) -> (Run<Generating>, Partial) {
-        let events = self.state.partial.events;
         let partial = self.state.partial.clone();
         let state = Generating {
             id,
             target,
             sent: now,
             since: now,
-            events,
             draft: partial.clone(),
         };
         (self.with(state), partial)
--- a/crates/core/src/decision/batch/runner.rs
+++ b/crates/core/src/decision/batch/runner.rs
@@ -222,27 +222,18 @@
         }
     }
 
-    /// Takes in how far a generation is, now and then with its text.
-    pub fn advanced(
-        &mut self,
-        now: Time,
-        id: RunId,
-        events: u64,
-        draft: Option<Partial>,
-    ) -> Option<Pace> {
+    /// Takes in the text of a generation so far.
+    pub fn advanced(&mut self, now: Time, id: RunId, partial: Partial) -> Option<Pace> {
         let Slot::Generating(run) = self.slots.get_mut(*self.runs.get(&id)?)? else {
             return None;
         };
-        if let Some(draft) = draft {
-            run.state.draft = draft;
-        }
-        let new = events.saturating_sub(run.state.events);
+        let new = partial.events.saturating_sub(run.state.draft.events);
         if new == 0 {
             return None;
         }
         let spent = now.since(run.state.since).as_secs_f64() * 1000.0;
         run.state.since = now;
-        run.state.events = events;
+        run.state.draft = partial;
         let count = u32::try_from(new).unwrap_or(u32::MAX);
         Some(Pace {
             target: run.state.target.clone(),
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -272,10 +272,10 @@
         }
     }
 
-    pub(super) fn advanced(&mut self, run: RunId, events: u64, draft: Option<Partial>) {
+    pub(super) fn advanced(&mut self, run: RunId, partial: Partial) {
         let now = self.now;
         let runner = self.runner_of(run);
-        let pace = runner.and_then(|runner| runner.advanced(now, run, events, draft));
+        let pace = runner.and_then(|runner| runner.advanced(now, run, partial));
         if let Some(pace) = pace {
             self.directory.note_pace(&pace.target, pace.millis);
         }
@@ -284,7 +284,7 @@
     pub(super) fn run_ended(&mut self, run: RunId, end: &RunEnd, partial: Partial) {
         let now = self.now;
         let events = partial.events;
-        self.advanced(run, events, None);
+        self.advanced(run, partial.clone());
         let runner = self.runner_of(run);
         let ended = runner.and_then(|runner| runner.ended(now, run, end, partial));
         let batch = self.runs.remove(&run);
--- a/crates/core/src/decision/gateway/draft.rs
+++ b/crates/core/src/decision/gateway/draft.rs
@@ -28,7 +28,7 @@
 use crate::port::object::ObjectError;
 
 /// Time between two writes of the drafts of a job.
-const INTERVAL: Duration = Duration::from_millis(1_000);
+const INTERVAL: Duration = Duration::from_millis(700);
 
 /// New events since the last write that are worth another one.
 const WORTH: u64 = 24;
--- a/crates/core/src/decision/gateway/jobs.rs
+++ b/crates/core/src/decision/gateway/jobs.rs
@@ -85,8 +85,10 @@
     pub(super) appending: Option<(usize, Page)>,
     /// True while the write of the page waits for its answer.
     pub(super) writing: bool,
-    /// Earliest time of the next write of a page.
+    /// Earliest time of the next write of a page, after one that failed.
     pub(super) next_page: Time,
+    /// Time of the last page, at first the start.
+    pub(super) paged: Time,
     /// Writes of drafts.
     pub(super) drafts: DraftWrites,
 }
@@ -242,6 +244,7 @@
             appending: None,
             writing: false,
             next_page: now,
+            paged: now,
             drafts: DraftWrites::new(now),
         }));
     }
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -60,8 +60,8 @@
     Released(TargetName, CallEnd),
     /// A request of a workspace began to run.
     Began(WorkspaceName),
-    /// A generation has this many events, and now and then this text.
-    Advanced(RunId, u64, Option<Partial>),
+    /// A generation has this text so far.
+    Advanced(RunId, Partial),
     /// A generation ended with this text.
     RunEnded(RunId, RunEnd, Partial),
     /// A scoring request ended.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -200,7 +200,7 @@
                 let wall = self.wall();
                 self.tally.count(wall, workspace);
             }
-            Message::Advanced(run, events, draft) => self.advanced(run, events, draft),
+            Message::Advanced(run, partial) => self.advanced(run, partial),
             Message::RunEnded(run, end, partial) => self.run_ended(run, &end, partial),
             Message::Scored(run, end) => self.scored(run, &end),
             Message::Stored(purpose, answer) => {
--- a/crates/core/src/decision/gateway/pages.rs
+++ b/crates/core/src/decision/gateway/pages.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decision::batch::Completed;
 use crate::decision::directory::CallEnd;
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::STORE_PAUSE;
@@ -20,11 +21,14 @@
 use crate::domain::name::ItemId;
 use crate::port::object::ObjectError;
 
-/// Time between two pages of one job, so that several results share a write.
-const PAGE_INTERVAL: Duration = Duration::from_millis(300);
+/// Time after a page until results that complete a group are written. Their trainer waits for them.
+const GROUP_INTERVAL: Duration = Duration::from_millis(40);
 
-/// Longest time after a page until finished results are written although they complete no group.
-const PAGE_LONGEST: Duration = Duration::from_millis(1_000);
+/// Time after a page until results without a group are written, so that several share a write.
+const SINGLE_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time after a page until results are written although they complete no group.
+const PAGE_LONGEST: Duration = Duration::from_millis(2_500);
 
 impl Gateway {
     /// Writes finished results.
@@ -38,15 +42,21 @@
             if active.writing || now < active.next_page {
                 continue;
             }
+            let waited = now.since(active.paged);
             // A page whose write may still take effect is written again as it is.
             let (start, page) = match active.appending.clone() {
                 Some(again) => again,
                 None => {
-                    let outcomes = active.runner.finished();
-                    let late = now >= active.next_page + (PAGE_LONGEST - PAGE_INTERVAL);
-                    if outcomes.is_empty() || !(late || active.runner.completes_group()) {
+                    let worth = match active.runner.completed() {
+                        Completed::Nothing => continue,
+                        Completed::Group => GROUP_INTERVAL,
+                        Completed::Single => SINGLE_INTERVAL,
+                        Completed::Part => PAGE_LONGEST,
+                    };
+                    if waited < worth {
                         continue;
                     }
+                    let outcomes = active.runner.finished();
                     (job.journal.len(), Page { outcomes })
                 }
             };
@@ -86,7 +96,7 @@
         match answer {
             Ok(Answer::Written(_)) => {
                 if let Some((_, page)) = active.appending.take() {
-                    active.next_page = now + PAGE_INTERVAL;
+                    active.paged = now;
                     self.list(id, start, &page);
                 }
             }
@@ -99,6 +109,7 @@
             }
             Ok(Answer::Found(Some((_, Record::Page(page))))) => {
                 active.appending = None;
+                active.paged = now;
                 let page = page.clone();
                 self.list(id, start, &page);
             }
--- a/crates/core/src/decision/gateway/peers.rs
+++ b/crates/core/src/decision/gateway/peers.rs
@@ -50,7 +50,9 @@
 /// What is known of a process that runs a job.
 #[derive(Debug)]
 struct Health {
-    /// Last good answer, at first the time of the first question.
+    /// Last answer, at first the time of the first question.
+    heard: Time,
+    /// Last answer of a process that the object API answered, at first as above.
     good: Time,
     next: Time,
     waiting: bool,
@@ -150,6 +152,7 @@
         }
         for (host, runner) in runners {
             let health = self.peers.health.entry(host).or_insert_with(|| Health {
+                heard: now,
                 good: now,
                 next: now,
                 waiting: false,
@@ -171,6 +174,7 @@
         };
         health.waiting = false;
         if let Some(pong) = pong {
+            health.heard = now;
             let limit = u64::try_from(SILENCE_LIMIT.as_millis()).unwrap_or(u64::MAX);
             if pong.silence < limit {
                 health.good = now;
@@ -254,9 +258,12 @@
             return true;
         };
         let health = self.peers.health.get(&runner.host);
-        // After an outage of the object API the others need time to notice its return.
+        // After an outage of the object API a process that lives needs time to notice its return.
         let settled = self.store.steady(self.now) >= SILENCE_LIMIT;
-        let silent = settled && health.is_some_and(|h| self.now.since(h.good) >= SILENCE_LIMIT);
+        let silent = health.is_some_and(|h| {
+            let since = if settled { h.good } else { h.heard };
+            self.now.since(since) >= SILENCE_LIMIT
+        });
         let replaced = health
             .and_then(|h| h.replaced.as_ref())
             .is_some_and(|peer| peer.incarnation != runner.incarnation);
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -11,6 +11,7 @@
 use proptest::prelude::prop;
 use proptest::prop_oneof;
 use proptest::proptest;
+use sardinepath_core::decision::gateway::message::Kind;
 use sardinepath_core::decision::gateway::message::Message;
 use sardinepath_core::decision::gateway::message::Question;
 use sardinepath_core::decision::gateway::message::Reply;
@@ -96,6 +97,10 @@
     (0..count).map(|i| ItemId::from(format!("i{i}"))).collect()
 }
 
+fn starts(world: &World) -> usize {
+    world.starts.values().map(Vec::len).sum()
+}
+
 fn assert_whole(world: &World, count: usize) {
     let listed = world.listed();
     let names: BTreeSet<ItemId> = listed.iter().cloned().collect();
@@ -243,11 +248,7 @@
     let before = world.starts.len();
     for node in 0..3 {
         world.nodes[node].fault = StoreFault::Away;
-        let contact = Message::Contact(
-            sardinepath_core::decision::gateway::message::Kind::Heads,
-            false,
-        );
-        world.message(node, contact);
+        world.message(node, Message::Contact(Kind::Heads, false));
     }
     world.run(5_000);
 
@@ -262,6 +263,29 @@
     );
 }
 
+/// Fails if the job of a runner that died in an outage of the store waits for others to settle.
+#[test]
+fn a_runner_that_died_in_an_outage_is_replaced_at_its_end() {
+    let mut world = World::new(3);
+    world.submit(0, 60);
+    world.run(300);
+    for node in 0..3 {
+        world.nodes[node].fault = StoreFault::Away;
+        world.message(node, Message::Contact(Kind::Heads, false));
+    }
+    world.kill(0);
+    world.run(5_000);
+    let before = starts(&world);
+
+    for node in 1..3 {
+        world.nodes[node].fault = StoreFault::None;
+        world.relist(node);
+    }
+    world.run(1_200);
+
+    assert!(starts(&world) > before, "the job is not taken over");
+}
+
 /// Fails if a position changes or results differ between gateways.
 #[test]
 fn every_gateway_reads_the_same_results() {
--- a/crates/core/tests/runner.rs
+++ b/crates/core/tests/runner.rs
@@ -3,7 +3,9 @@
 
 use std::sync::Arc;
 
+use sardinepath_core::decision::batch::Completed;
 use sardinepath_core::decision::batch::Journal;
+use sardinepath_core::decision::batch::RunEnd;
 use sardinepath_core::decision::batch::RunId;
 use sardinepath_core::decision::batch::Runner;
 use sardinepath_core::decision::batch::RunnerTerms;
@@ -11,6 +13,7 @@
 use sardinepath_core::decision::batch::VersionTerms;
 use sardinepath_core::domain::batch::Batch;
 use sardinepath_core::domain::batch::Item;
+use sardinepath_core::domain::batch::Partial;
 use sardinepath_core::domain::ids::WeightVersion;
 use sardinepath_core::domain::name::GroupName;
 use sardinepath_core::domain::name::ItemId;
@@ -97,3 +100,36 @@
 
     assert_eq!(moved, Some(RunId(3)));
 }
+
+/// Ends the run of an item with a whole text.
+fn finish(runner: &mut Runner, index: u64) {
+    let text = Partial {
+        text: "text".to_owned(),
+        events: 1,
+        versions: vec![1],
+    };
+    runner
+        .ended(START, RunId(index), &RunEnd::Complete, text)
+        .unwrap();
+    // Items without a scoring request are finished when tasks are asked for.
+    runner.tasks(START);
+}
+
+/// Fails if results are written one by one, or those that complete a group wait for others.
+#[test]
+fn results_that_complete_a_group_are_told_apart() {
+    let mut runner = runner(&[10, 10, 10, 10]);
+    send_all(&mut runner, &TargetName::from("t"));
+
+    let none = runner.completed();
+    finish(&mut runner, 0);
+    finish(&mut runner, 2);
+    let parts = runner.completed();
+    finish(&mut runner, 1);
+    let group = runner.completed();
+
+    assert_eq!(
+        [none, parts, group],
+        [Completed::Nothing, Completed::Part, Completed::Group]
+    );
+}
