--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -92,6 +92,8 @@
     Reported(u64, ReportEnd),
     /// The process has to end.
     Drain,
+    /// All traffic has ended, and with it the work of the control thread.
+    Stop,
 }
 
 /// A question of a traffic thread.
@@ -409,6 +411,8 @@
     Score(RunId, Choice, Scorer),
     /// Ask another process for its state.
     Ping(Runner),
+    /// All work has been handed over after a drain.
+    Drained,
     /// Ask another process for its counts of a window.
     Collect(u64, Peer),
     /// Order a target to load a version, if the permit still allows it.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -113,6 +113,8 @@
     tally: Tally,
     reports: Reports,
     draining: bool,
+    /// True once it has told that nothing is left to do.
+    drained: bool,
     /// Whether the object API answers.
     store: StoreHealth,
     /// Start of the time since when the targets are watched without a gap, or none in an outage.
@@ -175,6 +177,7 @@
             tally: Tally::new(window),
             reports: Reports::new(now),
             draining: false,
+            drained: false,
             store: StoreHealth {
                 outage: None,
                 back: now,
@@ -223,6 +226,8 @@
             Message::Ordered(target, end) => self.ordered(&target, end),
             Message::Reported(window, end) => self.reported(window, end),
             Message::Drain => self.drain(),
+            // The control thread ends by itself.
+            Message::Stop => {}
         }
         std::mem::take(&mut self.effects)
     }
@@ -240,6 +245,10 @@
         self.dispatch();
         self.flush();
         self.write_drafts();
+        if !self.drained && self.is_drained() {
+            self.drained = true;
+            self.effects.push(Effect::Drained);
+        }
         std::mem::take(&mut self.effects)
     }
 
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -458,6 +458,7 @@
                 }
                 Effect::Publish(_)
                 | Effect::Close
+                | Effect::Drained
                 | Effect::Follow(_)
                 | Effect::Relay(_)
                 | Effect::Move(_)
--- a/crates/node/src/gateway/control.rs
+++ b/crates/node/src/gateway/control.rs
@@ -13,7 +13,8 @@
 
 use crate::gateway::GatewayMetrics;
 
-/// Runs the control thread until the queue closes, or until a drain has nothing left to do.
+/// Runs the control thread until it is stopped. After a drain it still serves the requests of
+/// connections that are open.
 pub fn run(
     mut gateway: Gateway,
     messages: &Receiver<Message>,
@@ -27,13 +28,11 @@
         if now >= due {
             let effects = gateway.tick(now);
             perform(effects, outlet, metrics);
-            if gateway.is_drained() {
-                return;
-            }
             due = gateway.next_tick();
         }
         let wait = due.since(clock.now()).max(Duration::from_millis(1));
         match messages.recv_timeout(wait) {
+            Ok(Message::Stop) => return,
             Ok(message) => {
                 let effects = gateway.handle(clock.now(), message);
                 perform(effects, outlet, metrics);
