Tell the growth of drafts per item, collect groups, and give stalled streams up sooner

(2) A trainer comes back half a second after a page, so a group that ended 90 ms after another one was read after its time. (3) A silent target held an item for 2.0 to 2.5 s although its pool makes an event every 48 ms.

Change: growth is counted for each item; complete groups are collected for 120 ms; a stream counts as stalled after 12 events of its pool, 0.6 to 2 s.

--- a/crates/core/src/decision/batch/mod.rs
+++ b/crates/core/src/decision/batch/mod.rs
@@ -5,11 +5,13 @@
 //! therefore agree on each position: the first page at a position stands, and the other process
 //! reads it and goes on behind it. An item may be generated twice, but it is listed once.
 
+mod drafts;
 mod journal;
 mod results;
 mod run;
 mod runner;
 
+pub use crate::decision::batch::drafts::Written;
 pub use crate::decision::batch::journal::Journal;
 pub use crate::decision::batch::results::Completed;
 pub use crate::decision::batch::run::Generating;
--- a/crates/core/src/decision/directory.rs
+++ b/crates/core/src/decision/directory.rs
@@ -33,6 +33,15 @@
 /// A target is slow if it takes this many times as long for an event as the median of its pool.
 const SLOW: f64 = 1.25;
 
+/// Events that a target may be behind the median of its pool before a stream counts as stalled.
+const PATIENCE: f64 = 12.0;
+
+/// Shortest silence after which a stream counts as stalled.
+const PATIENCE_LEAST: Duration = Duration::from_millis(600);
+
+/// Longest silence of a stream, and the one while no pace is known.
+const PATIENCE_MOST: Duration = Duration::from_millis(2_000);
+
 /// All known targets.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -270,6 +279,13 @@
         targets.any(|t| t.fits(now, pool, &need) && !self.is_slow(&t.listed.name))
     }
 
+    /// Returns the silence after which a stream from this pool counts as stalled.
+    pub fn patience(&self, pool: &PoolName) -> Duration {
+        let millis = self.median_pace(pool).map(|pace| pace * PATIENCE);
+        let patience = millis.and_then(|m| Duration::try_from_secs_f64(m / 1000.0).ok());
+        patience.map_or(PATIENCE_MOST, |p| p.clamp(PATIENCE_LEAST, PATIENCE_MOST))
+    }
+
     fn median_pace(&self, pool: &PoolName) -> Option<f64> {
         let targets = self.targets.values().filter(|t| t.listed.pool == *pool);
         let mut paces: Vec<f64> = targets.filter_map(|t| t.pace).collect();
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -136,6 +136,8 @@
             ],
         );
         self.runs.insert(run, id.clone());
+        let pool = self.directory.get(&target.name).map(|t| t.pool.clone());
+        let patience = pool.map(|pool| self.directory.patience(&pool));
         self.effects.push(Effect::Run(Box::new(RunOrder {
             id: run,
             target,
@@ -148,6 +150,7 @@
                 single: route.rollout().is_some_and(|terms| terms.single),
             },
             rank: self.rank(head),
+            patience: patience.unwrap_or_default(),
         })));
         true
     }
--- a/crates/core/src/decision/gateway/draft.rs
+++ b/crates/core/src/decision/gateway/draft.rs
@@ -10,13 +10,14 @@
 
 use crate::decision::batch::Journal;
 use crate::decision::batch::Runner;
+use crate::decision::batch::Written;
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::jobs::Work;
-use crate::decision::gateway::message::Answer;
-use crate::decision::gateway::message::Kind;
-use crate::decision::gateway::message::Purpose;
-use crate::decision::gateway::message::Record;
-use crate::decision::gateway::message::StoreCall;
+use crate::decision::gateway::stored::Answer;
+use crate::decision::gateway::stored::Kind;
+use crate::decision::gateway::stored::Purpose;
+use crate::decision::gateway::stored::Record;
+use crate::decision::gateway::stored::StoreCall;
 use crate::domain::batch::Draft;
 use crate::domain::batch::Drafts;
 use crate::domain::batch::Outcome;
@@ -28,7 +29,7 @@
 use crate::port::object::ObjectError;
 
 /// Time between two writes of the drafts of a job.
-const INTERVAL: Duration = Duration::from_millis(700);
+const INTERVAL: Duration = Duration::from_millis(800);
 
 /// New events since the last write that are worth another one.
 const WORTH: u64 = 24;
@@ -52,8 +53,8 @@
     writing: bool,
     /// Revision of the object, once it is known to exist.
     revision: Option<Revision>,
-    /// Events of the drafts that were written last.
-    events: u64,
+    /// The drafts that were written last.
+    written: Written,
 }
 
 impl DraftWrites {
@@ -62,7 +63,7 @@
             next: now + INTERVAL,
             writing: false,
             revision: None,
-            events: 0,
+            written: Written::default(),
         }
     }
 }
@@ -82,12 +83,10 @@
             }
             writes.next = now + INTERVAL;
             let drafts = active.runner.drafts();
-            let events = drafts.iter().map(|d| d.partial.events).sum();
-            if drafts.is_empty() || events < writes.events.min(events) + WORTH {
-                writes.events = writes.events.min(events);
+            if writes.written.growth(&drafts) < WORTH {
                 continue;
             }
-            writes.events = events;
+            writes.written.replace(&drafts);
             writes.writing = true;
             let name = Arc::from(id.as_str());
             let record = Record::Drafts(Drafts { drafts });
@@ -108,7 +107,7 @@
         for job in self.jobs.values_mut() {
             if let Work::Running(active) = &mut job.work {
                 active.drafts.next = now;
-                active.drafts.events = 0;
+                active.drafts.written.clear();
             }
         }
         self.write_drafts();
@@ -125,9 +124,9 @@
             Ok(Answer::Written(revision)) => active.drafts.revision = Some(*revision),
             Err(ObjectError::Conflict(revision)) => {
                 active.drafts.revision = *revision;
-                active.drafts.events = 0;
+                active.drafts.written.clear();
             }
-            _ => active.drafts.events = 0,
+            _ => active.drafts.written.clear(),
         }
     }
 
--- a/crates/core/src/decision/gateway/ending.rs
+++ b/crates/core/src/decision/gateway/ending.rs
@@ -4,11 +4,11 @@
 
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::jobs::Ending;
-use crate::decision::gateway::message::Answer;
 use crate::decision::gateway::message::CallId;
-use crate::decision::gateway::message::Purpose;
 use crate::decision::gateway::message::Reply;
 use crate::decision::gateway::read::Wanted;
+use crate::decision::gateway::stored::Answer;
+use crate::decision::gateway::stored::Purpose;
 use crate::domain::batch::Head;
 use crate::domain::event::Event;
 use crate::domain::name::BatchId;
--- a/crates/core/src/decision/gateway/head.rs
+++ b/crates/core/src/decision/gateway/head.rs
@@ -4,11 +4,11 @@
 
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::jobs::Job;
-use crate::decision::gateway::message::Answer;
-use crate::decision::gateway::message::Kind;
-use crate::decision::gateway::message::Purpose;
-use crate::decision::gateway::message::Record;
-use crate::decision::gateway::message::StoreCall;
+use crate::decision::gateway::stored::Answer;
+use crate::decision::gateway::stored::Kind;
+use crate::decision::gateway::stored::Purpose;
+use crate::decision::gateway::stored::Record;
+use crate::decision::gateway::stored::StoreCall;
 use crate::domain::batch::Head;
 use crate::domain::batch::Runner as RunnerName;
 use crate::domain::ids::Revision;
@@ -47,11 +47,16 @@
 
     /// Reads a head whose state is in doubt.
     pub(super) fn refresh(&mut self, id: &BatchId) {
-        let name = Arc::from(id.as_str());
-        let call = StoreCall::Get(Kind::Heads, name);
+        let call = StoreCall::Get(Kind::Heads, Arc::from(id.as_str()));
         self.call_store(Purpose::Refresh(id.clone()), call);
     }
 
+    /// Reads a head whose state is in doubt after a read that failed.
+    fn refresh_again(&mut self, id: &BatchId) {
+        let call = StoreCall::Get(Kind::Heads, Arc::from(id.as_str()));
+        self.call_store_again(Purpose::Refresh(id.clone()), call);
+    }
+
     /// Takes in a head that was read because its state was in doubt.
     pub(super) fn refreshed(&mut self, id: &BatchId, answer: Result<Answer, ObjectError>) {
         match answer {
@@ -70,7 +75,7 @@
                     job.moving = false;
                     // `expire_end` answers the callers if the object API stays away.
                     if job.ending.is_some() {
-                        self.refresh(id);
+                        self.refresh_again(id);
                     }
                 }
             }
--- a/crates/core/src/decision/gateway/jobs.rs
+++ b/crates/core/src/decision/gateway/jobs.rs
@@ -31,7 +31,7 @@
 use crate::domain::time::Time;
 
 /// Time after which the submission and results of an ended job leave the memory.
-const KEEP_IDLE: Duration = Duration::from_secs(20);
+const KEEP_IDLE: Duration = Duration::from_secs(60);
 
 /// A batch job as this process knows it.
 #[derive(Debug)]
@@ -89,6 +89,8 @@
     pub(super) next_page: Time,
     /// Time of the last page, at first the start.
     pub(super) paged: Time,
+    /// Since when a group is complete that is not written.
+    pub(super) complete: Option<Time>,
     /// Writes of drafts.
     pub(super) drafts: DraftWrites,
 }
@@ -245,6 +247,7 @@
             writing: false,
             next_page: now,
             paged: now,
+            complete: None,
             drafts: DraftWrites::new(now),
         }));
     }
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod place;
 mod read;
 mod source;
+pub mod stored;
 mod submit;
 mod usage;
 mod view;
@@ -38,16 +39,16 @@
 use crate::decision::gateway::jobs::Job;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Effect;
-use crate::decision::gateway::message::Kind;
 use crate::decision::gateway::message::Message;
 use crate::decision::gateway::message::Pong;
-use crate::decision::gateway::message::Purpose;
 use crate::decision::gateway::message::Question;
 use crate::decision::gateway::message::Reply;
-use crate::decision::gateway::message::StoreCall;
 use crate::decision::gateway::peers::Peers;
 use crate::decision::gateway::read::Search;
 use crate::decision::gateway::source::Feed;
+use crate::decision::gateway::stored::Kind;
+use crate::decision::gateway::stored::Purpose;
+use crate::decision::gateway::stored::StoreCall;
 use crate::decision::gateway::submit::Submission;
 use crate::decision::gateway::usage::Reports;
 use crate::decision::lease::Terms;
@@ -119,6 +120,8 @@
     store: StoreHealth,
     /// Start of the time since when the targets are watched without a gap, or none in an outage.
     watched: Option<Time>,
+    /// Calls that are repeated later, with their time.
+    delayed: Vec<(Time, Purpose, StoreCall)>,
     next_run: u64,
     draws: u64,
     /// Time up to which messages have been handled.
@@ -183,6 +186,7 @@
                 back: now,
             },
             watched: None,
+            delayed: Vec::new(),
             next_run: 1,
             draws: me.seed | 1,
             now,
@@ -238,6 +242,7 @@
         for name in self.directory.expire(now, self.watched) {
             self.log(Event::TargetLost, vec![("target", name.to_string())]);
         }
+        self.repeat_calls();
         self.tick_duty();
         self.tick_jobs();
         self.tick_peers();
@@ -388,6 +393,22 @@
         self.effects.push(Effect::Store(purpose, call));
     }
 
+    /// Makes a call to the object API again after a pause, because it failed.
+    fn call_store_again(&mut self, purpose: Purpose, call: StoreCall) {
+        self.delayed.push((self.now + STORE_PAUSE, purpose, call));
+    }
+
+    fn repeat_calls(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self
+            .delayed
+            .extract_if(.., |(at, _, _)| now >= *at)
+            .collect();
+        for (_, purpose, call) in due {
+            self.call_store(purpose, call);
+        }
+    }
+
     fn log(&mut self, event: Event, fields: Vec<(&'static str, String)>) {
         self.effects.push(Effect::Log(event, fields));
     }
--- a/crates/core/src/decision/gateway/pages.rs
+++ b/crates/core/src/decision/gateway/pages.rs
@@ -8,12 +8,12 @@
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::STORE_PAUSE;
 use crate::decision::gateway::jobs::Work;
-use crate::decision::gateway::message::Answer;
 use crate::decision::gateway::message::Effect;
-use crate::decision::gateway::message::Kind;
-use crate::decision::gateway::message::Purpose;
-use crate::decision::gateway::message::Record;
-use crate::decision::gateway::message::StoreCall;
+use crate::decision::gateway::stored::Answer;
+use crate::decision::gateway::stored::Kind;
+use crate::decision::gateway::stored::Purpose;
+use crate::decision::gateway::stored::Record;
+use crate::decision::gateway::stored::StoreCall;
 use crate::domain::batch::Page;
 use crate::domain::batch::page_name;
 use crate::domain::event::Event;
@@ -21,8 +21,9 @@
 use crate::domain::name::ItemId;
 use crate::port::object::ObjectError;
 
-/// Time after a page until results that complete a group are written. Their trainer waits for them.
-const GROUP_INTERVAL: Duration = Duration::from_millis(40);
+/// Time for which complete groups are collected. A trainer that reads one page comes back half a
+/// second later, and would get a group that ends shortly after the first one too late.
+const GROUP_COLLECT: Duration = Duration::from_millis(120);
 
 /// Time after a page until results without a group are written, so that several share a write.
 const SINGLE_INTERVAL: Duration = Duration::from_millis(300);
@@ -42,20 +43,20 @@
             if active.writing || now < active.next_page {
                 continue;
             }
-            let waited = now.since(active.paged);
             // A page whose write may still take effect is written again as it is.
             let (start, page) = match active.appending.clone() {
                 Some(again) => again,
                 None => {
-                    let worth = match active.runner.completed() {
+                    let due = match active.runner.completed() {
                         Completed::Nothing => continue,
-                        Completed::Group => GROUP_INTERVAL,
-                        Completed::Single => SINGLE_INTERVAL,
-                        Completed::Part => PAGE_LONGEST,
+                        Completed::Group => *active.complete.get_or_insert(now) + GROUP_COLLECT,
+                        Completed::Single => active.paged + SINGLE_INTERVAL,
+                        Completed::Part => active.paged + PAGE_LONGEST,
                     };
-                    if waited < worth {
+                    if now < due {
                         continue;
                     }
+                    active.complete = None;
                     let outcomes = active.runner.finished();
                     (job.journal.len(), Page { outcomes })
                 }
--- a/crates/core/src/decision/gateway/peers.rs
+++ b/crates/core/src/decision/gateway/peers.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use crate::decision::gateway::Gateway;
-use crate::decision::gateway::message::Answer;
 use crate::decision::gateway::message::Effect;
-use crate::decision::gateway::message::Kind;
 use crate::decision::gateway::message::Pong;
-use crate::decision::gateway::message::Purpose;
-use crate::decision::gateway::message::Record;
-use crate::decision::gateway::message::StoreCall;
+use crate::decision::gateway::stored::Answer;
+use crate::decision::gateway::stored::Kind;
+use crate::decision::gateway::stored::Purpose;
+use crate::decision::gateway::stored::Record;
+use crate::decision::gateway::stored::StoreCall;
 use crate::domain::batch::Head;
 use crate::domain::batch::Runner;
 use crate::domain::event::Event;
--- a/crates/core/src/decision/gateway/read.rs
+++ b/crates/core/src/decision/gateway/read.rs
@@ -5,14 +5,14 @@
 
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::jobs::Work;
-use crate::decision::gateway::message::Answer;
 use crate::decision::gateway::message::CallId;
-use crate::decision::gateway::message::Kind;
-use crate::decision::gateway::message::Purpose;
 use crate::decision::gateway::message::Question;
-use crate::decision::gateway::message::Record;
 use crate::decision::gateway::message::Reply;
-use crate::decision::gateway::message::StoreCall;
+use crate::decision::gateway::stored::Answer;
+use crate::decision::gateway::stored::Kind;
+use crate::decision::gateway::stored::Purpose;
+use crate::decision::gateway::stored::Record;
+use crate::decision::gateway::stored::StoreCall;
 use crate::domain::name::BatchId;
 use crate::domain::name::ItemId;
 use crate::domain::name::WorkspaceName;
@@ -228,7 +228,8 @@
                 }
                 if !rest.is_empty() {
                     self.searches.insert(id.clone(), rest);
-                    self.ask_head(id.clone());
+                    let call = StoreCall::Get(Kind::Heads, Arc::from(id.as_str()));
+                    self.call_store_again(Purpose::Find(id.clone()), call);
                 }
             }
         }
--- a/crates/core/src/decision/gateway/usage.rs
+++ b/crates/core/src/decision/gateway/usage.rs
@@ -5,13 +5,13 @@
 use std::time::Duration;
 
 use crate::decision::gateway::Gateway;
-use crate::decision::gateway::message::Answer;
 use crate::decision::gateway::message::Effect;
-use crate::decision::gateway::message::Kind;
-use crate::decision::gateway::message::Purpose;
-use crate::decision::gateway::message::Record;
 use crate::decision::gateway::message::ReportEnd;
-use crate::decision::gateway::message::StoreCall;
+use crate::decision::gateway::stored::Answer;
+use crate::decision::gateway::stored::Kind;
+use crate::decision::gateway::stored::Purpose;
+use crate::decision::gateway::stored::Record;
+use crate::decision::gateway::stored::StoreCall;
 use crate::decision::tally::Counts;
 use crate::decision::tally::Figures;
 use crate::domain::event::Event;
@@ -209,7 +209,7 @@
             }
             _ => {
                 let call = StoreCall::Get(Kind::Windows, Arc::from(window.to_string()));
-                self.call_store(Purpose::Frozen(window), call);
+                self.call_store_again(Purpose::Frozen(window), call);
             }
         }
     }
--- a/crates/core/src/decision/gateway/view.rs
+++ b/crates/core/src/decision/gateway/view.rs
@@ -1,11 +1,11 @@
 //! Takes in what the watches of the object API report, and routes answers to their subjects.
 
 use crate::decision::gateway::Gateway;
-use crate::decision::gateway::message::Answer;
 use crate::decision::gateway::message::Effect;
-use crate::decision::gateway::message::Kind;
-use crate::decision::gateway::message::Purpose;
-use crate::decision::gateway::message::View;
+use crate::decision::gateway::stored::Answer;
+use crate::decision::gateway::stored::Kind;
+use crate::decision::gateway::stored::Purpose;
+use crate::decision::gateway::stored::View;
 use crate::domain::batch::Runner;
 use crate::domain::event::Event;
 use crate::domain::fleet::Listed;
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -146,3 +146,25 @@
     assert_eq!(chosen.last(), Some(&"c".to_owned()));
     assert_eq!(chosen.iter().filter(|name| *name == "c").count(), 1);
 }
+
+/// Fails if a silent target holds an item for seconds although others make an event every 50 ms, or
+/// if slow engines are given up between two events.
+#[test]
+fn the_patience_with_a_stream_follows_the_pace_of_its_pool() {
+    let pool = PoolName::from("engines");
+    let names = ["a", "b", "c"];
+    let patience = |millis: Option<f64>| {
+        let mut directory = directory(&names.map(|name| listed(name, 1)));
+        for name in names {
+            if let Some(millis) = millis {
+                directory.note_pace(&TargetName::from(name), millis);
+            }
+        }
+        directory.patience(&pool).as_millis()
+    };
+
+    assert_eq!(patience(None), 2_000);
+    assert_eq!(patience(Some(20.0)), 600);
+    assert_eq!(patience(Some(100.0)), 1_200);
+    assert_eq!(patience(Some(900.0)), 2_000);
+}
--- a/crates/core/tests/runner.rs
+++ b/crates/core/tests/runner.rs
@@ -11,7 +11,9 @@
 use sardinepath_core::decision::batch::RunnerTerms;
 use sardinepath_core::decision::batch::Task;
 use sardinepath_core::decision::batch::VersionTerms;
+use sardinepath_core::decision::batch::Written;
 use sardinepath_core::domain::batch::Batch;
+use sardinepath_core::domain::batch::Draft;
 use sardinepath_core::domain::batch::Item;
 use sardinepath_core::domain::batch::Partial;
 use sardinepath_core::domain::ids::WeightVersion;
@@ -133,3 +135,27 @@
         [Completed::Nothing, Completed::Part, Completed::Group]
     );
 }
+
+fn draft(id: &str, events: u64) -> Draft {
+    Draft {
+        id: ItemId::from(id),
+        partial: Partial {
+            text: String::new(),
+            events,
+            versions: vec![1],
+        },
+        whole: false,
+    }
+}
+
+/// Fails if the texts of long items are not written again because short items end meanwhile.
+#[test]
+fn items_that_end_do_not_hide_the_growth_of_others() {
+    let mut written = Written::default();
+    let before = [draft("short", 90), draft("other", 80), draft("long", 90)];
+    written.replace(&before);
+
+    let growth = written.growth(&[draft("long", 130)]);
+
+    assert_eq!(growth, 40);
+}
--- a/crates/sardinepath/src/logging/queue.rs
+++ b/crates/sardinepath/src/logging/queue.rs
@@ -18,6 +18,8 @@
 use flume::Receiver;
 use flume::Sender;
 use log::Record;
+use log::kv::Key;
+use sardinepath_adapters::event::NUMBER;
 use sardinepath_core::domain::event::Event;
 use serde_json::json;
 
@@ -47,7 +49,7 @@
 pub(super) struct QueueWriter {
     lines: Sender<Line>,
     format: FormatFunction,
-    rates: Mutex<HashMap<String, Rate>>,
+    rates: Mutex<HashMap<u64, Rate>>,
     left_out: Arc<AtomicU64>,
 }
 
@@ -72,11 +74,13 @@
         })
     }
 
-    /// Counts a line against the rate of its event.
+    /// Counts a line against the rate of its event. Lines without an event share one rate.
     fn fits(&self, record: &Record<'_>) -> bool {
-        let mut rates = self.rates.lock().unwrap_or_else(PoisonError::into_inner);
+        let number = record.key_values().get(Key::from_str(NUMBER));
+        let number = number.and_then(|value| value.to_u64()).unwrap_or(0);
         let now = Instant::now();
-        let rate = rates.entry(record.args().to_string()).or_insert(Rate {
+        let mut rates = self.rates.lock().unwrap_or_else(PoisonError::into_inner);
+        let rate = rates.entry(number).or_insert(Rate {
             since: now,
             count: 0,
         });
@@ -87,11 +91,7 @@
             };
         }
         rate.count += 1;
-        let fits = rate.count <= RATE;
-        if rates.len() > ROOM {
-            rates.clear();
-        }
-        fits
+        rate.count <= RATE
     }
 }
 
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -16,7 +16,6 @@
 
 use anyhow::Context;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::Incoming;
 use rand::RngExt;
@@ -29,6 +28,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::body;
 use crate::proxy::Proxy;
 use crate::store::LIMITS;
 use crate::store::answer;
@@ -162,12 +162,7 @@
         let (books, highest) = (books.clone(), highest.clone());
         async move {
             let (head, body) = request.into_parts();
-            let body = body
-                .collect()
-                .await
-                .map(|b| b.to_bytes())
-                .unwrap_or_default();
-            let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+            let body = body::json(body).await;
             let text = |name: &str| {
                 head.headers
                     .get(name)
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,6 +4,7 @@
 //! gateways as separate processes, `callers` uses them and checks the promises, and `run` draws
 //! faults from a seed.
 
+mod body;
 pub mod callers;
 pub mod fleet;
 pub mod proxy;
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -8,11 +8,12 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use crate::body;
+
 use bytes::Bytes;
 use http::Method;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::Incoming;
 use sardinepath_adapters::web::Body;
@@ -235,12 +236,7 @@
 
 async fn serve(store: Arc<StoreStandIn>, request: Request<Incoming>) -> Response<Body> {
     let (head, body) = request.into_parts();
-    let body = body
-        .collect()
-        .await
-        .map(|b| b.to_bytes())
-        .unwrap_or_default();
-    let body: Value = serde_json::from_slice(&body).unwrap_or_default();
+    let body = body::json(body).await;
     let fault = store.lock().fault;
     let writes = head.method != Method::GET;
     match fault {
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -13,7 +13,6 @@
 use http::HeaderMap;
 use http::Response;
 use http::StatusCode;
-use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -28,6 +27,7 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
+use crate::body;
 use crate::store::StoreStandIn;
 use crate::store::answer;
 
@@ -231,21 +231,14 @@
     pool: String,
 ) -> Response<Body> {
     let (head, body) = request.into_parts();
-    let body = body
-        .collect()
-        .await
-        .map(|b| b.to_bytes())
-        .unwrap_or_default();
+    let body = body::json(body).await;
     let expected = text(&head.headers, names::EXPECT_TARGET);
     if expected.is_some_and(|expected| expected != target.name) {
         return answer(StatusCode::MISDIRECTED_REQUEST, &json!({}));
     }
     match head.uri.path() {
         "/report" => target.report(),
-        "/order" => {
-            let body = serde_json::from_slice(&body).unwrap_or_default();
-            target.order(&body, pool).await
-        }
+        "/order" => target.order(&body, pool).await,
         _ => {
             let id = target.begin(&head.headers);
             sleep(Duration::from_millis(5)).await;
