Let the next gateways watch the store when the watchers are away

Followers that had lost both watchers watched the store themselves, up to 20 of 26, each with 5 watches; gateways cut off from the store asked others by their own order, mostly ones that do not watch.

Change: those that pass no objects on give way to the next ones by rank, for 5 s if they are silent and 0.6 s if they have no contact themselves, so two watch at any time; a gateway without the store follows in the same order.

--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -74,8 +74,8 @@
     Contact(Kind, bool),
     /// Whether the object API answers this process without the help of another one.
     Probed(bool),
-    /// The process that passes objects on does not answer, or has no contact itself.
-    FeedLost(SocketAddr),
+    /// The process that passed objects on does so no longer.
+    FeedLost(SocketAddr, FeedEnd),
     /// The process with this address did not take a submission.
     Shunned(SocketAddr),
     /// Another process answered, or did not.
@@ -197,6 +197,15 @@
     pub load: BTreeMap<TargetName, u32>,
 }
 
+/// Why a process passes no objects on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FeedEnd {
+    /// It does not answer.
+    Silent,
+    /// It has no contact to the object API itself.
+    Blind,
+}
+
 /// From where a process learns of objects.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -223,7 +223,7 @@
             Message::Changed(view) => self.changed(view),
             Message::Contact(kind, up) => self.note_contact(kind, up),
             Message::Probed(up) => self.probed(up),
-            Message::FeedLost(address) => self.feed_lost(address),
+            Message::FeedLost(address, end) => self.feed_lost(address, end),
             Message::Shunned(address) => self.shun(address),
             Message::Pinged(host, pong) => self.pinged(host, pong),
             Message::Collected(window, host, counts) => self.collected(window, host, counts),
--- a/crates/core/src/decision/gateway/source.rs
+++ b/crates/core/src/decision/gateway/source.rs
@@ -13,6 +13,7 @@
 
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::message::Effect;
+use crate::decision::gateway::message::FeedEnd;
 use crate::decision::gateway::message::Source;
 use crate::decision::gateway::peers::rank_of;
 use crate::domain::event::Event;
@@ -31,8 +32,11 @@
 /// Processes through which calls are made.
 const RELAYS: usize = 2;
 
-/// Time for which a process that did not pass objects on is left out.
-const AVOID: Duration = Duration::from_secs(5);
+/// Time for which a process that does not answer is left out.
+const AVOID_SILENT: Duration = Duration::from_secs(5);
+
+/// Time for which a process that has no contact itself is left out. It may be about to watch.
+const AVOID_BLIND: Duration = Duration::from_millis(600);
 
 /// The chosen source.
 #[derive(Debug)]
@@ -64,8 +68,12 @@
         self.feed.source == Source::Store
     }
 
-    pub(super) fn feed_lost(&mut self, address: SocketAddr) {
-        self.feed.avoided.insert(address, self.now + AVOID);
+    pub(super) fn feed_lost(&mut self, address: SocketAddr, end: FeedEnd) {
+        let time = match end {
+            FeedEnd::Silent => AVOID_SILENT,
+            FeedEnd::Blind => AVOID_BLIND,
+        };
+        self.feed.avoided.insert(address, self.now + time);
         self.tick_source();
     }
 
@@ -94,28 +102,24 @@
     }
 
     fn best_source(&self) -> Source {
-        let mut peers: Vec<&Peer> = self.all_peers().collect();
         let me = &self.me.peer.host;
         let away = self.feed.away.is_some_and(|at| self.now.since(at) >= AWAY);
-        // A process without the store looks at all others, since the watchers may have lost it too.
-        if peers.len() > DIRECT_MOST && !away {
-            peers.sort_by_key(|peer| rank_of("watch", &peer.host));
-            peers.truncate(WATCHERS);
+        let mut peers: Vec<&Peer> = self.all_peers().collect();
+        let large = peers.len() > DIRECT_MOST;
+        // Those that do not pass objects on give way to the next ones, which then watch.
+        peers.retain(|p| p.host == *me || !self.feed.avoided.contains_key(&p.address));
+        peers.sort_by_key(|peer| rank_of("watch", &peer.host));
+        if away {
+            let other = peers.iter().find(|peer| peer.host != *me);
+            return other.map_or(Source::Store, |peer| Source::StandIn(peer.address));
         }
-        let watches = peers.iter().any(|peer| peer.host == *me);
-        if watches && !away {
+        peers.truncate(WATCHERS);
+        if !large || peers.iter().any(|peer| peer.host == *me) {
             return Source::Store;
         }
-        peers.retain(|peer| peer.host != *me);
         // Followers spread over the watchers.
-        peers.sort_by_key(|peer| rank_of(me.as_str(), &peer.host));
-        let usable = |peer: &&&Peer| !self.feed.avoided.contains_key(&peer.address);
-        let best = peers.iter().find(usable);
-        match best {
-            Some(peer) if away => Source::StandIn(peer.address),
-            Some(peer) => Source::Peer(peer.address),
-            None => Source::Store,
-        }
+        let source = peers.iter().min_by_key(|p| rank_of(me.as_str(), &p.host));
+        source.map_or(Source::Store, |peer| Source::Peer(peer.address))
     }
 
     /// Chooses the processes through which calls are made if the object API is away here.
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -11,9 +11,11 @@
 use proptest::prelude::prop;
 use proptest::prop_oneof;
 use proptest::proptest;
+use sardinepath_core::decision::gateway::message::FeedEnd;
 use sardinepath_core::decision::gateway::message::Message;
 use sardinepath_core::decision::gateway::message::Question;
 use sardinepath_core::decision::gateway::message::Reply;
+use sardinepath_core::decision::gateway::message::Source;
 use sardinepath_core::decision::gateway::stored::Kind;
 use sardinepath_core::decision::gateway::stored::View;
 use sardinepath_core::domain::ids::WeightVersion;
@@ -434,6 +436,51 @@
     assert!(!places.contains(&first), "{places:?}");
 }
 
+fn watchers(world: &World) -> BTreeSet<usize> {
+    let nodes = world.nodes.iter().enumerate();
+    let watching = nodes.filter(|(_, node)| node.source == Source::Store);
+    watching.map(|(index, _)| index).collect()
+}
+
+/// Fails if every gateway of a large fleet watches the store once the watchers are gone, or if
+/// nobody takes their place.
+#[test]
+fn two_others_watch_when_the_watchers_are_silent() {
+    let mut world = World::new(12);
+    let before = watchers(&world);
+
+    for node in 0..12 {
+        for lost in &before {
+            let lost = Message::FeedLost(address(*lost), FeedEnd::Silent);
+            world.message(node, lost);
+        }
+    }
+    world.run(100);
+    let after = watchers(&world);
+
+    assert_eq!(before.len(), 2);
+    // The silent ones believe that they watch.
+    assert_eq!(after.difference(&before).count(), 2, "{before:?} {after:?}");
+}
+
+/// Fails if a gateway without the store asks gateways that do not watch it.
+#[test]
+fn a_gateway_without_the_store_follows_a_watcher() {
+    let mut world = World::new(12);
+    let watching = watchers(&world);
+    let cut = (0..12).find(|node| !watching.contains(node)).unwrap();
+
+    world.message(cut, Message::Probed(false));
+    world.run(1_000);
+
+    let addresses: Vec<_> = watching.iter().map(|node| address(*node)).collect();
+    let source = world.nodes[cut].source;
+    assert!(
+        matches!(source, Source::StandIn(a) if addresses.contains(&a)),
+        "{source:?}"
+    );
+}
+
 /// Fails if a window is reported with two different figures, or by two with one token.
 #[test]
 fn a_window_is_reported_once() {
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -18,6 +18,7 @@
 use sardinepath_core::decision::gateway::message::Reply;
 use sardinepath_core::decision::gateway::message::ReportEnd;
 use sardinepath_core::decision::gateway::message::RunOrder;
+use sardinepath_core::decision::gateway::message::Source;
 use sardinepath_core::decision::gateway::stored::Answer;
 use sardinepath_core::decision::gateway::stored::Kind;
 use sardinepath_core::decision::gateway::stored::Record;
@@ -86,6 +87,8 @@
     pub frozen: bool,
     /// Processor time of the host, in percent of a core.
     power: u32,
+    /// From where it learns of objects.
+    pub source: Source,
     incarnation: u64,
     inbox: Vec<(u64, Message)>,
     replies: BTreeMap<CallId, Reply>,
@@ -215,6 +218,7 @@
             fault: StoreFault::None,
             frozen: false,
             power: *power,
+            source: Source::Store,
             incarnation: 0,
             inbox: Vec::new(),
             replies: BTreeMap::new(),
@@ -456,10 +460,10 @@
                     self.reports.entry(window).or_default().push(entry);
                     self.send(index, STEP, Message::Reported(window, ReportEnd::Accepted));
                 }
+                Effect::Follow(source) => self.nodes[index].source = source,
                 Effect::Publish(_)
                 | Effect::Close
                 | Effect::Drained
-                | Effect::Follow(_)
                 | Effect::Relay(_)
                 | Effect::Move(_)
                 | Effect::Log(..) => {}
