--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -342,7 +342,9 @@
 
     fn note_contact(&mut self, kind: Kind, up: bool) {
         self.store.note(self.now, up);
-        if !up {
+        if up {
+            self.feed_found();
+        } else {
             self.probed(false);
         }
         if kind == Kind::Targets {
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -463,6 +463,23 @@
     assert_eq!(after.difference(&before).count(), 2, "{before:?} {after:?}");
 }
 
+/// Fails if a gateway looks for another one that watches for longer than a change may take.
+#[test]
+fn a_gateway_that_finds_no_watcher_watches_itself() {
+    let mut world = World::new(12);
+    let watching = watchers(&world);
+    let blind = (0..12).find(|node| !watching.contains(node)).unwrap();
+
+    for _ in 0..10 {
+        if let Some(other) = world.nodes[blind].source.peer() {
+            world.message(blind, Message::FeedLost(other, FeedEnd::Blind));
+        }
+        world.run(100);
+    }
+
+    assert_eq!(world.nodes[blind].source, Source::Store);
+}
+
 /// Fails if a gateway without the store asks gateways that do not watch it.
 #[test]
 fn a_gateway_without_the_store_follows_a_watcher() {
