Pause targets that only answer errors, and remove old batch jobs

(2) Several failures of one moment at a target counted one by one, so a full target was left out for up to 4 s. (3) Nothing removed the objects of old batch jobs and usage windows from the store.

Change: three errors in a row without a success count as a failure of the target, which then gets one request at a time until it succeeds; an item avoids the last four targets that failed it; failures while a target pauses count once. The holder of the duty removes ended jobs 60 s after the time for which they can be read, and the figures of windows 24 windows later.

--- a/crates/core/src/decision/batch/runner.rs
+++ b/crates/core/src/decision/batch/runner.rs
@@ -55,8 +55,8 @@
     Generate {
         /// Position of the item in the job.
         index: usize,
-        /// Target that should not get it again.
-        avoid: Option<TargetName>,
+        /// Targets that should not get it again.
+        avoid: Vec<TargetName>,
         /// Group with a common prompt.
         group: Option<GroupName>,
     },
@@ -266,11 +266,11 @@
             RunEnd::Complete => (Slot::Texted(run.finish(now, partial)), CallEnd::Answered),
             RunEnd::Impossible => (Slot::Finished(run.give_up()), CallEnd::Answered),
             RunEnd::Failed if run.failures + 1 >= self.terms.attempts => {
-                (Slot::Finished(run.give_up()), CallEnd::Answered)
+                (Slot::Finished(run.give_up()), CallEnd::Error)
             }
             RunEnd::Failed => {
                 let run = run.retry(now, RETRY, partial, true);
-                (Slot::Waiting(run), CallEnd::Answered)
+                (Slot::Waiting(run), CallEnd::Error)
             }
             RunEnd::Refused => {
                 let run = run.retry(now, REFUSED, partial, false);
@@ -317,7 +317,7 @@
                 Slot::Finished(run.complete(score.clone())),
                 CallEnd::Answered,
             ),
-            ScoreEnd::Failed => (Slot::Texted(run.retry(now, RETRY, true)), CallEnd::Answered),
+            ScoreEnd::Failed => (Slot::Texted(run.retry(now, RETRY, true)), CallEnd::Error),
             ScoreEnd::Refused => (
                 Slot::Texted(run.retry(now, REFUSED, false)),
                 CallEnd::Refused,
--- a/crates/core/src/decision/directory.rs
+++ b/crates/core/src/decision/directory.rs
@@ -27,6 +27,9 @@
 /// Pause of a target that refused a request without running it.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(200);
 
+/// Errors in a row after which a target counts as failed. A few requests fail at every target.
+const ERRORS: u32 = 3;
+
 /// Share of the newest measurement in the average pace.
 const PACE_SHARE: f64 = 0.4;
 
@@ -58,8 +61,10 @@
     elsewhere: u32,
     /// The target gets nothing before this time.
     paused: Time,
-    /// Failures since the last success.
+    /// Failures since the last success. Those of one moment count once.
     failures: u32,
+    /// Errors that the target answered since its last success.
+    errors: u32,
     /// Average milliseconds between two events of a stream.
     pace: Option<f64>,
     /// When the entry went missing although the target may live.
@@ -88,6 +93,8 @@
 pub enum CallEnd {
     /// With an answer.
     Answered,
+    /// The target failed while running it, and said so.
+    Error,
     /// The target refused it without running it.
     Refused,
     /// Another target has the address.
@@ -116,6 +123,7 @@
             }
             if listed.born > known.listed.born {
                 known.failures = 0;
+                known.errors = 0;
                 known.paused = Time::default();
                 known.pace = None;
             }
@@ -128,6 +136,7 @@
             elsewhere: 0,
             paused: Time::default(),
             failures: 0,
+            errors: 0,
             pace: None,
             missing: None,
             listed,
@@ -235,13 +244,18 @@
         };
         target.running = target.running.saturating_sub(1);
         match end {
-            CallEnd::Answered => target.failures = 0,
-            CallEnd::Refused => target.paused = now + REFUSAL_PAUSE,
-            CallEnd::Failed | CallEnd::Misdirected => {
-                let pause = PAUSE * 2_u32.saturating_pow(target.failures.min(8));
-                target.failures += 1;
-                target.paused = now + pause.min(PAUSE_MOST);
+            CallEnd::Answered => {
+                target.failures = 0;
+                target.errors = 0;
+            }
+            CallEnd::Error => {
+                target.errors += 1;
+                if target.errors >= ERRORS {
+                    target.fail(now);
+                }
             }
+            CallEnd::Refused => target.paused = target.paused.max(now + REFUSAL_PAUSE),
+            CallEnd::Failed | CallEnd::Misdirected => target.fail(now),
             CallEnd::Dropped => {}
         }
     }
@@ -295,10 +309,21 @@
 }
 
 impl Target {
+    /// Pauses the target after a failure. Further failures while it pauses belong to this one.
+    fn fail(&mut self, now: Time) {
+        if self.failures > 0 && now < self.paused {
+            return;
+        }
+        let pause = PAUSE * 2_u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        self.paused = now + pause.min(PAUSE_MOST);
+    }
+
     fn fits(&self, now: Time, pool: &PoolName, need: &Need) -> bool {
         self.listed.pool == *pool
             && !self.listed.leaving
             && (need.paused || now >= self.paused)
+            && (need.paused || self.errors < ERRORS || self.running == 0)
             && (!need.room || self.running + self.elsewhere < self.listed.slots)
             && !need.tried.contains(&self.listed.name)
             && self.has_version(need)
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -102,7 +102,7 @@
         head: &Head,
         route: &Arc<Route>,
         index: usize,
-        avoid: Option<TargetName>,
+        avoid: Vec<TargetName>,
         group: Option<&GroupName>,
     ) -> bool {
         let now = self.now;
@@ -161,7 +161,7 @@
         id: &BatchId,
         head: &Head,
         route: &Route,
-        avoid: Option<TargetName>,
+        avoid: Vec<TargetName>,
         group: Option<&GroupName>,
     ) -> Option<Choice> {
         let now = self.now;
@@ -173,7 +173,7 @@
         };
         let mut need = Need {
             model: head.model.clone().map(|model| (model, head.least)),
-            tried: avoid.into_iter().collect(),
+            tried: avoid,
             prefer,
             room: true,
             paused: false,
--- a/crates/core/src/decision/gateway/duty.rs
+++ b/crates/core/src/decision/gateway/duty.rs
@@ -104,6 +104,7 @@
         self.step_lease();
         self.tick_weights();
         self.tick_reports();
+        self.tick_retire();
     }
 
     fn step_lease(&mut self) {
@@ -197,6 +198,7 @@
         self.duty.fenced = false;
         self.weights.reset();
         self.reset_reports();
+        self.reset_retire();
         self.log(
             Event::DutyAcquired,
             vec![("duty", DUTY.to_owned()), ("fence", fence.to_string())],
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -5,7 +5,7 @@
 //! messages. Every subject has its own file: `jobs` (life of a batch job),
 //! `head`, `load`, `pages`, `ending`, `place` (who runs a new one), `submit`, `read`, `draft` (texts
 //! that outlive a process),
-//! `dispatch` (items to targets), `duty` (lease and weights), `usage`,
+//! `dispatch` (items to targets), `duty` (lease and weights), `usage`, `retire` (old jobs),
 //! `peers`, `source` (who watches the object API) and `view`.
 
 mod dispatch;
@@ -20,6 +20,7 @@
 mod peers;
 mod place;
 mod read;
+mod retire;
 mod source;
 pub mod stored;
 mod submit;
@@ -45,6 +46,7 @@
 use crate::decision::gateway::message::Reply;
 use crate::decision::gateway::peers::Peers;
 use crate::decision::gateway::read::Search;
+use crate::decision::gateway::retire::Retiring;
 use crate::decision::gateway::source::Feed;
 use crate::decision::gateway::stored::Kind;
 use crate::decision::gateway::stored::Purpose;
@@ -88,6 +90,8 @@
     pub lease: Terms,
     /// Length of a usage window, or none if usage is not reported.
     pub window: Option<Duration>,
+    /// Time after its acceptance for which an ended job can be read.
+    pub keep: Duration,
     /// Time after the end of a window until its report is due.
     pub report_limit: Duration,
     /// Start of the random numbers.
@@ -120,6 +124,9 @@
     store: StoreHealth,
     /// Start of the time since when the targets are watched without a gap, or none in an outage.
     watched: Option<Time>,
+    /// The removal of an old job.
+    retiring: Option<Retiring>,
+    next_retire: Time,
     /// Calls that are repeated later, with their time.
     delayed: Vec<(Time, Purpose, StoreCall)>,
     next_run: u64,
@@ -186,6 +193,8 @@
                 back: now,
             },
             watched: None,
+            retiring: None,
+            next_retire: now,
             delayed: Vec::new(),
             next_run: 1,
             draws: me.seed | 1,
--- a/crates/core/src/decision/gateway/stored.rs
+++ b/crates/core/src/decision/gateway/stored.rs
@@ -59,6 +59,10 @@
     Announced,
     /// Remove the entry of this process.
     Leave,
+    /// Remove the objects of an old job.
+    Retire(BatchId),
+    /// Remove something that is of no more use.
+    Forget,
 }
 
 /// Kinds of objects.
--- a/crates/core/src/decision/gateway/usage.rs
+++ b/crates/core/src/decision/gateway/usage.rs
@@ -227,6 +227,7 @@
         match end {
             ReportEnd::Accepted => {
                 self.reports.open.remove(&window);
+                self.forget_window(window);
             }
             ReportEnd::Failed | ReportEnd::Fenced => {
                 open.state = State::Frozen(figures.clone(), now + REPORT_PAUSE);
--- a/crates/core/src/decision/gateway/view.rs
+++ b/crates/core/src/decision/gateway/view.rs
@@ -146,7 +146,8 @@
             Purpose::Freeze(window) => self.frozen(window, &answer),
             Purpose::Frozen(window) => self.read_frozen(window, answer),
             Purpose::Announce | Purpose::Announced => self.announced(answer),
-            Purpose::Leave => {}
+            Purpose::Retire(id) => self.retired(&id, &answer),
+            Purpose::Leave | Purpose::Forget => {}
         }
     }
 }
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -170,6 +170,8 @@
     ResultsListed = (636, Info, "results_listed", "results of a batch job are listed"),
     /// A submission was passed on to the process that runs the jobs of its route. Fields: `batch`, `to`, `end`.
     BatchPassed = (637, Info, "batch_passed", "a submission is passed on to another process"),
+    /// The objects of an old batch job were removed. Fields: `batch`.
+    BatchRemoved = (638, Info, "batch_removed", "the objects of an old batch job are removed"),
     /// An item was sent to a target. Fields: `batch`, `item`, `target`, `events`, `believed`, `least`.
     ItemSent = (640, Info, "item_sent", "an item is sent to a target"),
     /// The run of an item did not end with a whole text. Fields: `batch`, `item`, `target`, `events`, `end`.
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -168,3 +168,42 @@
     assert_eq!(patience(Some(100.0)), 1_200);
     assert_eq!(patience(Some(900.0)), 2_000);
 }
+
+/// Fails if a target that answers every request with an error draws all of them, since it is always
+/// free.
+#[test]
+fn a_target_that_only_answers_errors_pauses_and_gets_one_request_at_a_time() {
+    let mut directory = directory(&[listed("liar", 1)]);
+    let liar = TargetName::from("liar");
+    for _ in 0..2 {
+        assert!(choose(&mut directory, 0, &run(1)).is_some());
+        directory.release(Time(0), &liar, CallEnd::Error);
+    }
+    let after_two = choose(&mut directory, 0, &run(1));
+    directory.release(Time(0), &liar, CallEnd::Error);
+
+    let paused = choose(&mut directory, 0, &run(1));
+    let first = choose(&mut directory, 10_000, &run(1));
+    let second = choose(&mut directory, 10_000, &run(1));
+    directory.release(Time(10_000), &liar, CallEnd::Answered);
+    let trusted = [(); 2].map(|()| choose(&mut directory, 10_000, &run(1)));
+
+    assert!(after_two.is_some(), "a few requests fail at every target");
+    assert_eq!((paused, second), (None, None));
+    assert!(first.is_some());
+    assert!(trusted.iter().all(Option::is_some));
+}
+
+/// Fails if a target is left out for seconds because several requests fail there at one moment.
+#[test]
+fn failures_of_one_moment_count_once() {
+    let mut directory = directory(&[listed("a", 1)]);
+    let target = TargetName::from("a");
+    for _ in 0..6 {
+        directory.release(Time(0), &target, CallEnd::Failed);
+    }
+
+    let soon = choose(&mut directory, 300, &run(1));
+
+    assert!(soon.is_some());
+}
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -436,6 +436,37 @@
     assert!(!places.contains(&first), "{places:?}");
 }
 
+/// Fails if the objects of ended jobs stay in the store for good, go too early, or stay behind when
+/// the holder of the duty is killed while it removes them.
+#[test]
+fn an_old_job_is_removed_from_the_store() {
+    let mut world = World::new(3);
+    world.submit(0, 60);
+    world.run(CALM);
+    let end = Question::End {
+        id: batch_id(),
+        workspace: workspace(),
+    };
+    world.ask(0, end);
+    world.run(45_000);
+    let kept = world.objects();
+
+    while world.objects() == kept && world.now < 200_000 {
+        world.run(STEP);
+    }
+    let begun = world.now;
+    for node in 0..3 {
+        world.kill(node);
+        world.run(100);
+        world.start(node);
+    }
+    world.run(60_000);
+
+    assert!(kept > 3);
+    assert!(begun < 200_000, "nothing is removed");
+    assert_eq!(world.objects(), 0);
+}
+
 fn watchers(world: &World) -> BTreeSet<usize> {
     let nodes = world.nodes.iter().enumerate();
     let watching = nodes.filter(|(_, node)| node.source == Source::Store);
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -62,6 +62,9 @@
 /// Milliseconds of a generation.
 const RUN_TIME: u64 = 700;
 
+/// Time for which an ended job can be read.
+pub const KEEP: Duration = Duration::from_secs(60);
+
 /// Processor time of a host, in percent of a core.
 pub const POWER: u32 = 50;
 
@@ -260,6 +263,7 @@
                 poll: Duration::from_millis(1_500),
                 retry: Duration::from_millis(400),
             },
+            keep: KEEP,
             window: Some(Duration::from_secs(5)),
             report_limit: Duration::from_secs(10),
             seed: incarnation + 77 * u64::try_from(index).unwrap(),
@@ -372,6 +376,13 @@
         listed
     }
 
+    /// Counts the objects of jobs in the store.
+    pub fn objects(&self) -> usize {
+        let of_jobs = [Kind::Heads, Kind::Parts, Kind::Pages, Kind::Drafts];
+        let kinds = self.store.keys().map(|(kind, _)| kind);
+        kinds.filter(|kind| of_jobs.contains(kind)).count()
+    }
+
     /// Lets time pass.
     pub fn run(&mut self, millis: u64) {
         let end = self.now + millis;
@@ -540,7 +551,13 @@
                 }
             }
             StoreCall::Delete(kind, name) => {
-                self.store.remove(&(kind, name));
+                self.store.remove(&(kind, name.clone()));
+                if kind == Kind::Heads {
+                    let gone = View::HeadGone(BatchId::from(name.as_ref()));
+                    for index in 0..self.nodes.len() {
+                        self.send(index, STORE_TIME, Message::Changed(gone.clone()));
+                    }
+                }
                 Ok(Answer::Written(Revision(0)))
             }
         }
--- a/crates/core/tests/runner.rs
+++ b/crates/core/tests/runner.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use sardinepath_core::decision::batch::Completed;
 use sardinepath_core::decision::batch::Journal;
@@ -159,3 +160,22 @@
 
     assert_eq!(growth, 40);
 }
+
+/// Fails if an item uses its attempts up at two targets that both fail it.
+#[test]
+fn an_item_avoids_all_targets_that_failed_it() {
+    let mut runner = runner(&[10]);
+    for (run, target) in ["a", "b"].iter().enumerate() {
+        let id = RunId(u64::try_from(run).unwrap());
+        let target = TargetName::from(*target);
+        runner.generate(START, 0, id, target).unwrap();
+        runner.ended(START, id, &RunEnd::Failed, Partial::default());
+    }
+
+    let tasks = runner.tasks(START + Duration::from_secs(1));
+
+    let Some(Task::Generate { avoid, .. }) = tasks.first() else {
+        panic!("no task: {tasks:?}")
+    };
+    assert_eq!(*avoid, ["a", "b"].map(TargetName::from));
+}
