Let each model fill its own share of the targets first

Change: while all versions are equal, a model prefers the targets of its share, told from a hash of their names; the weights of versions and of the pace in the choice are scaled, so that their order stays.

--- a/crates/core/src/decision/directory.rs
+++ b/crates/core/src/decision/directory.rs
@@ -342,9 +342,11 @@
         /// Surcharge for another data centre.
         const FAR: f64 = 0.05;
         /// Bonus for each version above the oldest permitted one.
-        const NEWER: f64 = 1.0;
+        const NEWER: f64 = 2.0;
         /// Weight of the pace, so that a slow target comes after all others.
-        const PACE: f64 = 4.0;
+        const PACE: f64 = 8.0;
+        /// Bonus for a target in the share of the model. It is above the range of the load.
+        const SHARE: f64 = 1.2;
         /// Pace relative to the median up to which targets count as equally fast.
         const EVEN: f64 = 1.12;
         let load = f64::from(self.running + self.elsewhere) / f64::from(self.listed.slots.max(1));
@@ -374,7 +376,22 @@
         } else {
             0.0
         };
-        slow - load - NEWER * versions + common
+        let own = need
+            .model
+            .as_ref()
+            .is_some_and(|(m, _)| self.is_shared_to(m));
+        let share = if own { SHARE } else { 0.0 };
+        slow - load - NEWER * versions - share + common
+    }
+
+    /// Tells whether a model fills this target first. Each model has an equal share of the targets,
+    /// since the processes that run the jobs of different models hear of each other's runs late.
+    fn is_shared_to(&self, model: &ModelName) -> bool {
+        let models = &self.listed.models;
+        let rank = models.iter().filter(|(other, _)| other < model).count();
+        let count = models.len().max(1);
+        let hash = self.hash(0) >> 40;
+        usize::try_from(hash).unwrap_or(0) % count == rank
     }
 
     /// Returns how many versions above the oldest permitted one the target has, at most two.
@@ -388,11 +405,16 @@
     /// keeps to a few targets and their connections, and not all to the same ones.
     fn tie(&self, seed: u64) -> f64 {
         const RANGE: u64 = 1024;
-        let name = self.listed.name.as_str().bytes();
-        let mixed = name.fold(seed | 1, |sum, b| {
-            (sum ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)
-        });
-        let step = u32::try_from((mixed >> 20) % RANGE).unwrap_or(0);
+        let step = u32::try_from((self.hash(seed) >> 20) % RANGE).unwrap_or(0);
         f64::from(step) / 10_240.0
     }
+
+    fn hash(&self, seed: u64) -> u64 {
+        const PRIME: u64 = 0x0100_0000_01b3;
+        // Spreads names that differ in their last letters only.
+        const SPREAD: u64 = 0xbf58_476d_1ce4_e5b9;
+        let name = self.listed.name.as_str().bytes();
+        let hash = name.fold(seed | 1, |sum, b| (sum ^ u64::from(b)).wrapping_mul(PRIME));
+        (hash ^ (hash >> 29)).wrapping_mul(SPREAD)
+    }
 }
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -1,6 +1,8 @@
 //! Directory of targets: which one is chosen, and when an entry is dropped.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+use std::collections::BTreeSet;
+
 use sardinepath_core::decision::directory::CallEnd;
 use sardinepath_core::decision::directory::Directory;
 use sardinepath_core::decision::directory::Need;
@@ -207,3 +209,30 @@
 
     assert!(soon.is_some());
 }
+
+/// Fails if the jobs of two models start on the same targets although each could have its own, as
+/// their processes hear of each other's runs only later.
+#[test]
+fn models_fill_different_targets_first() {
+    let models = ["a", "b"].map(|m| (ModelName::from(m), WeightVersion(1)));
+    let targets: Vec<Listed> = (0..12)
+        .map(|index| Listed {
+            models: models.to_vec(),
+            ..listed(&format!("i-{index}"), 1)
+        })
+        .collect();
+    let first = |model: &str| -> BTreeSet<String> {
+        let mut directory = directory(&targets);
+        let need = Need {
+            model: Some((ModelName::from(model), WeightVersion(1))),
+            ..run(1)
+        };
+        (0..6)
+            .filter_map(|_| choose(&mut directory, 0, &need))
+            .collect()
+    };
+
+    let (a, b) = (first("a"), first("b"));
+
+    assert!(a.is_disjoint(&b), "{a:?} {b:?}");
+}
