--- a/crates/core/tests/traffic.rs
+++ b/crates/core/tests/traffic.rs
@@ -1,11 +1,11 @@
-//! Admission, fair queue, choice of targets and retries of one entry, in virtual time.
-
+//! Shares of a full pool, withdrawn keys, deadlines and token rates.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+mod traffic_support;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::sync::Arc;
 
 use proptest::prelude::ProptestConfig;
 use proptest::prelude::any;
@@ -13,172 +13,27 @@
 use proptest::prop_assert;
 use proptest::prop_assert_eq;
 use proptest::proptest;
-use sardinepath_core::decision::config::Config;
-use sardinepath_core::decision::config::TeamState;
 use sardinepath_core::decision::traffic::Action;
-use sardinepath_core::decision::traffic::Ask;
 use sardinepath_core::decision::traffic::Outcome;
 use sardinepath_core::decision::traffic::TicketKey;
 use sardinepath_core::decision::traffic::Traffic;
-use sardinepath_core::domain::declare::Access;
-use sardinepath_core::domain::declare::KeySpec;
-use sardinepath_core::domain::declare::PoolSpec;
-use sardinepath_core::domain::declare::Priority;
-use sardinepath_core::domain::declare::Repeat;
-use sardinepath_core::domain::declare::RouteSpec;
-use sardinepath_core::domain::declare::Scheme;
-use sardinepath_core::domain::declare::TargetKind;
-use sardinepath_core::domain::declare::TargetSpec;
-use sardinepath_core::domain::declare::TeamTree;
 use sardinepath_core::domain::declare::WorkspaceSpec;
 use sardinepath_core::domain::error::ErrorKind;
 use sardinepath_core::domain::error::Failure;
 use sardinepath_core::domain::error::RunState;
-use sardinepath_core::domain::ids::Incarnation;
-use sardinepath_core::domain::ids::Revision;
-use sardinepath_core::domain::ids::WeightVersion;
-use sardinepath_core::domain::key::KeyDigest;
-use sardinepath_core::domain::name::PoolId;
-use sardinepath_core::domain::name::RouteId;
-use sardinepath_core::domain::name::WorkspaceId;
-use sardinepath_core::domain::target::Report;
-use sardinepath_core::domain::target::ServingState;
 use sardinepath_core::domain::time::Time;
 
-const SECOND: u64 = 1000;
-
-/// Later than any deadline of a test.
-const FAR: u64 = 900 * SECOND;
-
-fn workspace(name: &str) -> WorkspaceId {
-    WorkspaceId {
-        team: "print".into(),
-        name: name.into(),
-    }
-}
-
-fn key(name: &str) -> KeyDigest {
-    KeyDigest::of(name.as_bytes())
-}
-
-fn target_spec() -> TargetSpec {
-    TargetSpec {
-        agent: "127.0.0.1:7000".parse().unwrap(),
-        centre: "cx1".into(),
-        fences: false,
-    }
-}
-
-fn tree(targets: usize, workspaces: &[(&str, WorkspaceSpec)], withdrawn: bool) -> TeamTree {
-    let names = workspaces.iter().map(|(name, _)| *name);
-    let pool = PoolSpec {
-        kind: TargetKind::Plain,
-        model: None,
-        targets: (0..targets)
-            .map(|n| (format!("t{n}").into(), target_spec()))
-            .collect(),
-        floor: 0,
-    };
-    let route = RouteSpec {
-        pool: "pool".into(),
-        access: Access::Workspaces(names.clone().map(Into::into).collect()),
-        repeat: Repeat::Always,
-        deadline: 60,
-        body: 1024,
-    };
-    let keys = names.map(|name| {
-        let spec = KeySpec {
-            workspace: name.into(),
-            digest: key(name),
-            withdrawn,
-        };
-        (name.into(), spec)
-    });
-    TeamTree {
-        scheme: Scheme::Slug,
-        keys: keys.collect(),
-        workspaces: workspaces
-            .iter()
-            .map(|(name, spec)| ((*name).into(), spec.clone()))
-            .collect(),
-        pools: BTreeMap::from([("pool".into(), pool)]),
-        routes: BTreeMap::from([("route".into(), route)]),
-    }
-}
-
-fn config(revision: u64, tree: TeamTree) -> Arc<Config> {
-    let mut config = Config::default();
-    let state = TeamState {
-        revision: Revision(revision),
-        tree: Some(Arc::new(tree)),
-    };
-    config.merge("print".into(), state);
-    Arc::new(config)
-}
-
-fn report(target: usize, capacity: u32) -> Report {
-    Report {
-        incarnation: Incarnation(1),
-        target: format!("t{target}").into(),
-        version: WeightVersion(1),
-        running: 0,
-        queued: 0,
-        capacity,
-        state: ServingState::Serving,
-        cached: vec![],
-        evicted: vec![],
-        cache_gap: false,
-    }
-}
-
-fn ask(name: &str, deadline: u64) -> Ask {
-    Ask {
-        route: RouteId {
-            team: "print".into(),
-            name: "route".into(),
-        },
-        pool: PoolId {
-            team: "print".into(),
-            name: "pool".into(),
-        },
-        workspace: workspace(name),
-        key: Some(key(name)),
-        priority: Priority::Interactive,
-        prefixes: vec![],
-        tokens: 1000,
-        floor: WeightVersion(0),
-        deadline: Time(deadline),
-    }
-}
-
-fn traffic(targets: usize, capacity: u32, workspaces: &[(&str, WorkspaceSpec)]) -> Traffic {
-    let mut traffic = Traffic::new("cx1".into(), 7);
-    traffic.configure(Time(0), config(1, tree(targets, workspaces, false)));
-    for target in 0..targets {
-        traffic.report(Time(0), report(target, capacity));
-    }
-    traffic
-}
-
-fn actions(traffic: &mut Traffic) -> Vec<Action> {
-    std::iter::from_fn(|| traffic.next_action()).collect()
-}
-
-fn granted(traffic: &mut Traffic, ticket: TicketKey) -> String {
-    match traffic.next_action() {
-        Some(Action::Grant(key, choice, _)) if key == ticket => choice.target.to_string(),
-        other => panic!("expected a grant of {ticket:?}, got {other:?}"),
-    }
-}
-
-fn place(traffic: &mut Traffic, now: Time, ask: Ask) -> String {
-    let ticket = traffic.ask(now, ask);
-    granted(traffic, ticket)
-}
-
-fn failed(kind: ErrorKind) -> Outcome {
-    Outcome::Failed(Failure::from(kind))
-}
+use crate::traffic_support::FAR;
+use crate::traffic_support::SECOND;
+use crate::traffic_support::actions;
+use crate::traffic_support::ask;
+use crate::traffic_support::config;
+use crate::traffic_support::failed;
+use crate::traffic_support::granted;
+use crate::traffic_support::report;
+use crate::traffic_support::traffic;
+use crate::traffic_support::tree;
+use crate::traffic_support::workspace;
 
 /// Guards against a busy workspace that takes the service of a quiet one: with twice the demand
 /// and longer answers it gets no more than its share while the other has work.
@@ -326,86 +181,6 @@
     assert_eq!((limited, actions(&mut traffic).len()), (1, 7));
 }
 
-/// Guards against a retry storm: when every attempt fails, attempts stay below 1.1 times the
-/// requests, but for the few retries that a quiet route has at hand.
-#[test]
-fn failing_pool_sees_at_most_a_tenth_more_attempts() {
-    let spec = WorkspaceSpec {
-        concurrency: 10_000,
-        ..WorkspaceSpec::default()
-    };
-    let mut traffic = traffic(4, 1000, &[("app", spec)]);
-    let (mut attempts, requests) = (0_u32, 2000_u32);
-
-    for n in 0..u64::from(requests) {
-        let now = Time(n);
-        (0..4).for_each(|t| traffic.report(now, report(t, 1000)));
-        traffic.ask(now, ask("app", FAR));
-        let mut open = actions(&mut traffic);
-        while let Some(action) = open.pop() {
-            if let Action::Grant(ticket, ..) = action {
-                attempts += 1;
-                assert!(attempts < 2 * requests, "attempts grow without bound");
-                traffic.retry(now, ticket, Failure::from(ErrorKind::TargetBusy));
-                open.extend(actions(&mut traffic));
-            }
-        }
-    }
-
-    assert!(attempts > requests, "no retry was made");
-    assert!(attempts <= requests * 11 / 10 + 3, "{attempts} attempts");
-    assert_eq!(traffic.open(), 0);
-}
-
-/// Guards against traffic to a target that fails every request.
-#[test]
-fn target_that_fails_in_a_row_is_ejected_and_probed_later() {
-    let mut traffic = traffic(2, 100, &[("app", WorkspaceSpec::default())]);
-    let mut failures = 0;
-    for n in 0..50 {
-        let ticket = traffic.ask(Time(n), ask("app", FAR));
-        let outcome = if granted(&mut traffic, ticket) == "t0" {
-            failures += 1;
-            failed(ErrorKind::TargetFailed)
-        } else {
-            Outcome::Whole(10)
-        };
-        traffic.ended(Time(n), ticket, &outcome);
-    }
-    let later = Time(1200);
-    (0..2).for_each(|t| traffic.report(later, report(t, 100)));
-
-    let chosen: Vec<_> = (0..20)
-        .map(|_| place(&mut traffic, later, ask("app", FAR)))
-        .collect();
-
-    assert_eq!(
-        failures, 3,
-        "requests went to the target after its ejection"
-    );
-    let probes = chosen.iter().filter(|name| *name == "t0").count();
-    assert_eq!(probes, 1, "one request probes the target: {chosen:?}");
-}
-
-/// Guards against requests to a target whose agent has fallen silent or that is leaving.
-#[test]
-fn silent_and_leaving_targets_get_no_request() {
-    let mut traffic = traffic(3, 100, &[("app", WorkspaceSpec::default())]);
-    let now = Time(5 * SECOND);
-    let leaving = Report {
-        state: ServingState::Leaving,
-        ..report(1, 100)
-    };
-    traffic.report(now, leaving);
-    traffic.report(now, report(2, 100));
-
-    let chosen: Vec<_> = (0..30)
-        .map(|_| place(&mut traffic, now, ask("app", FAR)))
-        .collect();
-
-    assert!(chosen.iter().all(|name| name == "t2"), "{chosen:?}");
-}
-
 /// Guards against a withdrawn key whose waiting requests still run or whose running ones go on.
 #[test]
 fn withdrawal_refuses_waiting_and_revokes_running_requests() {
@@ -442,29 +217,6 @@
     }
 }
 
-/// Guards against prompts that lose their cached prefix to a target chosen by load alone, and
-/// against a hot prefix that fills its target while another is idle.
-#[test]
-fn prompt_goes_where_its_prefix_is_cached_unless_that_target_is_loaded() {
-    let mut traffic = traffic(2, 10, &[("app", WorkspaceSpec::default())]);
-    let cached = Report {
-        cached: vec![1, 2, 3, 4],
-        ..report(1, 10)
-    };
-    traffic.report(Time(0), cached);
-    let prompt = || Ask {
-        prefixes: vec![1, 2, 3, 4],
-        ..ask("app", FAR)
-    };
-
-    let chosen: Vec<_> = (0..12)
-        .map(|_| place(&mut traffic, Time(0), prompt()))
-        .collect();
-
-    assert!(chosen[..4].iter().all(|name| name == "t1"), "{chosen:?}");
-    assert!(chosen.iter().any(|name| name == "t0"), "{chosen:?}");
-}
-
 /// Guards against a request that waits beyond its deadline or for a pool that has no target.
 #[test]
 fn waiting_requests_end_in_time() {
@@ -487,30 +239,6 @@
     assert_eq!(actions(&mut traffic), expected);
 }
 
-/// Guards against a request that is given up because its only target was away for a moment, and
-/// against one that blocks itself by being counted as running.
-#[test]
-fn retry_waits_for_a_target_that_returns() {
-    let spec = WorkspaceSpec {
-        concurrency: 1,
-        ..WorkspaceSpec::default()
-    };
-    let mut traffic = traffic(1, 1, &[("app", spec)]);
-    let ticket = traffic.ask(Time(0), ask("app", FAR));
-    granted(&mut traffic, ticket);
-
-    traffic.retry(
-        Time(5 * SECOND),
-        ticket,
-        Failure::from(ErrorKind::AgentLost),
-    );
-    let meanwhile = actions(&mut traffic);
-    traffic.report(Time(6 * SECOND), report(0, 1));
-
-    assert_eq!(meanwhile, vec![]);
-    granted(&mut traffic, ticket);
-}
-
 /// Guards against a workspace that goes on after its token rate is used up.
 #[test]
 fn token_rate_refuses_with_the_time_to_come_back() {
