Keep to a gateway that passes objects on

Change: a source that works is kept until it fails. The test a_follower_stays_where_it_gets_objects failed before.

--- a/crates/core/src/decision/gateway/source.rs
+++ b/crates/core/src/decision/gateway/source.rs
@@ -150,7 +150,14 @@
         let mut peers: Vec<&Peer> = self.all_peers().collect();
         let large = peers.len() > DIRECT_MOST;
         peers.sort_by_key(|peer| rank_of("watch", &peer.host));
+        let current = self.feed.source.peer().filter(|address| {
+            let known = peers.iter().any(|peer| peer.address == *address);
+            known && !self.is_avoided(*address)
+        });
         if away {
+            if let Some(current) = current {
+                return Source::StandIn(current);
+            }
             // All others are tried in turn.
             let tried = |peer: &&&Peer| self.feed.lost.get(&peer.address).map(|lost| lost.at);
             let others = peers.iter().filter(|peer| peer.host != *me);
@@ -167,6 +174,10 @@
         if self.now < self.feed.alone {
             return Source::Store;
         }
+        // One that passes objects on is kept: a change brings all objects again.
+        if let Some(current) = current {
+            return Source::Peer(current);
+        }
         let source = peers.iter().min_by_key(|p| rank_of(me.as_str(), &p.host));
         source.map_or(Source::Store, |peer| Source::Peer(peer.address))
     }
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -511,6 +511,30 @@
     assert_eq!(world.nodes[blind].source, Source::Store);
 }
 
+/// Fails if a follower leaves a gateway that passes objects on each time another one might again.
+#[test]
+fn a_follower_stays_where_it_gets_objects() {
+    let mut world = World::new(12);
+    let watching = watchers(&world);
+    let follower = (0..12).find(|node| !watching.contains(node)).unwrap();
+    let mut tries = 0;
+    while let Some(other) = world.nodes[follower].source.peer()
+        && watching.iter().any(|node| address(*node) == other)
+    {
+        world.message(follower, Message::FeedLost(other, FeedEnd::Blind));
+        world.run(100);
+        tries += 1;
+        assert!(tries < 9, "no other gateway is asked");
+    }
+    let found = world.nodes[follower].source;
+    world.message(follower, Message::Contact(Kind::Heads, true));
+
+    world.run(4_000);
+
+    assert!(found.peer().is_some());
+    assert_eq!(world.nodes[follower].source, found);
+}
+
 /// Fails if a gateway without the store asks gateways that do not watch it.
 #[test]
 fn a_gateway_without_the_store_follows_a_watcher() {
--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -198,7 +198,7 @@
 ///
 /// Its port lies below those that the system gives to outgoing connections, one of which could
 /// otherwise take it while the gateway is down. Seed 120 failed for this reason.
-fn free() -> anyhow::Result<SocketAddr> {
+pub fn free() -> anyhow::Result<SocketAddr> {
     loop {
         let port = rand::rng().random_range(PORTS);
         if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
