--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -8,8 +8,6 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use crate::body;
-
 use bytes::Bytes;
 use http::Method;
 use http::Response;
@@ -27,6 +25,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::body;
+
 /// Limits of a stand-in's listener.
 pub const LIMITS: ServerLimits = ServerLimits {
     head: 64 * 1024,
