--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -1,6 +1,7 @@
 //! Gateways as separate processes, each behind a proxy of its own before the store.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::fs::OpenOptions;
 use std::net::SocketAddr;
@@ -197,11 +198,16 @@
 /// Returns a free address of the loopback.
 ///
 /// Its port lies below those that the system gives to outgoing connections, one of which could
-/// otherwise take it while the gateway is down. Seed 120 failed for this reason.
+/// otherwise take it while the gateway is down. Seed 120 failed for this reason. A port is given out
+/// once in a process, since two callers could find the same one free before either listens.
 pub fn free() -> anyhow::Result<SocketAddr> {
+    static GIVEN: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
     loop {
         let port = rand::rng().random_range(PORTS);
-        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+        let mut given = GIVEN.lock().unwrap_or_else(PoisonError::into_inner);
+        if given.insert(port)
+            && let Ok(listener) = TcpListener::bind(("127.0.0.1", port))
+        {
             return Ok(listener.local_addr()?);
         }
     }
