Do not use a grant that waited through a pause of the entry

The agent refuses such a request (not run), so no work was done at the target. Change: a choice says until when its report counts, and `depart` returns an expired request to the control thread, which chooses again at no cost for the retry budget. A revocation during the delay before an attempt ends the request then, in the entry and in the model of the pairs.

--- a/crates/core/src/decision/request.rs
+++ b/crates/core/src/decision/request.rs
@@ -1,13 +1,12 @@
 //! Life cycle of a request at an entry. Each state is a type, so a step out of order does not
 //! compile.
 
-use std::time::Duration;
-
 use crate::domain::error::ErrorKind;
 use crate::domain::error::Failure;
 use crate::domain::error::RunState;
 use crate::domain::ids::Attempt;
 use crate::domain::ids::RequestId;
+use crate::domain::time::Time;
 
 /// Waits for a target.
 #[derive(Debug)]
@@ -56,6 +55,8 @@
     Go(Request<Dispatched>),
     /// The deadline has passed, so the attempt does not start.
     Late(Request<Answered>),
+    /// The choice of the target counts no more, so another one has to be made.
+    Expired(Request<Admitted>, Failure),
 }
 
 impl Request<Admitted> {
@@ -69,11 +70,15 @@
         }
     }
 
-    /// Starts the next attempt if time is left until the deadline.
-    pub fn depart(self, left: Duration) -> Departure {
-        if left.is_zero() {
+    /// Starts the next attempt if its target may still be used and time is left until the
+    /// deadline. A pause of the process after the choice can outlast both.
+    pub fn depart(self, now: Time, until: Time, deadline: Time) -> Departure {
+        if now >= deadline {
             return Departure::Late(self.refuse(Failure::from(ErrorKind::DeadlineInQueue)));
         }
+        if now >= until {
+            return Departure::Expired(self, Failure::from(ErrorKind::NoTarget));
+        }
         Departure::Go(self.dispatch())
     }
 
--- a/crates/core/src/decision/traffic/choose.rs
+++ b/crates/core/src/decision/traffic/choose.rs
@@ -116,7 +116,7 @@
     }
     let guard = ejected * 2 > serving;
     match if guard { any } else { good } {
-        Some(best) => Ok(chosen(&view.members[best.member])),
+        Some(best) => chosen(view, &view.members[best.member]),
         None if fit => Err(NoChoice::Full),
         None => Err(NoChoice::None),
     }
@@ -156,12 +156,14 @@
     });
 }
 
-fn chosen(member: &Member) -> (TargetKey, Choice) {
+fn chosen(view: &View<'_>, member: &Member) -> Result<(TargetKey, Choice), NoChoice> {
+    let target = view.targets.get(member.target).ok_or(NoChoice::None)?;
     let choice = Choice {
         target: member.name.clone(),
         agent: member.agent,
+        until: target.fresh_until(),
     };
-    (member.target, choice)
+    Ok((member.target, choice))
 }
 
 /// Returns the cost of a target without its cached prefix, in units of a full load.
--- a/crates/core/src/decision/traffic/mod.rs
+++ b/crates/core/src/decision/traffic/mod.rs
@@ -207,6 +207,8 @@
     }
 
     /// Decides whether another attempt follows a failed one that may be repeated.
+    ///
+    /// An attempt whose choice expired did not start, so it costs no budget.
     pub fn retry(&mut self, now: Time, key: TicketKey, failure: Failure) {
         self.release(now, key, Some(failure.kind));
         let Some(ticket) = self.tickets.get_mut(key) else {
@@ -214,7 +216,8 @@
         };
         let route = ticket.ask.route.clone();
         let pool = ticket.ask.pool.clone();
-        let paid = self.budgets.entry(route).or_default().take();
+        let expired = failure.kind == ErrorKind::NoTarget;
+        let paid = expired || self.budgets.entry(route).or_default().take();
         let attempts = u32::try_from(ticket.tried.len()).unwrap_or(u32::MAX);
         let delay = budget::delay(attempts, &mut self.random);
         let late = now + delay >= ticket.ask.deadline;
--- a/crates/core/src/decision/traffic/target.rs
+++ b/crates/core/src/decision/traffic/target.rs
@@ -123,8 +123,14 @@
 
     /// Returns the last report unless it is too old.
     pub(super) fn fresh(&self, now: Time) -> Option<&Report> {
-        let (time, report) = self.report.as_ref()?;
-        (now.since(*time) < REPORT_LIMIT).then_some(report)
+        let (_, report) = self.report.as_ref()?;
+        (now < self.fresh_until()).then_some(report)
+    }
+
+    /// Returns the time until which the last report counts.
+    pub(super) fn fresh_until(&self) -> Time {
+        let time = self.report.as_ref().map_or(Time(0), |(time, _)| *time);
+        time + REPORT_LIMIT
     }
 
     /// Makes the last report count as old.
--- a/crates/core/src/decision/traffic/ticket.rs
+++ b/crates/core/src/decision/traffic/ticket.rs
@@ -51,6 +51,8 @@
     pub target: TargetName,
     /// Address of its agent.
     pub agent: SocketAddr,
+    /// Time until which the report behind the choice counts. No attempt starts later.
+    pub until: Time,
 }
 
 /// How an admitted request ended.
--- a/crates/core/tests/pairs.rs
+++ b/crates/core/tests/pairs.rs
@@ -90,6 +90,32 @@
     assert_eq!(no_late_dispatch(&world), Ok(()));
 }
 
+/// Guards against a grant that waited through a pause of the entry and then sends the request to a
+/// target that left long before.
+#[test]
+fn grants_that_waited_through_a_pause_are_not_used() {
+    let faults = [
+        at(2006, Kind::LeaveUnreported(1)),
+        at(3681, Kind::Pause(3326)),
+    ];
+
+    let world = World::new(6_190_454_914_345_911_136, &faults).run();
+
+    assert_eq!(no_late_dispatch(&world), Ok(()));
+    assert_eq!(judge(&world), Ok(()));
+}
+
+/// Guards against a request that waits for the delay of its next attempt while its key is
+/// withdrawn, and then runs.
+#[test]
+fn withdrawal_before_a_pause_stops_the_next_attempt() {
+    let faults = [at(3519, Kind::Withdraw(0)), at(3525, Kind::Pause(3986))];
+
+    let judged = outcome(3_543_521_611_623_339_716, &faults);
+
+    assert_eq!(judged, Ok(()));
+}
+
 fn at(at: u64, kind: Kind) -> Fault {
     Fault { at, kind }
 }
--- a/crates/core/tests/support/pairs_entry.rs
+++ b/crates/core/tests/support/pairs_entry.rs
@@ -66,8 +66,6 @@
     call: Call,
     /// The ticket that the task has to close.
     ticket: Option<TicketKey>,
-    /// A revocation that came during the delay before an attempt.
-    revoked: Option<Failure>,
 }
 
 /// The task of a request.
@@ -194,7 +192,6 @@
             deadline: ask.deadline,
             call,
             ticket: None,
-            revoked: None,
         };
         self.tasks[request] = Task::Waiting(Request::new(id, authorized.idempotent), job);
         self.tell_control(Message::Ask(request, ask));
@@ -219,8 +216,13 @@
             other => return self.tasks[request] = other,
         };
         let left = job.deadline.since(Time(self.now));
-        let running = match waiting.depart(left) {
+        let running = match waiting.depart(Time(self.now), choice.until, job.deadline) {
             Departure::Go(running) => running,
+            Departure::Expired(waiting, failure) => {
+                self.tell_control(Message::Retry(ticket, failure));
+                self.tasks[request] = Task::Waiting(waiting, job);
+                return;
+            }
             Departure::Late(answered) => return self.finish(request, &job, &answered, 0),
         };
         let agent = usize::from(choice.agent.port() - 7000);
@@ -232,14 +234,10 @@
         self.seen.dispatched.push((self.now, agent));
         self.execute(agent, (request, running.attempt().0), call);
         let answer = Answer::new(self.callers[request].streamed);
-        let revoked = job.revoked;
         let after = u64::try_from(left.as_millis()).unwrap();
         self.tasks[request] = Task::Running(running, job, answer, agent);
         let place = Place::Entry(self.entry.life);
         self.send(place, after, Message::Deadline(request));
-        if let Some(failure) = revoked {
-            self.revoked(request, failure);
-        }
     }
 
     fn refused(&mut self, request: usize, failure: Failure) {
@@ -254,13 +252,9 @@
 
     fn revoked(&mut self, request: usize, failure: Failure) {
         match std::mem::replace(&mut self.tasks[request], Task::Done) {
-            Task::Waiting(waiting, job) => {
+            Task::Waiting(waiting, job) | Task::Delayed(waiting, job) => {
                 self.finish(request, &job, &waiting.refuse(failure), 0);
             }
-            Task::Delayed(waiting, mut job) => {
-                job.revoked = Some(failure);
-                self.tasks[request] = Task::Delayed(waiting, job);
-            }
             Task::Running(running, job, _, agent) => {
                 self.give_up(agent, (request, running.attempt().0));
                 self.finish(request, &job, &running.abort(failure), 0);
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -249,9 +249,19 @@
                 }
             };
             let ticket = held.get_or_insert_with(|| Ticket::new(key, &self.control, job));
-            sleep(delay).await;
-            let departed = match request.depart(job.left()) {
+            if let Err(failure) = job.delayed(delay).await {
+                let answered = request.refuse(failure);
+                ticket.done(&answered, 0);
+                return answered.failure();
+            }
+            let now = self.clock.now();
+            let departed = match request.depart(now, choice.until, job.deadline) {
                 Departure::Go(request) => request,
+                Departure::Expired(admitted, failure) => {
+                    ticket.retry(failure).await;
+                    request = admitted;
+                    continue;
+                }
                 Departure::Late(answered) => {
                     ticket.done(&answered, 0);
                     return answered.failure();
@@ -312,6 +322,19 @@
         self.deadline.since(self.clock.now())
     }
 
+    /// Waits for the delay before an attempt, unless a revocation comes first.
+    async fn delayed(&self, delay: Duration) -> Result<(), Failure> {
+        let verdict = Box::pin(self.verdicts.recv_async());
+        match select(verdict, Box::pin(sleep(delay))).await {
+            Either::Left((Ok(Verdict::Revoked(failure) | Verdict::Refused(failure)), _)) => {
+                Err(failure)
+            }
+            Either::Left((Err(_), _)) => Err(Failure::from(ErrorKind::Draining)),
+            // One grant is out at a time, so no second one can come.
+            Either::Left((Ok(Verdict::Go { .. }), _)) | Either::Right(_) => Ok(()),
+        }
+    }
+
     /// Does a part of an attempt, unless a revocation or the deadline comes first.
     ///
     /// The revocation is looked at first, so a steady stream cannot hold it off.
