Do not begin a run whose choice waited through a pause

Cause: a gateway chooses a target at the control thread and sends the request from the traffic thread.

--- a/crates/core/src/decision/directory.rs
+++ b/crates/core/src/decision/directory.rs
@@ -46,6 +46,10 @@
 const PATIENCE_MOST: Duration = Duration::from_millis(2_000);
 
 /// All known targets.
+/// Time in which a choice may be used. A process that was paused for longer does not know whether
+/// the target has left since.
+const CHOICE_LIMIT: Duration = Duration::from_secs(2);
+
 #[derive(Debug, Default)]
 pub struct Directory {
     targets: BTreeMap<TargetName, Target>,
@@ -115,6 +119,15 @@
 }
 
 impl Directory {
+    /// Time until which nothing speaks against the choice. No request is sent later.
+    pub until: Time,
+}
+
+impl Choice {
+    /// Tells whether a request may still be sent to the target.
+    pub fn is_valid(&self, now: Time) -> bool {
+        now < self.until
+    }
     /// Takes in the entry of a target.
     pub fn insert(&mut self, listed: Listed) {
         if let Some(known) = self.targets.get_mut(&listed.name) {
@@ -237,6 +250,7 @@
         })
     }
 
+            until: now + CHOICE_LIMIT,
     /// Notes that a request at a target ended.
     pub fn release(&mut self, now: Time, name: &TargetName, end: CallEnd) {
         let Some(target) = self.targets.get_mut(name) else {
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -106,6 +106,11 @@
         Ok(target)
     }
 
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns what the target did.
     pub fn books(&self) -> Books {
         self.lock().books.clone()
