Keep one copy of the hash, the query look-up and the start of a role

Change: `domain::hash`, `web::query_field`, one `run` in the program. All hashes stay as they were, so shards, subsets and the order of candidates do not change.

--- a/crates/adapters/src/peer/mod.rs
+++ b/crates/adapters/src/peer/mod.rs
@@ -32,6 +32,7 @@
 use crate::web::Body;
 use crate::web::Pool;
 use crate::web::SendError;
+use crate::web::query_field;
 
 /// Time for a question about the state of another process.
 const PING_LIMIT: Duration = Duration::from_millis(450);
@@ -153,9 +154,9 @@
     let id = path.strip_prefix("/submissions/")?;
     Some(Submission {
         id: BatchId::from(decode(id)?),
-        host: Arc::from(decode(field(query, "host")?)?),
-        path: decode(field(query, "path")?)?,
-        workspace: match field(query, "workspace") {
+        host: Arc::from(decode(query_field(query, "host")?)?),
+        path: decode(query_field(query, "path")?)?,
+        workspace: match query_field(query, "workspace") {
             Some(workspace) => Some(WorkspaceName::from(decode(workspace)?)),
             None => None,
         },
@@ -179,12 +180,12 @@
         ("counts", Some(window)) => window.parse().ok().map(Question::Count),
         ("results", Some(id)) => {
             let id = BatchId::from(decode(id)?);
-            let wait = field(query, "wait").and_then(|w| w.parse().ok());
-            let workspace = field(query, "workspace").and_then(decode);
+            let wait = query_field(query, "wait").and_then(|w| w.parse().ok());
+            let workspace = query_field(query, "workspace").and_then(decode);
             Some(Question::Read {
                 id,
                 workspace: workspace.map(WorkspaceName::from),
-                after: field(query, "after")
+                after: query_field(query, "after")
                     .and_then(|a| a.parse().ok())
                     .unwrap_or(0),
                 wait: Duration::from_millis(wait.unwrap_or(0)),
@@ -227,12 +228,6 @@
     }
 }
 
-/// Returns a field of a query as it stands there.
-fn field<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
-    let mut pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
-}
-
 fn decode(text: &str) -> Option<String> {
     let decoded = percent_decode_str(text).decode_utf8();
     decoded.ok().map(std::borrow::Cow::into_owned)
--- a/crates/adapters/src/web/mod.rs
+++ b/crates/adapters/src/web/mod.rs
@@ -29,6 +29,12 @@
 /// Time after which sent bytes without an acknowledgement break a connection.
 const SEND_LIMIT: std::time::Duration = std::time::Duration::from_millis(1_500);
 
+/// Returns a field of a query as it stands there.
+pub fn query_field<'a>(query: Option<&'a str>, name: &str) -> Option<&'a str> {
+    let mut pairs = query?.split('&').filter_map(|pair| pair.split_once('='));
+    pairs.find(|(key, _)| *key == name).map(|(_, value)| value)
+}
+
 /// Makes a connection break soon after the other side is gone. Failures only delay that.
 fn keep_watch(stream: &TcpStream) {
     let socket = socket2::SockRef::from(stream);
--- a/crates/core/src/decision/directory.rs
+++ b/crates/core/src/decision/directory.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::domain::fleet::Listed;
+use crate::domain::hash::fnv;
 use crate::domain::ids::WeightVersion;
 use crate::domain::name::CentreName;
 use crate::domain::name::ModelName;
@@ -424,11 +425,9 @@
     }
 
     fn hash(&self, seed: u64) -> u64 {
-        const PRIME: u64 = 0x0100_0000_01b3;
         // Spreads names that differ in their last letters only.
         const SPREAD: u64 = 0xbf58_476d_1ce4_e5b9;
-        let name = self.listed.name.as_str().bytes();
-        let hash = name.fold(seed | 1, |sum, b| (sum ^ u64::from(b)).wrapping_mul(PRIME));
+        let hash = fnv(seed | 1, self.listed.name.as_str().as_bytes());
         (hash ^ (hash >> 29)).wrapping_mul(SPREAD)
     }
 }
--- a/crates/core/src/decision/gateway/peers.rs
+++ b/crates/core/src/decision/gateway/peers.rs
@@ -18,6 +18,8 @@
 use crate::domain::event::Event;
 use crate::domain::fleet::Peer;
 use crate::domain::name::BatchId;
+use crate::domain::hash::BASIS;
+use crate::domain::hash::fnv;
 use crate::domain::name::HostName;
 use crate::domain::name::TargetName;
 use crate::domain::time::Time;
@@ -293,9 +295,6 @@
 
 /// Returns a number by which candidates for something are ordered.
 pub(super) fn rank_of(subject: &str, host: &HostName) -> u64 {
-    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
-    const PRIME: u64 = 0x0100_0000_01b3;
-    let bytes = subject.bytes().chain(host.as_str().bytes());
-    let hash = bytes.fold(OFFSET, |h, b| (h ^ u64::from(b)).wrapping_mul(PRIME));
+    let hash = fnv(fnv(BASIS, subject.as_bytes()), host.as_str().as_bytes());
     hash ^ (hash >> 29)
 }
--- a/crates/core/src/decision/subset.rs
+++ b/crates/core/src/decision/subset.rs
@@ -9,6 +9,8 @@
 //! a few more for small pools. Following all of them would cost each entry 5,100 reports a second.
 
 use crate::domain::declare::PoolSpec;
+use crate::domain::hash::BASIS;
+use crate::domain::hash::fnv;
 use crate::domain::name::HostName;
 use crate::domain::name::TargetName;
 
@@ -18,10 +20,6 @@
 /// Targets of each pool that an entry follows at least, so that one failure leaves a choice.
 pub const LEAST: usize = 2;
 
-const FNV_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-
-const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
-
 /// Returns the targets of a pool that entry `me` follows. `entries` are all live entries; it does
 /// not matter whether `me` is among them.
 pub fn followed<'a>(
@@ -53,13 +51,7 @@
 /// step, since the high bits of FNV-1a differ little between similar names.
 fn score(entry: &HostName, target: &TargetName) -> u64 {
     let names = [entry.as_str().as_bytes(), b"/", target.as_str().as_bytes()];
-    let hash = names
-        .iter()
-        .copied()
-        .flatten()
-        .fold(FNV_BASIS, |hash, byte| {
-            (hash ^ u64::from(*byte)).wrapping_mul(FNV_PRIME)
-        });
+    let hash = names.into_iter().fold(BASIS, fnv);
     let mixed = (hash ^ (hash >> 32)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
     mixed ^ (mixed >> 29)
 }
--- a/crates/core/src/domain/mod.rs
+++ b/crates/core/src/domain/mod.rs
@@ -6,6 +6,7 @@
 pub mod error;
 pub mod event;
 pub mod fleet;
+pub mod hash;
 pub mod ids;
 pub mod key;
 pub mod name;
--- a/crates/sardinepath/src/main.rs
+++ b/crates/sardinepath/src/main.rs
@@ -7,16 +7,16 @@
 mod operate;
 mod role;
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 
-use log::LevelFilter;
+use flexi_logger::LoggerHandle;
 use sardinepath_adapters::event::emit;
 use sardinepath_core::decision::process::DrainEnd;
 use sardinepath_core::domain::event::Event;
 use sardinepath_platform::settings::Settings;
-use serde::de::DeserializeOwned;
 
 use crate::cli::Command;
 use crate::cli::Exit;
@@ -24,18 +24,30 @@
 
 fn main() -> ExitCode {
     let exit = match cli::parse() {
-        Ok(Command::Entry { settings, log }) => run(&settings, log, role::run_entry),
-        Ok(Command::Agent { settings, log }) => run(&settings, log, role::run_agent),
+        Ok(Command::Entry { settings, log }) => run(
+            config::load(&settings),
+            || logging::start(log),
+            role::run_entry,
+        ),
+        Ok(Command::Agent { settings, log }) => run(
+            config::load(&settings),
+            || logging::start(log),
+            role::run_agent,
+        ),
         Ok(Command::Gateway {
             settings,
             metrics,
             log,
-        }) => run_on_platform(&settings, log, |settings| {
-            role::run_gateway(settings, metrics)
-        }),
-        Ok(Command::Standby { settings, log }) => {
-            run_on_platform(&settings, log, role::run_standby)
-        }
+        }) => run(
+            Settings::load(&settings),
+            || logging::start_queued(log),
+            |settings| role::run_gateway(settings, metrics),
+        ),
+        Ok(Command::Standby { settings, log }) => run(
+            Settings::load(&settings),
+            || logging::start_queued(log),
+            role::run_standby,
+        ),
         Ok(Command::Demo { json }) => demo::run(json),
         Ok(Command::Check { objects, file }) => check(&file, objects),
         Ok(Command::Apply { objects, file }) => operate::apply(&file, objects),
@@ -47,34 +59,17 @@
     exit.into()
 }
 
-/// Runs a role with the settings in a file.
-fn run<T: DeserializeOwned>(
-    file: &Path,
-    level: LevelFilter,
+/// Runs a role with the settings that were loaded from its file.
+fn run<T>(
+    settings: Result<T, impl Display>,
+    logger: impl FnOnce() -> anyhow::Result<LoggerHandle>,
     role: impl FnOnce(&T) -> anyhow::Result<DrainEnd>,
 ) -> Exit {
-    let settings = match config::load(file) {
-        Ok(settings) => settings,
-        Err(e) => return report(&e, Exit::Usage),
-    };
-    let _logger = match logging::start(level) {
-        Ok(logger) => logger,
-        Err(e) => return report(&e, Exit::Failed),
-    };
-    finish(role(&settings))
-}
-
-/// Runs a role with the settings in a file of the platform.
-fn run_on_platform(
-    file: &Path,
-    level: LevelFilter,
-    role: impl FnOnce(&Settings) -> anyhow::Result<DrainEnd>,
-) -> Exit {
-    let settings = match Settings::load(file) {
+    let settings = match settings {
         Ok(settings) => settings,
         Err(e) => return report(&e, Exit::Usage),
     };
-    let logger = match logging::start_queued(level) {
+    let logger = match logger() {
         Ok(logger) => logger,
         Err(e) => return report(&e, Exit::Failed),
     };
@@ -108,7 +103,7 @@
 }
 
 /// Prints an error that occurred before logging was started.
-pub(crate) fn report(error: &dyn std::fmt::Display, exit: Exit) -> Exit {
+pub(crate) fn report(error: &dyn Display, exit: Exit) -> Exit {
     eprintln!("sardinepath: {error}");
     exit
 }
