Work out medians and candidates only when they are needed

Cause: the median pace of a pool was collected and sorted for each choice of a target and, in each tick, for each busy target; the order of candidates for a takeover was worked out for each job in each tick, also if its runner lives, and each comparison looked for the largest processor time; the end of a run copied its text to tell its pace. Change: the directory keeps the medians until a pace, an entry or a removal changes them, a choice works out each cost once, `check_runner` asks for the lead of a runner that is gone only, and `ended` returns the pace. `Route::is_single` replaces three copies of the same question.

--- a/crates/core/src/decision/batch/runner.rs
+++ b/crates/core/src/decision/batch/runner.rs
@@ -79,7 +79,7 @@
 }
 
 /// A generation that ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct EndedRun {
     /// The item.
     pub item: ItemId,
@@ -93,6 +93,8 @@
     pub failures: u32,
     /// Time since the item was sent to this target.
     pub spent: Duration,
+    /// Pace of the events since the last message about them.
+    pub pace: Option<Pace>,
 }
 
 /// The items of a job that this process runs.
@@ -227,18 +229,10 @@
         let Slot::Generating(run) = self.slots.get_mut(*self.runs.get(&id)?)? else {
             return None;
         };
-        let new = partial.events.saturating_sub(run.state.draft.events);
-        if new == 0 {
-            return None;
-        }
-        let spent = now.since(run.state.since).as_secs_f64() * 1000.0;
+        let pace = pace(run, now, partial.events)?;
         run.state.since = now;
         run.state.draft = partial;
-        let count = u32::try_from(new).unwrap_or(u32::MAX);
-        Some(Pace {
-            target: run.state.target.clone(),
-            millis: spent / f64::from(count),
-        })
+        Some(pace)
     }
 
     /// Takes in the end of a generation.
@@ -261,6 +255,7 @@
             moves: run.moves,
             failures: run.failures,
             spent: now.since(run.state.sent),
+            pace: pace(&run, now, partial.events),
         };
         let (next, call) = match end {
             RunEnd::Complete => (Slot::Texted(run.finish(now, partial)), CallEnd::Answered),
@@ -395,3 +390,14 @@
     let count = u64::try_from(items.len().max(1)).unwrap_or(u64::MAX);
     items.iter().map(|item| item.size).sum::<u64>() / count
 }
+
+/// Returns the pace of a generation since the last message about it, if events came.
+fn pace(run: &Run<Generating>, now: Time, events: u64) -> Option<Pace> {
+    let new = events.saturating_sub(run.state.draft.events);
+    let count = u32::try_from(new).unwrap_or(u32::MAX);
+    let spent = now.since(run.state.since).as_secs_f64() * 1000.0;
+    (count > 0).then(|| Pace {
+        target: run.state.target.clone(),
+        millis: spent / f64::from(count),
+    })
+}
--- a/crates/core/src/decision/directory.rs
+++ b/crates/core/src/decision/directory.rs
@@ -46,14 +46,16 @@
 /// Longest silence of a stream, and the one while no pace is known.
 const PATIENCE_MOST: Duration = Duration::from_millis(2_000);
 
-/// All known targets.
 /// Time in which a choice may be used. A process that was paused for longer does not know whether
 /// the target has left since.
 const CHOICE_LIMIT: Duration = Duration::from_secs(2);
 
+/// All known targets.
 #[derive(Debug, Default)]
 pub struct Directory {
     targets: BTreeMap<TargetName, Target>,
+    /// Median paces of the pools that were asked for since a pace changed.
+    medians: BTreeMap<PoolName, Option<f64>>,
 }
 
 /// A known target.
@@ -117,9 +119,6 @@
     pub name: TargetName,
     /// Its address.
     pub address: SocketAddr,
-}
-
-impl Directory {
     /// Time until which nothing speaks against the choice. No request is sent later.
     pub until: Time,
 }
@@ -129,8 +128,12 @@
     pub fn is_valid(&self, now: Time) -> bool {
         now < self.until
     }
+}
+
+impl Directory {
     /// Takes in the entry of a target.
     pub fn insert(&mut self, listed: Listed) {
+        self.medians.clear();
         if let Some(known) = self.targets.get_mut(&listed.name) {
             if listed.born < known.listed.born {
                 return;
@@ -162,6 +165,7 @@
     /// API it stays for a while, because entries lapse then although their targets live.
     pub fn remove(&mut self, now: Time, name: &TargetName, shaken: bool) {
         if !shaken {
+            self.medians.clear();
             self.targets.remove(name);
         } else if let Some(target) = self.targets.get_mut(name) {
             target.missing.get_or_insert(now);
@@ -191,6 +195,7 @@
         let gone = self.targets.values().filter(|t| over(t));
         let gone: Vec<TargetName> = gone.map(|t| t.listed.name.clone()).collect();
         for name in &gone {
+            self.medians.clear();
             self.targets.remove(name);
         }
         gone
@@ -236,22 +241,19 @@
     ) -> Option<Choice> {
         let median = self.median_pace(pool);
         let fits = |t: &&Target| t.fits(now, pool, need);
-        let cost = |t: &Target| t.cost(median, need, centre);
-        let best = self
-            .targets
-            .values()
-            .filter(fits)
-            .min_by(|a, b| cost(a).total_cmp(&cost(b)));
-        let name = best?.listed.name.clone();
+        let cost = |t| (Target::cost(t, median, need, centre), t);
+        let fitting = self.targets.values().filter(fits).map(cost);
+        let (_, best) = fitting.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+        let name = best.listed.name.clone();
         let target = self.targets.get_mut(&name)?;
         target.running += 1;
         Some(Choice {
             name,
             address: target.listed.address,
+            until: now + CHOICE_LIMIT,
         })
     }
 
-            until: now + CHOICE_LIMIT,
     /// Notes that a request at a target ended.
     pub fn release(&mut self, now: Time, name: &TargetName, end: CallEnd) {
         let Some(target) = self.targets.get_mut(name) else {
@@ -278,23 +280,25 @@
     /// Takes in how long a target took for each event of a stream.
     pub fn note_pace(&mut self, name: &TargetName, millis: f64) {
         if let Some(target) = self.targets.get_mut(name) {
+            self.medians.clear();
             let old = target.pace.unwrap_or(millis);
             target.pace = Some(old * (1.0 - PACE_SHARE) + millis * PACE_SHARE);
         }
     }
 
     /// Tells whether a target is much slower than the others of its pool.
-    pub fn is_slow(&self, name: &TargetName) -> bool {
+    pub fn is_slow(&mut self, name: &TargetName) -> bool {
         let Some(target) = self.targets.get(name) else {
             return false;
         };
-        let median = self.median_pace(&target.listed.pool);
-        matches!((target.pace, median), (Some(pace), Some(median)) if pace > SLOW * median)
+        let pool = target.listed.pool.clone();
+        let median = self.median_pace(&pool);
+        self.targets.get(name).is_some_and(|t| t.is_slow(median))
     }
 
     /// Tells whether a target that is not slow has room for a run of this model.
     pub fn has_fast_room(
-        &self,
+        &mut self,
         now: Time,
         pool: &PoolName,
         model: Option<&(ModelName, WeightVersion)>,
@@ -304,22 +308,28 @@
             room: true,
             ..Need::default()
         };
+        let median = self.median_pace(pool);
         let mut targets = self.targets.values();
-        targets.any(|t| t.fits(now, pool, &need) && !self.is_slow(&t.listed.name))
+        targets.any(|t| t.fits(now, pool, &need) && !t.is_slow(median))
     }
 
     /// Returns the silence after which a stream from this pool counts as stalled.
-    pub fn patience(&self, pool: &PoolName) -> Duration {
+    pub fn patience(&mut self, pool: &PoolName) -> Duration {
         let millis = self.median_pace(pool).map(|pace| pace * PATIENCE);
         let patience = millis.and_then(|m| Duration::try_from_secs_f64(m / 1000.0).ok());
         patience.map_or(PATIENCE_MOST, |p| p.clamp(PATIENCE_LEAST, PATIENCE_MOST))
     }
 
-    fn median_pace(&self, pool: &PoolName) -> Option<f64> {
+    fn median_pace(&mut self, pool: &PoolName) -> Option<f64> {
+        if let Some(median) = self.medians.get(pool) {
+            return *median;
+        }
         let targets = self.targets.values().filter(|t| t.listed.pool == *pool);
         let mut paces: Vec<f64> = targets.filter_map(|t| t.pace).collect();
         paces.sort_by(f64::total_cmp);
-        paces.get(paces.len() / 2).copied()
+        let median = paces.get(paces.len() / 2).copied();
+        self.medians.insert(pool.clone(), median);
+        median
     }
 }
 
@@ -334,6 +344,11 @@
         self.paused = now + pause.min(PAUSE_MOST);
     }
 
+    /// Tells whether the target takes much longer for an event than the median of its pool.
+    fn is_slow(&self, median: Option<f64>) -> bool {
+        matches!((self.pace, median), (Some(pace), Some(median)) if pace > SLOW * median)
+    }
+
     fn fits(&self, now: Time, pool: &PoolName, need: &Need) -> bool {
         self.listed.pool == *pool
             && !self.listed.leaving
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -147,7 +147,7 @@
             partial,
             terms: VersionTerms {
                 least: head.least,
-                single: route.rollout().is_some_and(|terms| terms.single),
+                single: route.is_single(),
             },
             rank: self.rank(head),
             patience: patience.unwrap_or_default(),
@@ -287,13 +287,15 @@
     pub(super) fn run_ended(&mut self, run: RunId, end: &RunEnd, partial: Partial) {
         let now = self.now;
         let events = partial.events;
-        self.advanced(run, partial.clone());
         let runner = self.runner_of(run);
         let ended = runner.and_then(|runner| runner.ended(now, run, end, partial));
         let batch = self.runs.remove(&run);
         let (Some(batch), Some(ended)) = (batch, ended) else {
             return;
         };
+        if let Some(pace) = &ended.pace {
+            self.directory.note_pace(&pace.target, pace.millis);
+        }
         self.directory.release(now, &ended.target, ended.call);
         let mut fields = vec![
             ("batch", batch.to_string()),
--- a/crates/core/src/decision/gateway/duty.rs
+++ b/crates/core/src/decision/gateway/duty.rs
@@ -261,8 +261,7 @@
         };
         let single = |head: &&Head| {
             let route = find_route(table, head);
-            let terms = route.as_ref().and_then(|route| route.rollout());
-            terms.is_some_and(|terms| terms.single)
+            route.is_some_and(|route| route.is_single())
         };
         let heads = self.jobs.values().map(|job| &job.head);
         let models = heads.filter(single).filter_map(|head| head.model.clone());
--- a/crates/core/src/decision/gateway/jobs.rs
+++ b/crates/core/src/decision/gateway/jobs.rs
@@ -226,10 +226,7 @@
             until: accepted + retention,
             versions: VersionTerms {
                 least: job.head.least,
-                single: route
-                    .as_ref()
-                    .and_then(|r| r.rollout())
-                    .is_some_and(|t| t.single),
+                single: route.as_ref().is_some_and(|route| route.is_single()),
             },
         };
         let mut drafts: Vec<Draft> = match std::mem::take(&mut job.drafts) {
--- a/crates/core/src/decision/gateway/peers.rs
+++ b/crates/core/src/decision/gateway/peers.rs
@@ -8,6 +8,7 @@
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::Pong;
+use crate::decision::gateway::place::precedence;
 use crate::decision::gateway::stored::Answer;
 use crate::decision::gateway::stored::Kind;
 use crate::decision::gateway::stored::Purpose;
@@ -17,9 +18,9 @@
 use crate::domain::batch::Runner;
 use crate::domain::event::Event;
 use crate::domain::fleet::Peer;
-use crate::domain::name::BatchId;
 use crate::domain::hash::BASIS;
 use crate::domain::hash::fnv;
+use crate::domain::name::BatchId;
 use crate::domain::name::HostName;
 use crate::domain::name::TargetName;
 use crate::domain::time::Time;
@@ -125,6 +126,11 @@
         self.peers.known.values()
     }
 
+    /// Returns what is known of a process.
+    pub(super) fn peer(&self, host: &HostName) -> Option<&Peer> {
+        self.peers.known.get(host)
+    }
+
     /// Returns all other processes.
     pub(super) fn others(&self) -> Vec<Peer> {
         let me = &self.me.peer.host;
@@ -217,15 +223,14 @@
             return;
         }
         let gone = job.head.runner.as_ref().is_none_or(|r| self.is_gone(r));
-        let vacant = job.head.runner.is_none();
-        let lead = self.lead(&job.head, vacant);
+        let lead = gone.then(|| self.lead(&job.head));
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        if !gone {
+        let Some(lead) = lead else {
             job.suspected = None;
             return;
-        }
+        };
         let since = *job.suspected.get_or_insert(now);
         if now < since + lead {
             return;
@@ -256,7 +261,7 @@
             // An earlier run of this process.
             return true;
         }
-        let Some(known) = self.peers.known.get(&runner.host) else {
+        let Some(known) = self.peer(&runner.host) else {
             return true;
         };
         let health = self.peers.health.get(&runner.host);
@@ -274,21 +279,25 @@
 
     /// Returns how long this process waits before it takes a job over. Candidates are ordered as
     /// for new jobs of the route.
-    fn lead(&self, head: &Head, vacant: bool) -> Duration {
+    fn lead(&self, head: &Head) -> Duration {
         let me = &self.me.peer;
         let runner = head.runner.as_ref();
         if runner.is_some_and(|r| r.host == me.host) {
             return Duration::ZERO;
         }
         let subject = head.route.as_str();
-        let own = self.precedence(subject, me);
+        let most = self.largest_power();
+        let own = precedence(subject, me, most);
         let ahead = self
             .all_peers()
             .filter(|peer| runner.is_none_or(|r| r.host != peer.host))
-            .filter(|peer| self.precedence(subject, peer) < own)
+            .filter(|peer| precedence(subject, peer, most) < own)
             .count();
         let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
-        let first = if vacant { VACANT_LEAD } else { Duration::ZERO };
+        let first = match runner {
+            Some(_) => Duration::ZERO,
+            None => VACANT_LEAD,
+        };
         first + CANDIDATE_LEAD.saturating_mul(ahead)
     }
 }
--- a/crates/core/src/decision/gateway/place.rs
+++ b/crates/core/src/decision/gateway/place.rs
@@ -12,7 +12,6 @@
 use crate::decision::gateway::peers::rank_of;
 use crate::domain::fleet::Peer;
 use crate::domain::name::BatchId;
-use crate::domain::name::HostName;
 use crate::domain::name::RouteName;
 
 /// Time for which a process that did not take a submission gets no other one.
@@ -42,7 +41,8 @@
         });
         present.or_else(|| {
             let peers = self.all_peers().filter(|peer| self.takes_jobs(peer));
-            peers.min_by_key(|peer| self.precedence(route.as_str(), peer))
+            let most = self.largest_power();
+            peers.min_by_key(|peer| precedence(route.as_str(), peer, most))
         })
     }
 
@@ -62,14 +62,14 @@
         self.peers.shunned.insert(address, until);
     }
 
-    /// Returns a figure by which processes are ordered for a subject; the lowest comes first.
-    /// Those with little processor time come after the others.
-    pub(super) fn precedence(&self, subject: &str, peer: &Peer) -> (bool, u64) {
-        let most = self.all_peers().map(|peer| peer.power).max().unwrap_or(0);
-        (peer.power * 2 < most, rank_of(subject, &peer.host))
+    /// Returns the largest processor time that a process may use, in percent of a core.
+    pub(super) fn largest_power(&self) -> u32 {
+        self.all_peers().map(|peer| peer.power).max().unwrap_or(0)
     }
+}
 
-    fn peer(&self, host: &HostName) -> Option<&Peer> {
-        self.all_peers().find(|peer| peer.host == *host)
-    }
+/// Returns a figure by which processes are ordered for a subject; the lowest comes first. Those
+/// with less than half of the largest processor time come after the others.
+pub(super) fn precedence(subject: &str, peer: &Peer, most: u32) -> (bool, u64) {
+    (peer.power * 2 < most, rank_of(subject, &peer.host))
 }
--- a/crates/core/src/domain/table.rs
+++ b/crates/core/src/domain/table.rs
@@ -164,4 +164,9 @@
             RouteKind::Safe | RouteKind::Unsafe => None,
         }
     }
+
+    /// Tells whether all events of a text must come from one version.
+    pub fn is_single(&self) -> bool {
+        self.rollout().is_some_and(|terms| terms.single)
+    }
 }
