Give each subject of an entry its own messages

Cause: 18 files of `entry` imported `control::Message`, which composes the messages of them all, so no subject could be read without the others; `service` and `step` imported each other. Change: `Inbox` passes the messages of one subject to the queue of the control thread. Requests, the watch, reports, hosts, peers, duties and steps know their own type only; `control`, the composition root and the drain know all.

--- a/crates/node/src/entry/control.rs
+++ b/crates/node/src/entry/control.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
 use flume::Receiver;
 use flume::RecvTimeoutError;
 use flume::Sender;
@@ -12,14 +11,10 @@
 use sardinepath_core::decision::config::Config;
 use sardinepath_core::decision::config::Merge;
 use sardinepath_core::decision::config::TeamState;
-use sardinepath_core::decision::entrance::View;
 use sardinepath_core::decision::traffic::Action;
-use sardinepath_core::decision::traffic::Ask;
-use sardinepath_core::decision::traffic::Choice;
 use sardinepath_core::decision::traffic::Outcome;
 use sardinepath_core::decision::traffic::TicketKey;
 use sardinepath_core::decision::traffic::Traffic;
-use sardinepath_core::domain::call::Counter;
 use sardinepath_core::domain::error::Failure;
 use sardinepath_core::domain::event::Event;
 use sardinepath_core::domain::ids::Revision;
@@ -29,7 +24,6 @@
 use sardinepath_core::domain::time::Time;
 use sardinepath_core::port::clock::Clock;
 use sardinepath_core::port::host::HostEntry;
-use sardinepath_core::port::peer::HeartbeatState;
 use slotmap::SecondaryMap;
 
 use crate::entry::duty::Duties;
@@ -38,8 +32,13 @@
 use crate::entry::peer::Distribution;
 use crate::entry::peer::PeerMessage;
 use crate::entry::reports::ReportStreams;
+use crate::entry::request::RequestMessage;
+use crate::entry::request::Verdict;
+use crate::entry::snapshot::Published;
+use crate::entry::snapshot::Snapshot;
 use crate::entry::step::StepMessage;
 use crate::entry::step::Steps;
+use crate::entry::watch::WatchMessage;
 
 /// Interval of the timers of the control state.
 const TICK: Duration = Duration::from_millis(100);
@@ -47,49 +46,12 @@
 /// What the control thread is told.
 #[derive(Debug)]
 pub enum Message {
-    /// A request asks for admission and a target.
-    Ask {
-        /// The question.
-        ask: Ask,
-        /// Where the answers go.
-        verdicts: Sender<Verdict>,
-    },
-    /// An attempt failed and may be repeated.
-    Retry {
-        /// The request.
-        ticket: TicketKey,
-        /// Why the attempt failed.
-        failure: Failure,
-    },
-    /// A request ended.
-    Ended {
-        /// The request.
-        ticket: TicketKey,
-        /// How it ended.
-        outcome: Outcome,
-        /// The agent's usage counter after a whole answer.
-        counter: Option<Counter>,
-    },
+    /// A request asks, fails or ends.
+    Request(RequestMessage),
     /// A target reported.
     Report(Report),
-    /// Teams changed up to a revision.
-    Changed {
-        /// The changed teams.
-        teams: Vec<(TeamName, TeamState)>,
-        /// Revision up to which the changes are complete.
-        revision: Revision,
-    },
-    /// All teams were listed at a revision.
-    Listed {
-        /// The teams whose trees were read.
-        teams: Vec<(TeamName, TeamState)>,
-        /// Teams whose trees could not be read.
-        unreadable: Vec<TeamName>,
-        /// Revision of the listing.
-        revision: Revision,
-        /// Time before the platform was asked.
-        asked: Time,
-    },
+    /// The configuration was read.
+    Watch(WatchMessage),
     /// The list of hosts was read.
     Hosts(Vec<HostEntry>),
     /// Another entry or the platform answered.
@@ -102,58 +64,45 @@
     Stop,
 }
 
-/// What a request is told.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// Go to a target after a delay.
-    Go {
-        /// Names the request at the control thread.
-        ticket: TicketKey,
-        /// The target.
-        choice: Choice,
-        /// Time to wait first.
-        delay: Duration,
-    },
-    /// End with this failure.
-    Refused(Failure),
-    /// Stop what runs and end with this failure.
-    Revoked(Failure),
+impl From<RequestMessage> for Message {
+    fn from(message: RequestMessage) -> Self {
+        Self::Request(message)
+    }
 }
 
-/// What traffic threads read without asking.
-#[derive(Debug)]
-pub struct Snapshot {
-    /// The configuration in force.
-    pub config: Arc<Config>,
-    /// True once a configuration at or above the floor of the other entries was read.
-    pub ready: bool,
-    /// Time until which keys may be checked.
-    pub keys: Option<Time>,
-    /// What this entry tells other entries.
-    pub pulse: HeartbeatState,
+impl From<Report> for Message {
+    fn from(report: Report) -> Self {
+        Self::Report(report)
+    }
 }
 
-/// The published snapshot.
-pub type Published = Arc<ArcSwap<Snapshot>>;
+impl From<WatchMessage> for Message {
+    fn from(message: WatchMessage) -> Self {
+        Self::Watch(message)
+    }
+}
 
-/// Creates the snapshot of an entry that has read nothing.
-pub fn new_snapshot(pulse: HeartbeatState) -> Published {
-    Arc::new(ArcSwap::from_pointee(Snapshot {
-        config: Arc::default(),
-        ready: false,
-        keys: None,
-        pulse,
-    }))
+impl From<Vec<HostEntry>> for Message {
+    fn from(hosts: Vec<HostEntry>) -> Self {
+        Self::Hosts(hosts)
+    }
 }
 
-impl Snapshot {
-    /// Returns what decisions on new requests need.
-    pub fn view(&self) -> View<'_> {
-        View {
-            config: &self.config,
-            ready: self.ready,
-            keys: self.keys,
-        }
+impl From<PeerMessage> for Message {
+    fn from(message: PeerMessage) -> Self {
+        Self::Peer(message)
+    }
+}
+
+impl From<DutyMessage> for Message {
+    fn from(message: DutyMessage) -> Self {
+        Self::Duty(message)
+    }
+}
+
+impl From<StepMessage> for Message {
+    fn from(message: StepMessage) -> Self {
+        Self::Step(message)
     }
 }
 
@@ -230,40 +179,13 @@
     fn handle(&mut self, message: Message) -> Step {
         let now = self.clock.now();
         match message {
-            Message::Ask { ask, verdicts } => {
-                let ticket = self.traffic.ask(now, ask);
-                self.verdicts.insert(ticket, verdicts);
-            }
-            Message::Retry { ticket, failure } => self.traffic.retry(now, ticket, failure),
-            Message::Ended {
-                ticket,
-                outcome,
-                counter,
-            } => {
-                self.duties.count(counter.as_ref());
-                self.traffic.ended(now, ticket, &outcome);
-                self.verdicts.remove(ticket);
-            }
+            Message::Request(message) => self.request(now, message),
             Message::Report(report) => {
                 let report = self.members.correct(report);
                 self.duties.report(now, &report);
                 self.traffic.report(now, report);
             }
-            Message::Changed { teams, revision } => self.merge(teams, Some(revision)),
-            Message::Listed {
-                teams,
-                unreadable,
-                revision,
-                asked,
-            } => {
-                // Contact and configuration come into force together, so that an entry is never
-                // ready without its keys, and never trusts old keys because of a new contact.
-                let answered = PeerMessage::PlatformAnswered(asked);
-                self.distribution.handle(now, answered);
-                let mut config = Config::clone(&self.config);
-                config.merge_listing(teams, &unreadable, revision);
-                self.put_in_force(config, Some(revision));
-            }
+            Message::Watch(message) => self.watched(now, message),
             Message::Duty(message) => self.duties.handle(now, &self.config, message),
             Message::Hosts(hosts) => {
                 self.members.listed(now, &hosts);
@@ -286,7 +208,45 @@
         Step::Continue
     }
 
-    /// Puts newer team states in force and publishes them.
+    fn request(&mut self, now: Time, message: RequestMessage) {
+        match message {
+            RequestMessage::Ask { ask, verdicts } => {
+                let ticket = self.traffic.ask(now, ask);
+                self.verdicts.insert(ticket, verdicts);
+            }
+            RequestMessage::Retry { ticket, failure } => self.traffic.retry(now, ticket, failure),
+            RequestMessage::Ended {
+                ticket,
+                outcome,
+                counter,
+            } => {
+                self.duties.count(counter.as_ref());
+                self.traffic.ended(now, ticket, &outcome);
+                self.verdicts.remove(ticket);
+            }
+        }
+    }
+
+    fn watched(&mut self, now: Time, message: WatchMessage) {
+        match message {
+            WatchMessage::Changed { teams, revision } => self.merge(teams, Some(revision)),
+            WatchMessage::Listed {
+                teams,
+                unreadable,
+                revision,
+                asked,
+            } => {
+                // Contact and configuration come into force together, so that an entry is never
+                // ready without its keys, and never trusts old keys because of a new contact.
+                let answered = PeerMessage::PlatformAnswered(asked);
+                self.distribution.handle(now, answered);
+                let mut config = Config::clone(&self.config);
+                config.merge_listing(teams, &unreadable, revision);
+                self.put_in_force(config, Some(revision));
+            }
+        }
+    }
+
     /// Merges newer team states. `complete` is the revision up to which nothing is missing.
     fn merge(&mut self, teams: Vec<(TeamName, TeamState)>, complete: Option<Revision>) {
         if teams.is_empty() && complete.is_some_and(|r| r <= self.config.revision()) {
--- a/crates/node/src/entry/drain.rs
+++ b/crates/node/src/entry/drain.rs
@@ -15,8 +15,8 @@
 
 use crate::entry::Entry;
 use crate::entry::control::Message;
-use crate::entry::control::Published;
 use crate::entry::duty::DutyMessage;
+use crate::entry::snapshot::Published;
 use crate::entry::step::StepMessage;
 use crate::metrics::Metrics;
 use crate::process::wait;
--- a/crates/node/src/entry/duty/context.rs
+++ b/crates/node/src/entry/duty/context.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use flume::Sender;
 use sardinepath_adapters::rpc::client::Peers;
 use sardinepath_adapters::runtime::Spawner;
 use sardinepath_core::decision::lease::Permit;
@@ -20,9 +19,9 @@
 use sardinepath_core::port::usage::UsageReport;
 use sardinepath_core::port::weight::WeightPort;
 
-use crate::entry::control::Message;
 use crate::entry::duty::DutyMessage;
 use crate::entry::duty::metrics::DutyMetrics;
+use crate::entry::inbox::Inbox;
 use crate::entry::platform::Platform;
 use crate::entry::platform::PlatformBusy;
 
@@ -50,11 +49,11 @@
     /// Connections to other processes.
     pub peers: Arc<Peers>,
     /// Queue of the control thread.
-    pub control: Sender<Message>,
+    pub control: Inbox<DutyMessage>,
     /// Threads for lease calls only, so that a silent interface does not delay renewals.
-    pub leases: Platform,
+    pub leases: Platform<DutyMessage>,
     /// Threads for all other calls.
-    pub calls: Platform,
+    pub calls: Platform<DutyMessage>,
     /// Metrics of the duties.
     pub metrics: DutyMetrics,
     /// Calls of the duties that have not been answered.
@@ -110,7 +109,7 @@
         job: impl FnOnce(&Ports) -> DutyMessage + Send + 'static,
     ) -> Result<(), PlatformBusy> {
         let ports = self.ports.clone();
-        self.calls.call(move || Some(Message::Duty(job(&ports))))?;
+        self.calls.call(move || Some(job(&ports)))?;
         self.running += 1;
         Ok(())
     }
--- a/crates/node/src/entry/duty/post.rs
+++ b/crates/node/src/entry/duty/post.rs
@@ -6,7 +6,6 @@
 use sardinepath_core::domain::name::DutyName;
 use sardinepath_core::port::object::ObjectError;
 
-use crate::entry::control::Message;
 use crate::entry::duty::DutyMessage;
 use crate::entry::duty::DutySettings;
 use crate::entry::duty::context::Context;
@@ -122,7 +121,7 @@
         let refused = refused(&call);
         let job = move || {
             let answer = lease::make(objects.as_ref(), &call);
-            Some(Message::Duty(DutyMessage::Lease(place, id, answer)))
+            Some(DutyMessage::Lease(place, id, answer))
         };
         let made = self.leases.call(job);
         made.is_err().then_some(refused)
@@ -148,7 +147,7 @@
         let job = move || {
             // If the write fails, challengers wait until the lease has lapsed.
             let _ = lease::make(objects.as_ref(), &call);
-            Some(Message::Duty(DutyMessage::Released(place)))
+            Some(DutyMessage::Released(place))
         };
         // With a full queue the drain ends at its limit and the lease lapses.
         let _ = self.leases.call(job);
--- a/crates/node/src/entry/duty/rollout.rs
+++ b/crates/node/src/entry/duty/rollout.rs
@@ -30,7 +30,6 @@
 use sardinepath_core::domain::target::ServingState;
 use sardinepath_core::domain::time::Time;
 
-use crate::entry::control::Message;
 use crate::entry::duty::DutyMessage;
 use crate::entry::duty::context::Context;
 
@@ -303,9 +302,7 @@
         };
         let loaded = Loaded { result, ..loaded };
         // A closed queue means that the process stops.
-        let _ = control
-            .send_async(Message::Duty(DutyMessage::Loaded(loaded)))
-            .await;
+        let _ = control.send_async(DutyMessage::Loaded(loaded)).await;
     })
 }
 
--- a/crates/node/src/entry/duty/usage.rs
+++ b/crates/node/src/entry/duty/usage.rs
@@ -23,7 +23,6 @@
 use sardinepath_core::port::object::Object;
 use sardinepath_core::port::object::ObjectError;
 
-use crate::entry::control::Message;
 use crate::entry::duty::DutyMessage;
 use crate::entry::duty::chain::Chain;
 use crate::entry::duty::chain::Lane;
@@ -234,7 +233,7 @@
         let ask = async move {
             let counters = ask(&peers, entries, agents).await;
             // A closed queue means that the process stops.
-            let message = Message::Duty(DutyMessage::Collected(counters));
+            let message = DutyMessage::Collected(counters);
             let _ = control.send_async(message).await;
         };
         context.spawner.spawn(ask).detach();
--- a/crates/node/src/entry/member.rs
+++ b/crates/node/src/entry/member.rs
@@ -7,7 +7,6 @@
 use std::time::Instant;
 
 use anyhow::Context;
-use flume::Sender;
 use sardinepath_adapters::event::emit;
 use sardinepath_core::decision::member::Members;
 use sardinepath_core::decision::member::Poll;
@@ -19,7 +18,7 @@
 use sardinepath_core::port::host::HostEntry;
 use sardinepath_core::port::host::HostPort;
 
-use crate::entry::control::Message;
+use crate::entry::inbox::Inbox;
 use crate::entry::peer::PeerMessage;
 
 /// Interval at which entries that fell silent are looked for. A fleet of 350 entries makes a look
@@ -90,7 +89,7 @@
 }
 
 /// Starts the thread that reads the list of hosts.
-pub fn start(hosts: Arc<dyn HostPort>, control: Sender<Message>) -> anyhow::Result<()> {
+pub fn start(hosts: Arc<dyn HostPort>, control: Inbox<Vec<HostEntry>>) -> anyhow::Result<()> {
     thread::Builder::new()
         .name("hosts".to_owned())
         .spawn(move || read(hosts.as_ref(), &control))
@@ -99,14 +98,14 @@
 }
 
 /// Reads the list again and again, until the control thread is gone.
-fn read(hosts: &dyn HostPort, control: &Sender<Message>) {
+fn read(hosts: &dyn HostPort, control: &Inbox<Vec<HostEntry>>) {
     let mut random = rand::rng();
     let mut poll = Poll::new(&mut random);
     while rest(&poll, control) {
         let asking = poll.ask();
         poll = match hosts.hosts() {
             Ok(list) => {
-                if control.send(Message::Hosts(list)).is_err() {
+                if control.send(list).is_err() {
                     return;
                 }
                 asking.answered(&mut random)
@@ -120,10 +119,10 @@
 }
 
 /// Waits until the list is due. Returns false once the control thread is gone.
-fn rest(poll: &Poll<Resting>, control: &Sender<Message>) -> bool {
+fn rest(poll: &Poll<Resting>, control: &Inbox<Vec<HostEntry>>) -> bool {
     let end = Instant::now() + poll.wait();
     loop {
-        if control.is_disconnected() {
+        if control.is_closed() {
             return false;
         }
         let left = end.saturating_duration_since(Instant::now());
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -3,11 +3,14 @@
 pub mod control;
 pub mod drain;
 pub mod duty;
+pub mod inbox;
 pub mod member;
 pub mod peer;
 pub mod platform;
 pub mod reports;
+pub mod request;
 pub mod service;
+pub mod snapshot;
 pub mod step;
 pub mod watch;
 
@@ -46,13 +49,13 @@
 use crate::config::EntrySettings;
 use crate::entry::control::Control;
 use crate::entry::control::Message;
-use crate::entry::control::Published;
 use crate::entry::drain::EntryAdmin;
 use crate::entry::duty::Duties;
 use crate::entry::duty::DutySettings;
 use crate::entry::duty::context::Context;
 use crate::entry::duty::context::Ports;
 use crate::entry::duty::metrics::DutyMetrics;
+use crate::entry::inbox::Inbox;
 use crate::entry::member::Membership;
 use crate::entry::peer::Distribution;
 use crate::entry::peer::Identity;
@@ -60,7 +63,10 @@
 use crate::entry::peer::PeerService;
 use crate::entry::platform::Platform;
 use crate::entry::service::EntryService;
+use crate::entry::snapshot::Published;
+use crate::entry::snapshot::new_snapshot;
 use crate::entry::step::Steps;
+use crate::entry::step::front::StepService;
 use crate::metrics::Metrics;
 
 /// Messages that may wait for the control thread. At 2,000 requests a second it takes them in
@@ -106,9 +112,11 @@
     pub fn start(settings: &EntrySettings, objects: Arc<dyn ObjectPort>) -> anyhow::Result<Self> {
         let runtime = Runtime::start(settings.threads).context("could not start threads")?;
         let parts = start_control(settings, runtime.spawner(), objects.clone())?;
-        watch::start(objects, parts.clock.clone(), parts.control.clone())?;
+        let (watch, peer) = (Inbox::new(&parts.control), Inbox::new(&parts.control));
+        watch::start(objects, parts.clock.clone(), watch, peer)?;
         if let Some(address) = settings.hosts {
-            member::start(Arc::new(HttpHosts::new(address)), parts.control.clone())?;
+            let hosts = Arc::new(HttpHosts::new(address));
+            member::start(hosts, Inbox::new(&parts.control))?;
         }
         let peer_server = parts.serve_peers(settings.peer)?;
         let server = parts.serve_callers(settings.listen)?;
@@ -148,7 +156,8 @@
         let front = PeerService::new(
             self.spawner.clone(),
             self.snapshot.clone(),
-            self.control.clone(),
+            Inbox::new(&self.control),
+            Inbox::new(&self.control),
         );
         PeerRpcServer::start(&self.spawner, listen(address)?, Arc::new(front))
     }
@@ -166,18 +175,25 @@
             host,
             self.spawner.clone(),
             self.peers.clone(),
-            self.control.clone(),
+            Inbox::new(&self.control),
         )
     }
 
     /// Creates the service of requests.
     fn service(&self) -> EntryService {
+        let steps = StepService::new(
+            self.clock.clone(),
+            self.snapshot.clone(),
+            Inbox::new(&self.control),
+            self.metrics.clone(),
+        );
         EntryService::new(
             self.spawner.clone(),
             self.clock.clone(),
             self.snapshot.clone(),
-            self.control.clone(),
+            Inbox::new(&self.control),
             self.peers.clone(),
+            Arc::new(steps),
             self.metrics.clone(),
         )
     }
@@ -194,7 +210,7 @@
             scores.map(|scores| Arc::new(scores) as Arc<dyn ScorePort>),
             self.service(),
             self.spawner.clone(),
-            self.control.clone(),
+            Inbox::new(&self.control),
             self.metrics.clone(),
         )
     }
@@ -224,13 +240,14 @@
         incarnation: Incarnation(rand::random()),
     };
     let metrics = Arc::new(Metrics::new()?);
+    let inbox = Inbox::new(&control);
     let context = Context {
         ports: ports(settings, &spawner, clock.clone(), objects.clone()),
         spawner: spawner.clone(),
         peers: peers.clone(),
-        control: control.clone(),
-        leases: Platform::start(PLATFORM_THREADS, &control)?,
-        calls: Platform::start(PLATFORM_THREADS, &control)?,
+        leases: Platform::start(PLATFORM_THREADS, &inbox)?,
+        calls: Platform::start(PLATFORM_THREADS, &inbox)?,
+        control: inbox,
         metrics: DutyMetrics::new(&metrics)?,
         running: 0,
     };
@@ -240,8 +257,9 @@
         centre: settings.centre.clone(),
         window: Duration::from_secs(settings.window),
     };
-    let distribution = Distribution::new(identity, spawner.clone(), peers.clone(), control.clone());
-    let snapshot = control::new_snapshot(distribution.pulse(clock.now()));
+    let inbox = Inbox::new(&control);
+    let distribution = Distribution::new(identity, spawner.clone(), peers.clone(), inbox);
+    let snapshot = new_snapshot(distribution.pulse(clock.now()));
     let parts = Parts {
         clock,
         spawner,
--- a/crates/node/src/entry/peer.rs
+++ b/crates/node/src/entry/peer.rs
@@ -30,9 +30,9 @@
 use sardinepath_core::port::peer::PeerUpdate;
 use sardinepath_core::port::target::CallGuard;
 
-use crate::entry::control::Message;
-use crate::entry::control::Published;
 use crate::entry::duty::DutyMessage;
+use crate::entry::inbox::Inbox;
+use crate::entry::snapshot::Published;
 
 /// Interval of heartbeat rounds. Two rounds can fail before the contact limit of 5 s.
 const ROUND: Duration = Duration::from_secs(1);
@@ -84,7 +84,7 @@
 struct Links {
     spawner: Spawner,
     port: Arc<dyn PeerPort>,
-    control: Sender<Message>,
+    control: Inbox<PeerMessage>,
     addresses: BTreeMap<HostName, SocketAddr>,
     heartbeats: BTreeMap<HostName, Task>,
     followed: Option<Followed>,
@@ -102,7 +102,8 @@
 pub struct PeerService {
     spawner: Spawner,
     snapshot: Published,
-    control: Sender<Message>,
+    control: Inbox<PeerMessage>,
+    duties: Inbox<DutyMessage>,
 }
 
 impl Distribution {
@@ -111,7 +112,7 @@
         identity: Identity,
         spawner: Spawner,
         port: Arc<dyn PeerPort>,
-        control: Sender<Message>,
+        control: Inbox<PeerMessage>,
     ) -> Self {
         let links = Links {
             spawner,
@@ -221,12 +222,12 @@
         let task = self.spawner.spawn(async move {
             let _guard = guard;
             while let Ok(update) = updates.recv_async().await {
-                let message = Message::Peer(PeerMessage::Update(update));
+                let message = PeerMessage::Update(update);
                 if control.send_async(message).await.is_err() {
                     return;
                 }
             }
-            let ended = Message::Peer(PeerMessage::Ended(number));
+            let ended = PeerMessage::Ended(number);
             // The control thread needs no news once it has stopped.
             let _ = control.send_async(ended).await;
         });
@@ -254,7 +255,7 @@
         let task = self.spawner.spawn(async move {
             let _guard = guard;
             if let Ok(pulse) = reply.recv_async().await {
-                let message = Message::Peer(PeerMessage::Answered(now, pulse));
+                let message = PeerMessage::Answered(now, pulse);
                 // The control thread needs no news once it has stopped.
                 let _ = control.send_async(message).await;
             }
@@ -265,11 +266,17 @@
 
 impl PeerService {
     /// Creates the service.
-    pub fn new(spawner: Spawner, snapshot: Published, control: Sender<Message>) -> Self {
+    pub fn new(
+        spawner: Spawner,
+        snapshot: Published,
+        control: Inbox<PeerMessage>,
+        duties: Inbox<DutyMessage>,
+    ) -> Self {
         Self {
             spawner,
             snapshot,
             control,
+            duties,
         }
     }
 }
@@ -287,7 +294,7 @@
     fn heartbeat(&self, pulse: HeartbeatState) -> HeartbeatState {
         let snapshot = self.snapshot.load();
         if pulse.revision > snapshot.pulse.revision {
-            let told = Message::Peer(PeerMessage::Told(pulse.revision));
+            let told = PeerMessage::Told(pulse.revision);
             // A full queue loses only news that the next heartbeat brings again.
             let _ = self.control.try_send(told);
         }
@@ -296,21 +303,19 @@
 
     fn counters(&self, reply: Sender<Vec<Counter>>) {
         // If the queue is full, the reply is dropped and the collector asks again later.
-        let _ = self
-            .control
-            .try_send(Message::Duty(DutyMessage::Counters(reply)));
+        let _ = self.duties.try_send(DutyMessage::Counters(reply));
     }
 }
 
 /// Sends the teams above a revision, and then each change, until the receiver is gone.
 async fn stream(
     snapshot: Published,
-    control: Sender<Message>,
+    control: Inbox<PeerMessage>,
     after: Revision,
     updates: Sender<PeerUpdate>,
 ) {
     let (wake, changes) = flume::bounded(1);
-    let register = Message::Peer(PeerMessage::Wake(wake));
+    let register = PeerMessage::Wake(wake);
     if control.send_async(register).await.is_err() {
         return;
     }
--- a/crates/node/src/entry/reports.rs
+++ b/crates/node/src/entry/reports.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use flume::Sender;
 use sardinepath_adapters::rpc::client::Peers;
 use sardinepath_adapters::runtime::Spawner;
 use sardinepath_adapters::runtime::Task;
@@ -13,8 +12,9 @@
 use sardinepath_core::decision::config::Config;
 use sardinepath_core::decision::subset::followed;
 use sardinepath_core::domain::name::HostName;
+use sardinepath_core::domain::target::Report;
 
-use crate::entry::control::Message;
+use crate::entry::inbox::Inbox;
 
 /// Interval of reports.
 const INTERVAL: Duration = Duration::from_secs(1);
@@ -32,7 +32,7 @@
     entries: Vec<HostName>,
     spawner: Spawner,
     peers: Arc<Peers>,
-    control: Sender<Message>,
+    control: Inbox<Report>,
     streams: HashMap<SocketAddr, Task>,
 }
 
@@ -42,7 +42,7 @@
         host: HostName,
         spawner: Spawner,
         peers: Arc<Peers>,
-        control: Sender<Message>,
+        control: Inbox<Report>,
     ) -> Self {
         Self {
             host,
@@ -83,7 +83,7 @@
         self.spawner.spawn(async move {
             let pass = async {
                 while let Ok(report) = reports.recv_async().await {
-                    if control.send_async(Message::Report(report)).await.is_err() {
+                    if control.send_async(report).await.is_err() {
                         return;
                     }
                 }
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -43,10 +43,10 @@
 use sardinepath_core::port::step::StepFront;
 use sardinepath_core::port::target::CallGuard;
 
-use crate::entry::control::Message;
-use crate::entry::control::Published;
-use crate::entry::control::Verdict;
-use crate::entry::step::front::StepService;
+use crate::entry::inbox::Inbox;
+use crate::entry::request::RequestMessage;
+use crate::entry::request::Verdict;
+use crate::entry::snapshot::Published;
 use crate::metrics::Metrics;
 
 pub use sample::SampleCall;
@@ -61,7 +61,7 @@
 #[derive(Clone)]
 pub struct EntryService {
     shared: Arc<Shared>,
-    steps: StepService,
+    steps: Arc<dyn StepFront>,
 }
 
 /// What all requests share.
@@ -69,7 +69,7 @@
     spawner: Spawner,
     clock: Arc<dyn Clock>,
     snapshot: Published,
-    control: Sender<Message>,
+    control: Inbox<RequestMessage>,
     agents: Arc<Peers>,
     metrics: Arc<Metrics>,
 }
@@ -94,7 +94,7 @@
 /// withdrawn between two attempts.
 struct Ticket<'a> {
     key: TicketKey,
-    control: &'a Sender<Message>,
+    control: &'a Inbox<RequestMessage>,
     counter: &'a OnceLock<Counter>,
     outcome: Outcome,
     /// False once the control thread has closed the ticket.
@@ -120,16 +120,11 @@
         spawner: Spawner,
         clock: Arc<dyn Clock>,
         snapshot: Published,
-        control: Sender<Message>,
+        control: Inbox<RequestMessage>,
         agents: Arc<Peers>,
+        steps: Arc<dyn StepFront>,
         metrics: Arc<Metrics>,
     ) -> Self {
-        let steps = StepService::new(
-            clock.clone(),
-            snapshot.clone(),
-            control.clone(),
-            metrics.clone(),
-        );
         let shared = Shared {
             spawner,
             clock,
@@ -157,7 +152,7 @@
     }
 
     fn steps(&self) -> Option<&dyn StepFront> {
-        Some(&self.steps)
+        Some(self.steps.as_ref())
     }
 }
 
@@ -201,7 +196,7 @@
         let deadline = ask.deadline;
         let streamed = inbound.completion.as_ref().is_some_and(|c| c.streamed);
         let (sender, verdicts) = flume::bounded(VERDICT_ROOM);
-        let message = Message::Ask {
+        let message = RequestMessage::Ask {
             ask,
             verdicts: sender,
         };
@@ -376,7 +371,7 @@
 }
 
 impl<'a> Ticket<'a> {
-    fn new(key: TicketKey, control: &'a Sender<Message>, job: &'a Job) -> Self {
+    fn new(key: TicketKey, control: &'a Inbox<RequestMessage>, job: &'a Job) -> Self {
         Self {
             key,
             control,
@@ -389,7 +384,7 @@
     /// Asks for another target. The request stays known to the control thread.
     async fn retry(&self, failure: Failure) {
         // The request sees a closed verdict channel if the control thread is gone.
-        let message = Message::Retry {
+        let message = RequestMessage::Retry {
             ticket: self.key,
             failure,
         };
@@ -417,7 +412,7 @@
         }
         let outcome = self.outcome.clone();
         // The control thread needs no news once it has stopped.
-        let _ = self.control.send(Message::Ended {
+        let _ = self.control.send(RequestMessage::Ended {
             ticket: self.key,
             outcome,
             counter: self.counter.get().cloned(),
--- a/crates/node/src/entry/step/front.rs
+++ b/crates/node/src/entry/step/front.rs
@@ -19,8 +19,8 @@
 use sardinepath_core::port::step::StepOrder;
 use sardinepath_core::port::step::StepPoll;
 
-use crate::entry::control::Message;
-use crate::entry::control::Published;
+use crate::entry::inbox::Inbox;
+use crate::entry::snapshot::Published;
 use crate::entry::step::PollAsk;
 use crate::entry::step::PostAsk;
 use crate::entry::step::StepMessage;
@@ -31,7 +31,7 @@
 pub struct StepService {
     clock: Arc<dyn Clock>,
     snapshot: Published,
-    control: Sender<Message>,
+    control: Inbox<StepMessage>,
     metrics: Arc<Metrics>,
 }
 
@@ -40,7 +40,7 @@
     pub fn new(
         clock: Arc<dyn Clock>,
         snapshot: Published,
-        control: Sender<Message>,
+        control: Inbox<StepMessage>,
         metrics: Arc<Metrics>,
     ) -> Self {
         Self {
@@ -107,7 +107,7 @@
     /// Passes a message on, or answers with the refusal.
     fn pass<T>(&self, message: Result<StepMessage, ErrorKind>, reply: &Sender<Result<T, Failure>>) {
         let sent = message.and_then(|message| {
-            let sent = self.control.try_send(Message::Step(message));
+            let sent = self.control.try_send(message);
             sent.map_err(|_| ErrorKind::Overloaded)
         });
         if let Err(kind) = sent {
--- a/crates/node/src/entry/step/mod.rs
+++ b/crates/node/src/entry/step/mod.rs
@@ -34,9 +34,9 @@
 use sardinepath_core::port::score::ScorePort;
 use sardinepath_core::port::step::Delivery;
 
-use crate::entry::control::Message;
 use crate::entry::duty::lease::CallId;
 use crate::entry::duty::lease::LeaseAnswer;
+use crate::entry::inbox::Inbox;
 use crate::entry::platform::Platform;
 use crate::entry::service::EntryService;
 use crate::entry::step::poll::Waiting;
@@ -125,7 +125,7 @@
 /// The steps of all trainers that post to or poll this entry.
 pub struct Steps {
     ports: Ports,
-    leases: Platform,
+    leases: Platform<StepMessage>,
     me: Incarnation,
     trainers: BTreeMap<TrainerName, Trainer>,
     waiting: Vec<Waiting>,
@@ -141,7 +141,7 @@
         scores: Option<Arc<dyn ScorePort>>,
         service: EntryService,
         spawner: Spawner,
-        control: Sender<Message>,
+        control: Inbox<StepMessage>,
         metrics: Arc<Metrics>,
     ) -> anyhow::Result<Self> {
         if scores.is_none() {
@@ -265,7 +265,7 @@
         let reply = ask.reply.clone();
         let queued = self.ports.platform.call(move || {
             let stored = store::store(&*objects, &ask.key, &ask.record);
-            Some(Message::Step(StepMessage::Stored(ask, stored)))
+            Some(StepMessage::Stored(ask, stored))
         });
         if queued.is_err() {
             self.refuse(&reply, ErrorKind::Overloaded);
--- a/crates/node/src/entry/step/poll.rs
+++ b/crates/node/src/entry/step/poll.rs
@@ -12,7 +12,6 @@
 use sardinepath_core::port::object::ObjectPort;
 use sardinepath_core::port::step::Delivery;
 
-use crate::entry::control::Message;
 use crate::entry::step::PollAsk;
 use crate::entry::step::Polled;
 use crate::entry::step::StepMessage;
@@ -52,7 +51,7 @@
         let reply = ask.reply.clone();
         let queued = self.ports.platform.call(move || {
             let polled = deliver(&*objects, &ask, known);
-            Some(Message::Step(StepMessage::Polled(ask, polled)))
+            Some(StepMessage::Polled(ask, polled))
         });
         if queued.is_err() {
             self.refuse(&reply, ErrorKind::Overloaded);
--- a/crates/node/src/entry/step/running.rs
+++ b/crates/node/src/entry/step/running.rs
@@ -4,7 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use flume::Sender;
 use sardinepath_adapters::event::emit;
 use sardinepath_adapters::runtime::Spawner;
 use sardinepath_core::decision::config::Config;
@@ -31,7 +30,7 @@
 use sardinepath_core::port::score::ScorePort;
 use sardinepath_core::port::target::CallGuard;
 
-use crate::entry::control::Message;
+use crate::entry::inbox::Inbox;
 use crate::entry::platform::Platform;
 use crate::entry::service::EntryService;
 use crate::entry::service::SampleCall;
@@ -55,12 +54,12 @@
     pub(super) objects: Arc<dyn ObjectPort>,
     pub(super) scores: Option<Arc<dyn ScorePort>>,
     /// Threads for groups and steps.
-    pub(super) platform: Platform,
+    pub(super) platform: Platform<StepMessage>,
     /// Threads of their own, so that a slow scoring service does not hold up records.
-    pub(super) scoring: Platform,
+    pub(super) scoring: Platform<StepMessage>,
     pub(super) service: EntryService,
     pub(super) spawner: Spawner,
-    pub(super) control: Sender<Message>,
+    pub(super) control: Inbox<StepMessage>,
     pub(super) metrics: Arc<Metrics>,
 }
 
@@ -278,7 +277,7 @@
             let news = RunNews::Generated(member, run, made);
             let message = StepMessage::Run { key, term, news };
             // A control thread that has stopped needs no samples.
-            let _ = control.send_async(Message::Step(message)).await;
+            let _ = control.send_async(message).await;
         };
         Box::new(ports.spawner.spawn(work))
     }
@@ -295,11 +294,15 @@
     }
 
     /// Queues a blocking call. Returns false if the queue is full.
-    fn call(&self, platform: &Platform, job: impl FnOnce() -> RunNews + Send + 'static) -> bool {
+    fn call(
+        &self,
+        platform: &Platform<StepMessage>,
+        job: impl FnOnce() -> RunNews + Send + 'static,
+    ) -> bool {
         let (key, term) = (self.key.clone(), self.term);
         let call = move || {
             let news = job();
-            Some(Message::Step(StepMessage::Run { key, term, news }))
+            Some(StepMessage::Run { key, term, news })
         };
         platform.call(call).is_ok()
     }
--- a/crates/node/src/entry/step/trainer.rs
+++ b/crates/node/src/entry/step/trainer.rs
@@ -16,7 +16,6 @@
 use sardinepath_core::port::object::ObjectError;
 use sardinepath_core::port::object::ObjectPort;
 
-use crate::entry::control::Message;
 use crate::entry::duty::lease::CallId;
 use crate::entry::duty::lease::LeaseAnswer;
 use crate::entry::duty::lease::LeaseCall;
@@ -129,7 +128,7 @@
     pub(super) fn tick_lease(
         &mut self,
         now: Time,
-        leases: &Platform,
+        leases: &Platform<StepMessage>,
         objects: &Arc<dyn ObjectPort>,
     ) {
         let (change, call) = self.keeper.tick(now);
@@ -140,7 +139,7 @@
         let (objects, name) = (objects.clone(), self.name.clone());
         let queued = leases.call(move || {
             let answer = make(&*objects, &call);
-            Some(Message::Step(StepMessage::Lease(name, id, answer)))
+            Some(StepMessage::Lease(name, id, answer))
         });
         if queued.is_err() {
             let refused = ObjectError::Unavailable("the queue of calls is full".to_owned());
@@ -182,7 +181,7 @@
         let (objects, name) = (ports.objects.clone(), self.name.clone());
         let read = move || {
             let newer = store::newer(&*objects, &name, known);
-            Some(Message::Step(StepMessage::Newer(name, newer)))
+            Some(StepMessage::Newer(name, newer))
         };
         // A full queue only delays the read to its next time.
         let _ = ports.platform.call(read);
@@ -209,7 +208,11 @@
     }
 
     /// Gives the lease up, if it is held, and stops the runs.
-    pub(super) fn release(&mut self, leases: &Platform, objects: &Arc<dyn ObjectPort>) {
+    pub(super) fn release(
+        &mut self,
+        leases: &Platform<StepMessage>,
+        objects: &Arc<dyn ObjectPort>,
+    ) {
         self.stop_runs();
         let Some(write) = self.keeper.release() else {
             return;
--- a/crates/node/src/entry/watch.rs
+++ b/crates/node/src/entry/watch.rs
@@ -6,7 +6,6 @@
 use std::time::Instant;
 
 use anyhow::Context;
-use flume::Sender;
 use sardinepath_adapters::event::emit;
 use sardinepath_core::decision::config::TeamState;
 use sardinepath_core::domain::event::Event;
@@ -19,7 +18,7 @@
 use sardinepath_core::port::object::ObjectError;
 use sardinepath_core::port::object::ObjectPort;
 
-use crate::entry::control::Message;
+use crate::entry::inbox::Inbox;
 use crate::entry::peer::PeerMessage;
 
 /// Prefix of the objects that hold the teams' trees.
@@ -37,24 +36,55 @@
 /// it keeps such a change within the 15 s for a configuration at target size.
 const RELIST: Duration = Duration::from_secs(10);
 
+/// What was read of the configuration.
+#[derive(Debug)]
+pub enum WatchMessage {
+    /// Teams changed up to a revision.
+    Changed {
+        /// The changed teams.
+        teams: Vec<(TeamName, TeamState)>,
+        /// Revision up to which the changes are complete.
+        revision: Revision,
+    },
+    /// All teams were listed at a revision.
+    Listed {
+        /// The teams whose trees were read.
+        teams: Vec<(TeamName, TeamState)>,
+        /// Teams whose trees could not be read.
+        unreadable: Vec<TeamName>,
+        /// Revision of the listing.
+        revision: Revision,
+        /// Time before the platform was asked.
+        asked: Time,
+    },
+}
+
+/// What the watch tells the control thread.
+struct Inboxes {
+    watch: Inbox<WatchMessage>,
+    peer: Inbox<PeerMessage>,
+}
+
 /// Starts the thread that follows the configuration.
 pub fn start(
     objects: Arc<dyn ObjectPort>,
     clock: Arc<dyn Clock>,
-    control: Sender<Message>,
+    watch: Inbox<WatchMessage>,
+    peer: Inbox<PeerMessage>,
 ) -> anyhow::Result<()> {
+    let inboxes = Inboxes { watch, peer };
     thread::Builder::new()
         .name("watch".to_owned())
-        .spawn(move || follow(objects.as_ref(), clock.as_ref(), &control))
+        .spawn(move || follow(objects.as_ref(), clock.as_ref(), &inboxes))
         .context("could not start the watch thread")?;
     Ok(())
 }
 
 /// Lists and then watches, until the control thread is gone.
-fn follow(objects: &dyn ObjectPort, clock: &dyn Clock, control: &Sender<Message>) {
+fn follow(objects: &dyn ObjectPort, clock: &dyn Clock, inboxes: &Inboxes) {
     let mut after = None;
     let mut listed = Instant::now();
-    while !control.is_disconnected() {
+    while !inboxes.watch.is_closed() {
         let asked = clock.now();
         let read = match after {
             Some(revision) if listed.elapsed() < RELIST => watch(objects, revision),
@@ -66,8 +96,8 @@
         match read {
             Ok((revision, message)) => {
                 after = after.max(Some(revision));
-                let answered = Message::Peer(PeerMessage::PlatformAnswered(asked));
-                if control.send(message).is_err() || control.send(answered).is_err() {
+                let answered = PeerMessage::PlatformAnswered(asked);
+                if inboxes.watch.send(message).is_err() || inboxes.peer.send(answered).is_err() {
                     return;
                 }
             }
@@ -81,7 +111,7 @@
     }
 }
 
-type Read = Result<(Revision, Message), ObjectError>;
+type Read = Result<(Revision, WatchMessage), ObjectError>;
 
 fn list(objects: &dyn ObjectPort, asked: Time) -> Read {
     let listing = objects.list(PREFIX)?;
@@ -93,7 +123,7 @@
     let teams: Vec<_> = listing.objects.iter().filter_map(put_state).collect();
     let is_read = |name: &TeamName| teams.iter().any(|(team, _)| team == name);
     let unreadable = names.filter(|name| !is_read(name)).collect();
-    let message = Message::Listed {
+    let message = WatchMessage::Listed {
         teams,
         unreadable,
         revision,
@@ -116,7 +146,7 @@
         }
     });
     let teams = teams.collect();
-    Ok((revision, Message::Changed { teams, revision }))
+    Ok((revision, WatchMessage::Changed { teams, revision }))
 }
 
 /// Decodes a team's tree. A tree that cannot be read leaves the last accepted one in force.
