--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -68,6 +68,8 @@
     /// Oldest revision from which a watch can start.
     oldest: u64,
     fault: StoreFault,
+    /// Reads that were asked for since the start, answered or not.
+    reads: u64,
 }
 
 impl StoreStandIn {
@@ -83,6 +85,11 @@
         Ok((store, address))
     }
 
+    /// Returns the reads that were asked for since the start, answered or not.
+    pub fn reads(&self) -> u64 {
+        self.lock().reads
+    }
+
     /// Sets what the store does wrong from now on.
     pub fn set_fault(&self, fault: StoreFault) {
         self.lock().fault = fault;
@@ -237,8 +244,12 @@
 async fn serve(store: Arc<StoreStandIn>, request: Request<Incoming>) -> Response<Body> {
     let (head, body) = request.into_parts();
     let body = body::json(body).await;
-    let fault = store.lock().fault;
     let writes = head.method != Method::GET;
+    let fault = {
+        let mut state = store.lock();
+        state.reads += u64::from(!writes);
+        state.fault
+    };
     match fault {
         StoreFault::Busy => return answer(StatusCode::SERVICE_UNAVAILABLE, &json!({})),
         StoreFault::Silent => std::future::pending().await,
