--- a/crates/core/src/decision/gateway/jobs.rs
+++ b/crates/core/src/decision/gateway/jobs.rs
@@ -103,6 +103,11 @@
 }
 
 impl Job {
+    /// Tells whether all results are known, so that the object API holds no more of them.
+    pub(super) fn is_whole(&self) -> bool {
+        self.journal.len() >= self.head.total
+    }
+
     pub(super) fn new(head: Head, revision: Revision, now: Time) -> Self {
         Self {
             head,
--- a/crates/core/src/decision/gateway/load.rs
+++ b/crates/core/src/decision/gateway/load.rs
@@ -43,7 +43,8 @@
             let call = StoreCall::Get(Kind::Drafts, Arc::from(id.as_str()));
             calls.push((Purpose::LoadDrafts(id.clone()), call));
         }
-        let reading = !matches!(job.work, Work::Running(_)) && !job.readers.is_empty();
+        let idle = !matches!(job.work, Work::Running(_));
+        let reading = idle && !job.readers.is_empty() && !job.is_whole();
         let unread = loading && job.complete.is_none();
         if !job.paging && (unread || reading) {
             job.paging = true;
@@ -112,6 +113,9 @@
         match answer {
             Ok(Answer::Found(Some((_, Record::Page(page))))) => {
                 job.journal.extend(start, &page.outcomes);
+                if job.is_whole() {
+                    job.complete = Some(job.page_asked);
+                }
             }
             Ok(Answer::Found(None)) => {
                 job.complete = Some(job.page_asked);
--- a/crates/core/src/decision/gateway/read.rs
+++ b/crates/core/src/decision/gateway/read.rs
@@ -112,11 +112,12 @@
         }
         let running = matches!(job.work, Work::Running(_));
         let total = job.head.total;
-        let full = job.journal.len() >= total || job.head.ended;
+        let whole = job.is_whole();
+        let full = whole || job.head.ended;
         let mut replies = Vec::new();
         job.readers.retain(|reader| {
             let outcomes = job.journal.page(reader.after);
-            let sure = running || job.complete.is_some_and(|at| at >= reader.since);
+            let sure = running || whole || job.complete.is_some_and(|at| at >= reader.since);
             if !outcomes.is_empty() {
                 let reply = Reply::Results(total, reader.after, outcomes);
                 replies.push((reader.call, reply));
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -4,6 +4,7 @@
 mod gateway_support;
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use proptest::prelude::Just;
 use proptest::prelude::ProptestConfig;
@@ -360,6 +361,35 @@
     assert!(world.starts.values().flatten().all(|start| *start <= ended));
 }
 
+/// Fails if a gateway that knows all results of an ended job asks the store whether there are more.
+/// Each call is priced, and while the store is away there would be no answer.
+#[test]
+fn a_read_past_the_last_result_needs_no_store() {
+    let mut world = World::new(1);
+    world.submit(0, 4);
+    world.run(CALM);
+    let end = Question::End {
+        id: batch_id(),
+        workspace: workspace(),
+    };
+    world.ask(0, end);
+    world.run(400);
+    world.nodes[0].fault = StoreFault::Away;
+
+    let read = Question::Read {
+        id: batch_id(),
+        workspace: workspace(),
+        after: 4,
+        wait: Duration::ZERO,
+        here: true,
+    };
+    let call = world.ask(0, read);
+    world.run(200);
+
+    let nothing = Reply::Results(4, 4, Vec::new());
+    assert_eq!(world.reply(0, call), Some(&nothing));
+}
+
 /// Fails if a draining gateway keeps its job or ends before it has handed it over.
 #[test]
 fn a_draining_gateway_hands_its_job_over() {
