Compare the order of orders only within one target

Cause: floor_is_started_once_and_restored expected the first orders as o1, o2. The intents of both targets are written by two threads and the order whose intent is answered first is sent first, so only the orders of one target have an order; the expected list was stricter than the design.

Change: the first two orders are compared as a set. That both targets get exactly one order, that the stopped target gets exactly one more, and the fences are compared as before.

--- a/crates/node/tests/duty_orders.rs
+++ b/crates/node/tests/duty_orders.rs
@@ -132,8 +132,12 @@
     });
 
     assert_eq!(stopped.status_code, 200);
+    let mut applied = applied_orders(&orders);
+    // The intents of the two targets are written at the same time, so only the orders of one target
+    // have an order.
+    applied[..2].sort();
     let expected = ["o1", "o2", "o1", "o1"].map(|target| (target.to_owned(), 1));
-    assert_eq!(applied_orders(&orders), expected);
+    assert_eq!(applied, expected);
     assert_eq!(order_log(&orders).len(), 4);
     assert_eq!(
         read_metric(&member, "sardinepath_orders_sent_total{action=\"start\"}"),
