Wait for a reused connection to become ready instead of dropping it

Callers of a target saw more new connections than needed: after a response was read, the connection went back to the pool before its task had finished the exchange, and the next request took it, found it not ready, dropped it and opened another.

Change: the pool drops only closed or expired connections and waits at most 50 ms for one that is not ready.

--- a/crates/adapters/src/web/pool.rs
+++ b/crates/adapters/src/web/pool.rs
@@ -35,6 +35,10 @@
 /// a server that is closing the connection.
 const IDLE_TIMEOUT_MARGIN: Duration = Duration::from_millis(600);
 
+/// Time limit for a reused connection to become ready. Its task still has to finish the last
+/// exchange, unless the server answered before it had read the whole request.
+const READY_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -143,6 +147,9 @@
         mut request: Request<Body>,
     ) -> Result<UnreadResponse, SendError> {
         while let Some(mut sender) = self.take(address) {
+            if !is_ready(&mut sender).await {
+                continue;
+            }
             match sender.try_send_request(request).await {
                 Ok(response) => return Ok(self.unread_response(address, sender, response)),
                 Err(mut e) => match e.take_message() {
@@ -187,7 +194,7 @@
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
         while let Some(connection) = connections.pop() {
-            if now < connection.expiry && connection.sender.is_ready() {
+            if now < connection.expiry && !connection.sender.is_closed() {
                 return Some(connection.sender);
             }
         }
@@ -267,6 +274,12 @@
     }
 }
 
+/// Waits until a reused connection can send a request. Returns `false` if it closed or does not
+/// become ready in time.
+async fn is_ready(sender: &mut SendRequest<Body>) -> bool {
+    matches!(timeout(READY_TIMEOUT, sender.ready()).await, Ok(Ok(())))
+}
+
 async fn connect(address: SocketAddr) -> Result<SendRequest<Body>, SendError> {
     let not_sent = |reason: String| SendError::NotSent(reason);
     let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
