Log the request limits that targets state

Cause: answers of targets may name a request limit (server-limit). Nothing read it, and the logs could not tell whether a gateway had been told of a limit, or which one.

Change: the limit is decoded from the answers to plain requests, generations and scoring requests; target_limited logs each change with its source, limit_unreadable a statement that is no number. Nothing is decided by it yet.

--- a/crates/core/src/decision/directory/mod.rs
+++ b/crates/core/src/decision/directory/mod.rs
@@ -3,12 +3,14 @@
 //! Entries come from the object API. Load, speed and failures come from the requests of this
 //! process and from the loads that other processes report.
 
+mod limits;
 mod target;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+pub use crate::decision::directory::limits::Limits;
 use crate::decision::directory::target::ERROR_THRESHOLD;
 use crate::decision::directory::target::Target;
 use crate::domain::fleet::TargetEntry;
@@ -49,6 +51,8 @@
     targets: BTreeMap<TargetName, Target>,
     /// Cached median pace of each pool. The cache is cleared when a pace or a target changes.
     medians: BTreeMap<PoolName, Option<f64>>,
+    /// Request limits that targets stated.
+    pub limits: Limits,
 }
 
 /// Requirements and preferences of a request for its target.
@@ -94,6 +98,8 @@
     pub address: SocketAddr,
     /// Time until which the request may be sent. Later the target has to be chosen again.
     pub valid_until: Time,
+    /// True if the target limits its requests, so that the choice covers a single request.
+    pub limited: bool,
 }
 
 impl Choice {
@@ -216,6 +222,7 @@
             name,
             address: target.entry.address,
             valid_until: now + CHOICE_VALIDITY,
+            limited: false,
         })
     }
 
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -32,6 +32,7 @@
 use crate::domain::event::Event;
 use crate::domain::fleet::Peer;
 use crate::domain::ids::Incarnation;
+use crate::domain::limit::LimitStatement;
 use crate::domain::name::BatchId;
 use crate::domain::name::HostName;
 use crate::domain::name::ItemId;
@@ -54,6 +55,8 @@
     Ask(CallId, Question),
     /// A request at a target ended.
     RequestEnded(TargetName, CallEnd),
+    /// An answer of a target states its request limit, or no longer does.
+    LimitStated(TargetName, LimitStatement),
     /// A request of a workspace started running and counts towards its usage.
     RequestStarted(WorkspaceName),
     /// A running generation has produced this text so far.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod ending;
 mod head;
 mod jobs;
+mod limit;
 mod load;
 pub mod message;
 mod pages;
@@ -217,6 +218,7 @@
         match message {
             Message::Ask(call, question) => self.handle_question(call, question),
             Message::RequestEnded(target, end) => self.directory.release(now, &target, end),
+            Message::LimitStated(target, statement) => self.limit_stated(&target, statement),
             Message::RequestStarted(workspace) => {
                 let wall = self.wall_time();
                 self.tally.count(wall, workspace);
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -146,6 +146,11 @@
     TargetGone = (611, Info, "target_gone", "the entry of a target is gone"),
     /// The entry of a target did not come back after an outage. Fields: `target`.
     TargetLost = (612, Warn, "target_lost", "the entry of a target did not come back after an outage"),
+    /// A target stated a request limit, changed it or lifted it. Fields: `target`, `limit`, `before`,
+    /// `source`.
+    TargetLimited = (613, Info, "target_limited", "the request limit of a target changed"),
+    /// A target stated a request limit that cannot be read. Fields: `target`, `kept`.
+    LimitUnreadable = (614, Warn, "limit_unreadable", "a target stated a request limit that cannot be read"),
     /// A trainer announced a version. Fields: `model`, `version`.
     VersionNamed = (620, Info, "version_named", "a trainer announced a version of the weights"),
     /// A target was ordered to load a version. Fields: `target`, `version`, `fence`.
