--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -8,6 +8,8 @@
 use sardinepath_core::decision::batch::RunEnd;
 use sardinepath_core::decision::batch::RunId;
 use sardinepath_core::decision::batch::ScoreEnd;
+use sardinepath_core::decision::directory::CallEnd;
+use sardinepath_core::decision::directory::Choice;
 use sardinepath_core::decision::gateway::Gateway;
 use sardinepath_core::decision::gateway::GatewaySettings;
 use sardinepath_core::decision::gateway::message::CallId;
@@ -36,6 +38,8 @@
 use sardinepath_core::domain::ids::Incarnation;
 use sardinepath_core::domain::ids::Revision;
 use sardinepath_core::domain::ids::WeightVersion;
+use sardinepath_core::domain::limit::LimitStatement;
+use sardinepath_core::domain::limit::RequestLimit;
 use sardinepath_core::domain::name::BatchId;
 use sardinepath_core::domain::name::CentreName;
 use sardinepath_core::domain::name::GroupName;
@@ -96,6 +100,8 @@
     inbox: Vec<(u64, Message)>,
     replies: BTreeMap<CallId, Reply>,
     runs: BTreeMap<RunId, TargetName>,
+    /// Plain requests without a reply.
+    plain_calls: Vec<CallId>,
 }
 
 pub struct Simulation {
@@ -112,6 +118,12 @@
     pub reports: BTreeMap<u64, Vec<(usize, u64, Counts)>>,
     /// Host, fencing token and time of each order.
     pub orders: Vec<(usize, u64, u64)>,
+    /// Request limits that the targets state, in requests a second.
+    pub limits: BTreeMap<TargetName, f64>,
+    /// Arrival time of each request at a target.
+    pub arrivals: Vec<(u64, TargetName)>,
+    /// Interval in milliseconds at which each gateway gets a plain request, or `None`.
+    pub plain_interval: Option<u64>,
 }
 
 pub fn host(index: usize) -> HostName {
@@ -226,6 +238,7 @@
             inbox: Vec::new(),
             replies: BTreeMap::new(),
             runs: BTreeMap::new(),
+            plain_calls: Vec::new(),
         };
         let mut sim = Self {
             now: 10_000,
@@ -237,6 +250,9 @@
             starts: BTreeMap::new(),
             reports: BTreeMap::new(),
             orders: Vec::new(),
+            limits: BTreeMap::new(),
+            arrivals: Vec::new(),
+            plain_interval: None,
         };
         for index in 0..powers.len() {
             sim.start(index);
@@ -274,6 +290,7 @@
         node.inbox.clear();
         node.replies.clear();
         node.runs.clear();
+        node.plain_calls.clear();
         let targets = (0..4).map(|i| WatchedObject::Target(target(i))).collect();
         let heads = self.views(Kind::Heads);
         let peers = self.views(Kind::Peers);
@@ -396,11 +413,71 @@
                 let _ = self.apply(call);
             }
             for index in 0..self.nodes.len() {
+                self.ask_plain(index);
                 self.step(index);
+                self.send_plain(index);
             }
         }
     }
 
+    /// Asks for the target of a plain request if the next one is due.
+    fn ask_plain(&mut self, index: usize) {
+        let due = self.plain_interval.is_some_and(|interval| {
+            let offset = u64::try_from(index).unwrap() * STEP_MS;
+            (self.now + offset) % interval < STEP_MS
+        });
+        if due && self.nodes[index].gateway.is_some() {
+            let question = Question::ChooseTarget {
+                pool: PoolName::from("engines"),
+                tried: Vec::new(),
+            };
+            let call = self.ask(index, question);
+            self.nodes[index].plain_calls.push(call);
+        }
+    }
+
+    /// Sends the plain requests whose target was chosen.
+    fn send_plain(&mut self, index: usize) {
+        for call in std::mem::take(&mut self.nodes[index].plain_calls) {
+            match self.nodes[index].replies.remove(&call) {
+                Some(Reply::Target(choice)) => {
+                    self.arrive(index, &choice);
+                    let ended = Message::RequestEnded(choice.name, CallEnd::Answered);
+                    self.send(index, STEP_MS, ended);
+                }
+                Some(_) => {}
+                None => self.nodes[index].plain_calls.push(call),
+            }
+        }
+    }
+
+    /// Records a request at a target, whose answer states the request limit of the target.
+    fn arrive(&mut self, index: usize, choice: &Choice) {
+        self.arrivals.push((self.now, choice.name.clone()));
+        let statement = match self.limits.get(&choice.name) {
+            Some(limit) => LimitStatement::Limited(RequestLimit::new(*limit).unwrap()),
+            None if choice.limited => LimitStatement::Unlimited,
+            None => return,
+        };
+        let stated = Message::LimitStated(choice.name.clone(), statement);
+        self.send(index, STEP_MS, stated);
+    }
+
+    /// Returns the largest number of requests that a target got in a window of this length after a
+    /// time.
+    pub fn most_arrivals(&self, target: &str, since: u64, window: u64) -> usize {
+        let times = || {
+            let of = |(at, name): &&(u64, TargetName)| *at >= since && name.as_str() == target;
+            self.arrivals.iter().filter(of).map(|(at, _)| *at)
+        };
+        let within = |start: u64| {
+            times()
+                .filter(|at| (start..start + window).contains(at))
+                .count()
+        };
+        times().map(within).max().unwrap_or(0)
+    }
+
     fn step(&mut self, index: usize) {
         let now = self.now;
         let node = &mut self.nodes[index];
@@ -442,6 +519,7 @@
                 }
                 Effect::StartRun(run) => self.generate(index, &run),
                 Effect::Score(run, choice, _) => {
+                    self.arrive(index, &choice);
                     self.nodes[index].runs.insert(run, choice.name);
                     let end = ScoreEnd::Scored(Arc::from("digest"));
                     self.send(index, STEP_MS, Message::ScoringEnded(run, end));
@@ -493,6 +571,7 @@
     fn generate(&mut self, index: usize, run: &RunRequest) {
         let starts = self.starts.entry(run.item.id.clone()).or_default();
         starts.push(self.now);
+        self.arrive(index, &run.target);
         let target = run.target.name.clone();
         self.nodes[index].runs.insert(run.id, target);
         let mut partial = run.partial.clone();
