Keep the request limits of targets over all gateways

What callers saw: nothing at first, but a target in need that named a limit for all gateways together (server-limit) got its usual load, up to twelve times what it allows, while it was in need.

Cause: no gateway read the limit. The class of the fault is state that one process has and the others, or its next life, lack: in the timeline one gateway hears of a limit at 6.0 s and another one at 15.2 s, and no gateway sees what the others send.

Change: a request to a limited target needs a permit. One gateway per target, found by a hash that all share, gives permits for the whole limit; two deputies, which have a small share each, do while it does not answer. Every attempt counts: first ones, repeats, hedges, items and scoring requests. The granter stores the limit in the object API, and a gateway that starts sends nothing before it has listed the stored limits. Limited targets are chosen after the others; if only they remain and no permit comes, a plain request is refused early and items wait. A limit that was not confirmed for a second is asked again by the next request.

--- a/crates/adapters/src/peer/mod.rs
+++ b/crates/adapters/src/peer/mod.rs
@@ -9,6 +9,9 @@
 //! - `POST /submissions/{batch}` takes the query fields `host`, `path` and `workspace` and the
 //!   submission as its body. It returns 202 if the job was accepted, 503 if nothing of it will run,
 //!   and 502 if it may have been accepted.
+//! - `POST /permits` takes a `PermitRequest` and returns a `PermitGrant`.
+
+mod permits;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -33,6 +36,8 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
+pub use crate::peer::permits::permits;
+pub use crate::peer::permits::read_permit_request;
 use crate::web::Body;
 use crate::web::Pool;
 use crate::web::SendError;
@@ -210,6 +215,7 @@
     match reply {
         Reply::Pong(pong) => json_response(&pong),
         Reply::Counts(counts) => json_response(&counts),
+        Reply::Permits(grant) => json_response(&grant),
         Reply::Results(total, after, outcomes) => json_response(&ResultPage {
             total,
             after,
@@ -252,6 +258,18 @@
         .header("host", address.to_string())
         .body(Body::default())
         .map_err(|_| None)?;
+    call_json(pool, address, path, request, limit).await
+}
+
+/// Sends a request and decodes the JSON body of its response. An error holds the status of the
+/// response, if there is one.
+async fn call_json<T: DeserializeOwned>(
+    pool: &Pool,
+    address: SocketAddr,
+    path: &str,
+    request: Request<Body>,
+    limit: Duration,
+) -> Result<T, Option<StatusCode>> {
     let (head, body) = pool
         .call(address, request, limit, MAX_RESPONSE_BYTES)
         .await
--- a/crates/core/src/decision/directory/mod.rs
+++ b/crates/core/src/decision/directory/mod.rs
@@ -11,6 +11,8 @@
 use std::time::Duration;
 
 pub use crate::decision::directory::limits::Limits;
+pub use crate::decision::directory::limits::REFRESH_AGE;
+pub use crate::decision::directory::limits::Statement;
 use crate::decision::directory::target::ERROR_THRESHOLD;
 use crate::decision::directory::target::Target;
 use crate::domain::fleet::TargetEntry;
@@ -201,8 +203,9 @@
         }
     }
 
-    /// Chooses the target with the lowest cost and counts the request as running there. Returns
-    /// `None` if no target meets the requirements.
+    /// Chooses the target with the lowest cost and counts the request as running there. Uses a
+    /// permit if the target has a request limit. Returns `None` if no target meets the
+    /// requirements.
     pub fn choose(
         &mut self,
         now: Time,
@@ -211,21 +214,64 @@
         centre: &CentreName,
     ) -> Option<Choice> {
         let median = self.median_pace(pool);
-        let fits = |t: &&Target| t.fits(now, pool, need);
-        let cost = |t| (Target::cost(t, median, need, centre), t);
+        let limits = &self.limits;
+        let fits = |t: &&Target| t.fits(now, pool, need) && limits.may_send(now, &t.entry);
+        let cost = |t: &Target| t.cost(median, need, centre) + limits.cost(now, &t.entry);
+        let cost = |t| (cost(t), t);
         let fitting = self.targets.values().filter(fits).map(cost);
         let (_, best) = fitting.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
         let name = best.entry.name.clone();
         let target = self.targets.get_mut(&name)?;
         target.running += 1;
+        let limited = self.limits.use_permit(&target.entry);
         Some(Choice {
             name,
             address: target.entry.address,
             valid_until: now + CHOICE_VALIDITY,
-            limited: false,
+            limited,
         })
     }
 
+    /// Returns the targets that meet the requirements of a request, but need a permit because of
+    /// their request limits. Those with the lowest cost come first.
+    pub fn without_permit(
+        &mut self,
+        now: Time,
+        pool: &PoolName,
+        need: &TargetNeeds,
+        centre: &CentreName,
+    ) -> Vec<TargetName> {
+        let median = self.median_pace(pool);
+        let targets = self.targets.values();
+        let mut fitting: Vec<_> = targets
+            .filter(|t| self.limits.needs_permit(now, &t.entry) && t.fits(now, pool, need))
+            .map(|t| (t.cost(median, need, centre), t.entry.name.clone()))
+            .collect();
+        fitting.sort_by(|(a, _), (b, _)| a.total_cmp(b));
+        fitting.into_iter().map(|(_, name)| name).collect()
+    }
+
+    /// Returns a limited target of the pool that should confirm its request limit, and for which
+    /// this process has no permit.
+    pub fn unconfirmed_limit(
+        &self,
+        now: Time,
+        pool: &PoolName,
+        need: &TargetNeeds,
+    ) -> Option<TargetName> {
+        let limits = &self.limits;
+        let mut targets = self
+            .limits
+            .targets()
+            .filter_map(|name| self.targets.get(name));
+        let found = targets.find(|t| {
+            limits.needs_refresh(now, &t.entry)
+                && limits.needs_permit(now, &t.entry)
+                && t.fits(now, pool, need)
+        });
+        found.map(|t| t.entry.name.clone())
+    }
+
     /// Records the end of a request at a target.
     pub fn release(&mut self, now: Time, name: &TargetName, end: CallEnd) {
         let Some(target) = self.targets.get_mut(name) else {
@@ -283,7 +329,10 @@
         };
         let median = self.median_pace(pool);
         let mut targets = self.targets.values();
-        targets.any(|t| t.fits(now, pool, &need) && !t.is_slow(median))
+        let limits = &self.limits;
+        targets.any(|t| {
+            t.fits(now, pool, &need) && limits.may_send(now, &t.entry) && !t.is_slow(median)
+        })
     }
 
     /// Returns the time without an event after which a stream from this pool counts as stalled.
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::jobs::Work;
 use crate::decision::gateway::jobs::find_route;
+use crate::decision::gateway::limit::PermitNeed;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::RunRequest;
 use crate::domain::batch::Head;
@@ -166,7 +167,6 @@
         avoid: Vec<TargetName>,
         group: Option<&GroupName>,
     ) -> Option<Choice> {
-        let now = self.now;
         let random = self.next_random();
         let pool = route.pool(random)?;
         let prefer = match self.jobs.get(id).map(|job| &job.work) {
@@ -181,13 +181,12 @@
             allow_paused: false,
             seed: self.settings.seed,
         };
-        let centre = &self.settings.centre;
-        let choice = self.directory.choose(now, pool, &need, centre);
+        let choice = self.choose_permitted(pool, &need, PermitNeed::Deferrable);
         if choice.is_some() || need.excluded.is_empty() {
             return choice;
         }
         need.excluded.clear();
-        self.directory.choose(now, pool, &need, centre)
+        self.choose_permitted(pool, &need, PermitNeed::Deferrable)
     }
 
     /// Sends the scoring request of a generated text.
@@ -218,8 +217,7 @@
             ..TargetNeeds::default()
         };
         let pool = route.pool(random)?;
-        self.directory
-            .choose(self.now, pool, &need, &self.settings.centre)
+        self.choose_permitted(pool, &need, PermitNeed::Deferrable)
     }
 
     /// Returns the number of failed scoring requests after which an item is given up.
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -20,6 +20,8 @@
 use crate::decision::gateway::stored::StoreCall;
 use crate::decision::gateway::stored::WatchedObject;
 use crate::decision::lease::Permit;
+use crate::decision::permit::PermitGrant;
+use crate::decision::permit::PermitRequest;
 use crate::decision::tally::Counts;
 use crate::decision::weights::Load;
 use crate::decision::weights::OrderEnd;
@@ -57,6 +59,8 @@
     RequestEnded(TargetName, CallEnd),
     /// An answer of a target states its request limit, or no longer does.
     LimitStated(TargetName, LimitStatement),
+    /// Another process answered a request for permits, or `None` if it did not.
+    PermitsAnswered(TargetName, SocketAddr, Option<PermitGrant>),
     /// A request of a workspace started running and counts towards its usage.
     RequestStarted(WorkspaceName),
     /// A running generation has produced this text so far.
@@ -156,6 +160,8 @@
     Ping,
     /// Read the counts of this process for a usage window.
     UsageCounts(u64),
+    /// Give another process permits for a limited target.
+    GrantPermits(PermitRequest),
 }
 
 /// Reply of the control thread to a question.
@@ -165,6 +171,8 @@
     Target(Choice),
     /// No target of the pool is available.
     NoTarget,
+    /// The targets that are available have reached their request limits.
+    LimitsReached,
     /// The job is stored and will run.
     Accepted,
     /// The job is not accepted, and none of its items will run.
@@ -187,6 +195,8 @@
     Pong(Pong),
     /// Counts of this process for a usage window.
     Counts(Counts),
+    /// Permits for a limited target.
+    Permits(PermitGrant),
 }
 
 /// Answer of a process to a ping.
@@ -293,6 +303,8 @@
     Ping(Runner),
     /// Report that the drain is complete.
     Drained,
+    /// Ask another process for permits and answer with `Message::PermitsAnswered`.
+    AskPermits(SocketAddr, PermitRequest),
     /// Ask another process for its counts of a window.
     CollectCounts(u64, Peer),
     /// Order a target to load a weight version, if the permit still allows it.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -8,6 +8,7 @@
 //! - `submit`, `read`, `place`: submissions, reads, and the choice of the runner
 //! - `draft`: texts that are reused by another process or a later job
 //! - `dispatch`: items and scoring requests sent to targets
+//! - `plain`, `limit`: targets of plain requests, and permits for targets that limit their requests
 //! - `duty`, `usage`: work of the lease holder (weight updates and usage reports)
 //! - `peers`, `source`, `watched`: other processes, watch sources, and watched objects
 
@@ -18,14 +19,15 @@
 mod head;
 mod jobs;
 mod limit;
+mod limit_store;
 mod load;
 pub mod message;
 mod pages;
 mod peers;
 mod place;
+mod plain;
 mod read;
 mod removal;
-
 mod source;
 pub mod stored;
 mod submit;
@@ -40,9 +42,9 @@
 
 use crate::decision::batch::RunId;
 use crate::decision::directory::Directory;
-use crate::decision::directory::TargetNeeds;
 use crate::decision::gateway::duty::Duty;
 use crate::decision::gateway::jobs::Job;
+use crate::decision::gateway::limit::Permits;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::Message;
@@ -66,8 +68,6 @@
 use crate::domain::fleet::Peer;
 use crate::domain::name::BatchId;
 use crate::domain::name::CentreName;
-use crate::domain::name::PoolName;
-use crate::domain::name::TargetName;
 use crate::domain::table::RouteTable;
 use crate::domain::time::Time;
 use crate::domain::time::WallTime;
@@ -117,6 +117,7 @@
     /// Texts that ended jobs did not need. A later job may contain the same items.
     retained: VecDeque<Draft>,
     peers: Peers,
+    permits: Permits,
     feed: Feed,
     duty: Duty,
     weights: Weights,
@@ -187,6 +188,7 @@
             lookups: BTreeMap::new(),
             retained: VecDeque::new(),
             peers: Peers::default(),
+            permits: Permits::default(),
             feed: Feed::default(),
             duty: Duty::new(&settings),
             weights: Weights::default(),
@@ -219,6 +221,9 @@
             Message::Ask(call, question) => self.handle_question(call, question),
             Message::RequestEnded(target, end) => self.directory.release(now, &target, end),
             Message::LimitStated(target, statement) => self.limit_stated(&target, statement),
+            Message::PermitsAnswered(target, granter, grant) => {
+                self.permits_answered(&target, granter, grant)
+            }
             Message::RequestStarted(workspace) => {
                 let wall = self.wall_time();
                 self.tally.count(wall, workspace);
@@ -264,6 +269,7 @@
         self.tick_duty();
         self.tick_jobs();
         self.tick_peers();
+        self.tick_limits();
         self.tick_source();
         self.dispatch();
         self.write_pages();
@@ -330,35 +336,13 @@
                 let counts = self.tally.counts(window);
                 self.reply(call, Reply::Counts(counts));
             }
+            Question::GrantPermits(request) => {
+                let grant = self.grant_permits(&request);
+                self.reply(call, Reply::Permits(grant));
+            }
         }
     }
 
-    /// Chooses the target of a plain request.
-    fn choose_plain_target(&mut self, call: CallId, pool: &PoolName, tried: Vec<TargetName>) {
-        let mut need = TargetNeeds {
-            excluded: tried,
-            seed: self.settings.seed,
-            ..TargetNeeds::default()
-        };
-        let mut choice = self
-            .directory
-            .choose(self.now, pool, &need, &self.settings.centre);
-        if choice.is_none() && !need.excluded.is_empty() {
-            // A target that was already tried is better than none.
-            need.excluded.clear();
-            choice = self
-                .directory
-                .choose(self.now, pool, &need, &self.settings.centre);
-        }
-        if choice.is_none() {
-            need.allow_paused = true;
-            choice = self
-                .directory
-                .choose(self.now, pool, &need, &self.settings.centre);
-        }
-        self.reply(call, choice.map_or(Reply::NoTarget, Reply::Target));
-    }
-
     fn contact_changed(&mut self, kind: Kind, up: bool) {
         self.store.record(self.now, up);
         if up {
--- a/crates/core/src/decision/gateway/peers.rs
+++ b/crates/core/src/decision/gateway/peers.rs
@@ -123,6 +123,11 @@
         self.peers.known.remove(host);
     }
 
+    /// Returns `true` once the processes were listed.
+    pub(super) fn peers_listed(&self) -> bool {
+        self.peers.listed
+    }
+
     /// Returns all known processes, including this one.
     pub(super) fn all_peers(&self) -> impl Iterator<Item = &Peer> {
         self.peers.known.values()
--- /dev/null
+++ b/crates/core/src/decision/gateway/plain.rs
@@ -0,0 +1,44 @@
+//! Targets of plain requests.
+
+use crate::decision::directory::TargetNeeds;
+use crate::decision::gateway::Gateway;
+use crate::decision::gateway::limit::PermitNeed;
+use crate::decision::gateway::message::CallId;
+use crate::decision::gateway::message::Reply;
+use crate::domain::name::PoolName;
+use crate::domain::name::TargetName;
+
+impl Gateway {
+    /// Replies with the target of a plain request.
+    pub(super) fn choose_plain_target(
+        &mut self,
+        call: CallId,
+        pool: &PoolName,
+        tried: Vec<TargetName>,
+    ) {
+        let untried = TargetNeeds {
+            excluded: tried,
+            seed: self.settings.seed,
+            ..TargetNeeds::default()
+        };
+        // A target that was already tried is better than none, and so is a paused one.
+        let any = TargetNeeds {
+            excluded: Vec::new(),
+            ..untried.clone()
+        };
+        let paused = TargetNeeds {
+            allow_paused: true,
+            ..any.clone()
+        };
+        let mut choice = None;
+        for need in [&untried, &any, &paused] {
+            choice = choice.or_else(|| self.choose_permitted(pool, need, PermitNeed::Urgent));
+        }
+        let reply = match choice {
+            Some(choice) => Reply::Target(choice),
+            None if self.needs_permit(pool, &paused) => Reply::LimitsReached,
+            None => Reply::NoTarget,
+        };
+        self.reply(call, reply);
+    }
+}
--- a/crates/core/src/decision/gateway/stored.rs
+++ b/crates/core/src/decision/gateway/stored.rs
@@ -14,6 +14,7 @@
 use crate::domain::fleet::TargetEntry;
 use crate::domain::ids::Revision;
 use crate::domain::ids::WeightVersion;
+use crate::domain::limit::RequestLimit;
 use crate::domain::name::BatchId;
 use crate::domain::name::HostName;
 use crate::domain::name::ModelName;
@@ -66,6 +67,8 @@
     Retire(BatchId),
     /// Delete the counts of an old usage window.
     Forget,
+    /// Store or delete the request limit of a target.
+    Limit(TargetName),
 }
 
 /// Kind of an object, which determines its path.
@@ -93,6 +96,8 @@
     Peers,
     /// Counts of usage windows.
     Windows,
+    /// Request limits that targets stated.
+    Limits,
 }
 
 /// Content of a stored object.
@@ -112,6 +117,17 @@
     Peer(Peer),
     /// Counts of a usage window.
     Window(WindowCounts),
+    /// Request limit of a target.
+    Limit(StoredLimit),
+}
+
+/// Request limit of a target as stored, so that a process that starts knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StoredLimit {
+    /// Limit for all processes together.
+    pub limit: RequestLimit,
+    /// Start of the run of the target that stated it.
+    pub started_at: u64,
 }
 
 /// Call to the object API.
@@ -155,4 +171,8 @@
     Peer(Peer),
     /// Gateway process whose entry was deleted.
     PeerGone(HostName),
+    /// Request limit of a target.
+    Limit(TargetName, StoredLimit),
+    /// Target whose request limit was lifted.
+    LimitGone(TargetName),
 }
--- a/crates/core/src/decision/gateway/watched.rs
+++ b/crates/core/src/decision/gateway/watched.rs
@@ -58,6 +58,9 @@
                 }
             }
         }
+        if kind == Kind::Limits {
+            self.directory.limits.set_listed();
+        }
         self.dispatch();
     }
 
@@ -104,6 +107,8 @@
             WatchedObject::HeadGone(id) => self.drop_job(&id),
             WatchedObject::Peer(peer) => self.insert_peer(peer),
             WatchedObject::PeerGone(host) => self.remove_peer(&host),
+            WatchedObject::Limit(target, stored) => self.limit_watched(&target, Some(stored)),
+            WatchedObject::LimitGone(target) => self.limit_watched(&target, None),
         }
     }
 
@@ -154,6 +159,7 @@
             Purpose::Frozen(window) => self.window_loaded(window, answer),
             Purpose::Announce | Purpose::Announced => self.announcement_answered(answer),
             Purpose::Retire(id) => self.removal_answered(&id, &answer),
+            Purpose::Limit(target) => self.limit_stored(&target, &answer),
             Purpose::Leave | Purpose::Forget => {}
         }
     }
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -151,6 +151,11 @@
     TargetLimited = (613, Info, "target_limited", "the request limit of a target changed"),
     /// A target stated a request limit that cannot be read. Fields: `target`, `kept`.
     LimitUnreadable = (614, Warn, "limit_unreadable", "a target stated a request limit that cannot be read"),
+    /// This process answered a request for permits of a limited target. Fields: `target`, `asked`,
+    /// `granted`, `limit`, `age_ms`, `rank`, `deferrable`.
+    PermitsGranted = (615, Info, "permits_granted", "permits for a limited target were requested"),
+    /// A process that gives permits did not answer. Fields: `target`, `granter`.
+    GranterSilent = (616, Warn, "granter_silent", "a process that gives permits did not answer"),
     /// A trainer announced a version. Fields: `model`, `version`.
     VersionNamed = (620, Info, "version_named", "a trainer announced a version of the weights"),
     /// A target was ordered to load a version. Fields: `target`, `version`, `fence`.
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -29,6 +29,7 @@
 
 fn directory(targets: &[TargetEntry]) -> Directory {
     let mut directory = Directory::default();
+    directory.limits.set_listed();
     for target in targets {
         directory.insert(target.clone());
     }
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -1,4 +1,5 @@
 //! Simulation of gateways, a store and targets in virtual time, with faults.
+#![allow(dead_code)] // Each test crate uses only some of the methods.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -26,8 +27,11 @@
 use sardinepath_core::decision::gateway::stored::Record;
 use sardinepath_core::decision::gateway::stored::StoreCall;
 use sardinepath_core::decision::gateway::stored::WatchedObject;
+use sardinepath_core::decision::lease::Permit;
 use sardinepath_core::decision::lease::Terms;
+use sardinepath_core::decision::permit::PermitRequest;
 use sardinepath_core::decision::tally::Counts;
+use sardinepath_core::decision::weights::Load;
 use sardinepath_core::decision::weights::OrderEnd;
 use sardinepath_core::domain::batch::Batch;
 use sardinepath_core::domain::batch::Item;
@@ -63,6 +67,9 @@
 /// Latency of a call to the store in milliseconds.
 const STORE_LATENCY_MS: u64 = 20;
 
+/// Timeout of a request for permits in milliseconds.
+const PERMIT_TIMEOUT_MS: u64 = 240;
+
 /// Duration of a generation in milliseconds.
 const GENERATION_MS: u64 = 700;
 
@@ -92,6 +99,8 @@
     pub fault: StoreFault,
     /// Whether the process is frozen and handles no messages.
     pub frozen: bool,
+    /// Whether calls between this gateway and the others get no answer.
+    pub cut: bool,
     /// CPU allowance of the host, in percent of a core.
     power: u32,
     /// Source from which the gateway receives watched objects.
@@ -124,6 +133,17 @@
     pub arrivals: Vec<(u64, TargetName)>,
     /// Interval in milliseconds at which each gateway gets a plain request, or `None`.
     pub plain_interval: Option<u64>,
+    /// Requests for permits without an answer.
+    permit_calls: Vec<PermitCall>,
+}
+
+/// Request of a gateway to another one for permits.
+struct PermitCall {
+    asker: usize,
+    granter: usize,
+    call: CallId,
+    target: TargetName,
+    timeout: u64,
 }
 
 pub fn host(index: usize) -> HostName {
@@ -232,6 +252,7 @@
             gateway: None,
             fault: StoreFault::None,
             frozen: false,
+            cut: false,
             power: *power,
             source: Source::Store,
             incarnation: 0,
@@ -253,6 +274,7 @@
             limits: BTreeMap::new(),
             arrivals: Vec::new(),
             plain_interval: None,
+            permit_calls: Vec::new(),
         };
         for index in 0..powers.len() {
             sim.start(index);
@@ -294,11 +316,13 @@
         let targets = (0..4).map(|i| WatchedObject::Target(target(i))).collect();
         let heads = self.views(Kind::Heads);
         let peers = self.views(Kind::Peers);
+        let limits = self.views(Kind::Limits);
         for message in [
             Message::Changed(WatchedObject::Table(table())),
             Message::Listing(Kind::Targets, targets),
             Message::Listing(Kind::Heads, heads),
             Message::Listing(Kind::Peers, peers),
+            Message::Listing(Kind::Limits, limits),
         ] {
             self.send(index, STORE_LATENCY_MS, message);
         }
@@ -417,6 +441,47 @@
                 self.step(index);
                 self.send_plain(index);
             }
+            self.answer_permits();
+        }
+    }
+
+    /// Passes a request for permits on to the granter, which does not get it if it is cut off.
+    fn ask_permits(&mut self, asker: usize, granter: SocketAddr, request: PermitRequest) {
+        let granter = (0..self.nodes.len())
+            .find(|i| address(*i) == granter)
+            .unwrap();
+        let target = request.target.clone();
+        let reachable = !self.nodes[asker].cut && !self.nodes[granter].cut;
+        self.next_call += 1;
+        let call = CallId(self.next_call);
+        if reachable {
+            let message = Message::Ask(call, Question::GrantPermits(request));
+            self.send(granter, STEP_MS, message);
+        }
+        self.permit_calls.push(PermitCall {
+            asker,
+            granter,
+            call,
+            target,
+            timeout: self.now + PERMIT_TIMEOUT_MS,
+        });
+    }
+
+    /// Passes the answers to requests for permits on to the askers.
+    fn answer_permits(&mut self) {
+        for ask in std::mem::take(&mut self.permit_calls) {
+            let granter = address(ask.granter);
+            let reply = self.nodes[ask.granter].replies.remove(&ask.call);
+            let grant = match reply {
+                Some(Reply::Permits(grant)) => Some(grant),
+                _ if self.now < ask.timeout => {
+                    self.permit_calls.push(ask);
+                    continue;
+                }
+                _ => None,
+            };
+            let message = Message::PermitsAnswered(ask.target, granter, grant);
+            self.send(ask.asker, 0, message);
         }
     }
 
@@ -529,6 +594,9 @@
                     let pong = self.pong(&runner.host);
                     self.send(index, STEP_MS, Message::PingEnded(runner.host, pong));
                 }
+                Effect::AskPermits(address, request) => {
+                    self.ask_permits(index, address, request);
+                }
                 Effect::CollectCounts(window, peer) => {
                     let alive = self.pong(&peer.host).is_some();
                     let counts = alive.then(Counts::new);
@@ -538,24 +606,12 @@
                         Message::CountsCollected(window, peer.host, counts),
                     );
                 }
-                Effect::OrderLoad(load, _, permit) => {
-                    if permit.allows(Time(self.now)) {
-                        self.orders.push((index, permit.fence.0, self.now));
-                    }
-                    self.send(
-                        index,
-                        STEP_MS,
-                        Message::OrderEnded(load.target, OrderEnd::Accepted),
-                    );
-                }
+                Effect::OrderLoad(load, _, permit) => self.order(index, load, permit),
                 Effect::ReportUsage(window, counts, permit) => {
                     let entry = (index, permit.fence.0, counts);
                     self.reports.entry(window).or_default().push(entry);
-                    self.send(
-                        index,
-                        STEP_MS,
-                        Message::ReportEnded(window, ReportEnd::Accepted),
-                    );
+                    let ended = Message::ReportEnded(window, ReportEnd::Accepted);
+                    self.send(index, STEP_MS, ended);
                 }
                 Effect::SetSource(source) => self.nodes[index].source = source,
                 Effect::Publish(_)
@@ -568,6 +624,15 @@
         }
     }
 
+    /// Accepts an order whose permit is still valid.
+    fn order(&mut self, index: usize, load: Load, permit: Permit) {
+        if permit.allows(Time(self.now)) {
+            self.orders.push((index, permit.fence.0, self.now));
+        }
+        let ended = Message::OrderEnded(load.target, OrderEnd::Accepted);
+        self.send(index, STEP_MS, ended);
+    }
+
     fn generate(&mut self, index: usize, run: &RunRequest) {
         let starts = self.starts.entry(run.item.id.clone()).or_default();
         starts.push(self.now);
@@ -639,8 +704,12 @@
             }
             StoreCall::Delete(kind, name) => {
                 self.store.remove(&(kind, name.clone()));
-                if kind == Kind::Heads {
-                    let gone = WatchedObject::HeadGone(BatchId::from(name.as_ref()));
+                let gone = match kind {
+                    Kind::Heads => Some(WatchedObject::HeadGone(BatchId::from(name.as_ref()))),
+                    Kind::Limits => Some(WatchedObject::LimitGone(TargetName::from(name.as_ref()))),
+                    _ => None,
+                };
+                if let Some(gone) = gone {
                     for index in 0..self.nodes.len() {
                         self.send(index, STORE_LATENCY_MS, Message::Changed(gone.clone()));
                     }
@@ -696,6 +765,7 @@
             head.clone(),
         )),
         Record::Peer(peer) => Some(WatchedObject::Peer(peer.clone())),
+        Record::Limit(limit) => Some(WatchedObject::Limit(TargetName::from(name), *limit)),
         _ => None,
     }
 }
