--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -75,6 +75,8 @@
     /// Time before each event of a generation.
     event_interval: Duration,
     leaving: bool,
+    /// Request limit that each answer states, in requests a second.
+    limit: Option<f64>,
 }
 
 impl TargetStandIn {
@@ -97,6 +99,7 @@
                 busy: false,
                 event_interval: Duration::from_millis(15),
                 leaving: false,
+                limit: None,
             }),
         });
         target.register(pool);
@@ -124,6 +127,11 @@
         self.lock().event_interval = interval;
     }
 
+    /// Sets the request limit that each answer to a plain request states.
+    pub fn set_limit(&self, limit: Option<f64>) {
+        self.lock().limit = limit;
+    }
+
     /// Registers the target as draining, so that gateways send it no new requests.
     pub fn leave(&self, pool: &str) {
         self.lock().leaving = true;
@@ -252,10 +260,13 @@
             sleep(Duration::from_millis(5)).await;
             let mut response = Response::new(Body::new(Bytes::from(format!("answer to {id}"))));
             let headers = response.headers_mut();
-            for (name, value) in [
+            let limit = target.lock().limit;
+            let limit = limit.map(|limit| (names::REQUEST_LIMIT, limit.to_string()));
+            let signed = [
                 (names::REQUEST_ID, id.clone()),
                 (names::DIGEST, format!("d.{id}")),
-            ] {
+            ];
+            for (name, value) in signed.into_iter().chain(limit) {
                 if let Ok(value) = value.parse() {
                     headers.insert(name, value);
                 }
