--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -237,3 +237,17 @@
 
     assert!(a.is_disjoint(&b), "{a:?} {b:?}");
 }
+
+/// Fails if a process that has just started sends requests before it knows the limits that targets
+/// stated to other processes.
+#[test]
+fn no_target_is_chosen_before_the_limits_are_listed() {
+    let mut directory = Directory::default();
+    directory.insert(listed("t", 1));
+
+    let before = choose(&mut directory, 0, &run(1));
+    directory.limits.set_listed();
+    let after = choose(&mut directory, 0, &run(1));
+
+    assert_eq!((before, after), (None, Some("t".into())));
+}
