Log the software version of targets and of the texts they began

Cause: the entries of targets name the version of their software. Nothing read it, so the logs could not tell whether the text of an item went on at a target with another version.

Change: the version is decoded; an entry without it names no target. item_sent tells the version of the target and that of the text so far, target_seen that of the target. An unfinished text and its draft in the object API carry the version that began it. Nothing is decided by it yet. The draft of a complete result was built in two places and is now built in one.

--- a/crates/core/src/decision/batch/results.rs
+++ b/crates/core/src/decision/batch/results.rs
@@ -60,16 +60,7 @@
             Slot::Generating(run) => Some(draft(&run.item.id, &run.state.draft, false)),
             Slot::Generated(run) => Some(draft(&run.item.id, &run.state.partial, true)),
             Slot::Scoring(run) => Some(draft(&run.item.id, &run.state.partial, true)),
-            Slot::Finished(outcome) if outcome.complete => Some(Draft {
-                id: outcome.id.clone(),
-                partial: PartialText {
-                    text: outcome.text.to_string(),
-                    // The text is complete, so this only affects the order of the drafts.
-                    events: 1,
-                    versions: outcome.versions.clone(),
-                },
-                whole: true,
-            }),
+            Slot::Finished(outcome) if outcome.complete => Some(Draft::of_outcome(outcome)),
             Slot::Finished(_) | Slot::Listed => None,
         });
         let mut drafts: Vec<Draft> = drafts.filter(|d| d.partial.events > 0).collect();
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -122,27 +122,33 @@
                 .release(now, &target.name, CallEnd::Cancelled);
             return true;
         };
-        let version = self.directory.get(&target.name);
-        let version = version
-            .zip(head.model.as_ref())
-            .and_then(|(t, m)| t.version(m));
+        let Some(entry) = self.directory.get(&target.name).cloned() else {
+            return true;
+        };
+        let version = head.model.as_ref().and_then(|m| entry.version(m));
+        let begun = partial.software.as_ref();
         self.log(
             Event::ItemSent,
             vec![
                 ("batch", id.to_string()),
                 ("item", item.id.to_string()),
                 ("target", target.name.to_string()),
+                ("software", entry.software.to_string()),
                 ("events", partial.events.to_string()),
+                (
+                    "begun",
+                    begun.map_or("none".to_owned(), ToString::to_string),
+                ),
                 ("believed", version.map_or(0, |v| v.0).to_string()),
                 ("least", head.min_version.to_string()),
             ],
         );
         self.runs.insert(run, id.clone());
-        let pool = self.directory.get(&target.name).map(|t| t.pool.clone());
-        let stall_timeout = pool.map(|pool| self.directory.stall_timeout(&pool));
+        let stall_timeout = self.directory.stall_timeout(&entry.pool);
         self.effects.push(Effect::StartRun(Box::new(RunRequest {
             id: run,
             target,
+            software: entry.software,
             host: route.host.clone(),
             workspace: head.workspace.clone(),
             item,
@@ -152,7 +158,7 @@
                 single: route.needs_one_version(),
             },
             rank: self.rank(head),
-            stall_timeout: stall_timeout.unwrap_or_default(),
+            stall_timeout,
         })));
         true
     }
--- a/crates/core/src/decision/gateway/draft.rs
+++ b/crates/core/src/decision/gateway/draft.rs
@@ -21,7 +21,6 @@
 use crate::domain::batch::Draft;
 use crate::domain::batch::Drafts;
 use crate::domain::batch::Outcome;
-use crate::domain::batch::PartialText;
 use crate::domain::ids::Revision;
 use crate::domain::name::BatchId;
 use crate::domain::name::GroupName;
@@ -170,15 +169,6 @@
         .outcomes()
         .iter()
         .filter(is_repeated)
-        .map(|outcome| Draft {
-            id: outcome.id.clone(),
-            partial: PartialText {
-                text: outcome.text.to_string(),
-                // The number of events matters only for texts that are continued.
-                events: u64::MAX,
-                versions: outcome.versions.clone(),
-            },
-            whole: true,
-        });
+        .map(|outcome| Draft::of_outcome(outcome));
     drafts.collect()
 }
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -40,6 +40,7 @@
 use crate::domain::name::ItemId;
 use crate::domain::name::PoolName;
 use crate::domain::name::RouteName;
+use crate::domain::name::SoftwareVersion;
 use crate::domain::name::TargetName;
 use crate::domain::name::WorkspaceName;
 use crate::domain::table::Route;
@@ -258,6 +259,8 @@
     pub id: RunId,
     /// Chosen target.
     pub target: Choice,
+    /// Software version of the target.
+    pub software: SoftwareVersion,
     /// Value of the `host` header.
     pub host: Arc<str>,
     /// Workspace of the job, or `None` for a job without one.
--- a/crates/core/src/decision/gateway/watched.rs
+++ b/crates/core/src/decision/gateway/watched.rs
@@ -73,6 +73,7 @@
                 let fields = vec![
                     ("target", listed.name.to_string()),
                     ("pool", listed.pool.to_string()),
+                    ("software", listed.software.to_string()),
                     ("leaving", listed.leaving.to_string()),
                     ("models", format!("{:?}", listed.models)),
                 ];
--- a/crates/core/src/domain/batch.rs
+++ b/crates/core/src/domain/batch.rs
@@ -15,6 +15,7 @@
 use crate::domain::name::ItemId;
 use crate::domain::name::ModelName;
 use crate::domain::name::RouteName;
+use crate::domain::name::SoftwareVersion;
 use crate::domain::name::WorkspaceName;
 use crate::domain::time::WallTime;
 
@@ -142,6 +143,10 @@
     pub events: u64,
     /// Weight versions that generated the events so far.
     pub versions: Vec<u64>,
+    /// Software version of the target that generated the events, or `None` if there are none or an
+    /// older process stored them without it.
+    #[serde(default)]
+    pub software: Option<SoftwareVersion>,
 }
 
 /// The text of an item without a listed result. It is stored so that another run of the item can
@@ -173,6 +178,22 @@
     format!("{batch}.{start:08}")
 }
 
+impl Draft {
+    /// Returns the text of a complete result as a draft, which is never continued.
+    pub fn of_outcome(outcome: &Outcome) -> Self {
+        Self {
+            id: outcome.id.clone(),
+            partial: PartialText {
+                text: outcome.text.to_string(),
+                events: 1,
+                versions: outcome.versions.clone(),
+                software: None,
+            },
+            whole: true,
+        }
+    }
+}
+
 impl Outcome {
     /// Returns the approximate encoded size of the result, in bytes.
     pub fn encoded_size(&self) -> usize {
--- a/crates/core/src/domain/fleet.rs
+++ b/crates/core/src/domain/fleet.rs
@@ -11,6 +11,7 @@
 use crate::domain::name::HostName;
 use crate::domain::name::ModelName;
 use crate::domain::name::PoolName;
+use crate::domain::name::SoftwareVersion;
 use crate::domain::name::TargetName;
 
 /// A running target, as its entry in the object API describes it.
@@ -30,6 +31,8 @@
     pub leaving: bool,
     /// Loaded models, each with its weight version.
     pub models: Vec<(ModelName, WeightVersion)>,
+    /// Version of the software of this run.
+    pub software: SoftwareVersion,
     /// Start of this run in milliseconds since the Unix epoch, or 0 if not stated.
     pub started_at: u64,
 }
--- a/crates/core/src/domain/name.rs
+++ b/crates/core/src/domain/name.rs
@@ -72,6 +72,11 @@
     /// Name of a target, which is one replica of a model engine or of a plain service.
     TargetName
 );
+name_type!(
+    /// Version of the software of a target, which is independent of its weight versions. Versions
+    /// have no order.
+    SoftwareVersion
+);
 name_type!(
     /// Name of a host.
     HostName
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -11,6 +11,7 @@
 use sardinepath_core::domain::name::CentreName;
 use sardinepath_core::domain::name::ModelName;
 use sardinepath_core::domain::name::PoolName;
+use sardinepath_core::domain::name::SoftwareVersion;
 use sardinepath_core::domain::name::TargetName;
 use sardinepath_core::domain::time::Time;
 
@@ -23,6 +24,7 @@
         slots: 2,
         leaving: false,
         models: vec![(ModelName::from("m"), WeightVersion(version))],
+        software: SoftwareVersion::from("v1"),
         started_at: 1,
     }
 }
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -52,6 +52,7 @@
 use sardinepath_core::domain::name::ModelName;
 use sardinepath_core::domain::name::PoolName;
 use sardinepath_core::domain::name::RouteName;
+use sardinepath_core::domain::name::SoftwareVersion;
 use sardinepath_core::domain::name::TargetName;
 use sardinepath_core::domain::name::WorkspaceName;
 use sardinepath_core::domain::table::BatchSettings;
@@ -236,6 +237,7 @@
         slots: 8,
         leaving: false,
         models: vec![(ModelName::from("m"), WeightVersion(1))],
+        software: SoftwareVersion::from("v1"),
         started_at: 1,
     }
 }
--- a/crates/core/tests/runner.rs
+++ b/crates/core/tests/runner.rs
@@ -21,6 +21,7 @@
 use sardinepath_core::domain::name::GroupName;
 use sardinepath_core::domain::name::ItemId;
 use sardinepath_core::domain::name::ModelName;
+use sardinepath_core::domain::name::SoftwareVersion;
 use sardinepath_core::domain::name::TargetName;
 use sardinepath_core::domain::time::Time;
 
@@ -110,6 +111,7 @@
         text: "text".to_owned(),
         events: 1,
         versions: vec![1],
+        software: Some(SoftwareVersion::from("v1")),
     };
     runner
         .end_run(START, RunId(index), &RunEnd::Complete, text)
@@ -149,6 +151,7 @@
             text: String::new(),
             events,
             versions: vec![1],
+            software: Some(SoftwareVersion::from("v1")),
         },
         whole: false,
     }
