Add failing tests of texts joined from two software versions

Cause: the text of an unfinished item goes on at any target, whichever software version began it: after a broken stream, after a move, and from the drafts that outlive a kill of all gateways.

Change: the simulation has targets of several software versions, generations of ten events, and generations that break.

--- /dev/null
+++ b/crates/core/tests/gateway_software.rs
@@ -0,0 +1,82 @@
+//! Software versions of targets in the texts of batch jobs, in virtual time.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod gateway_support;
+
+use std::collections::BTreeSet;
+
+use gateway_support::GENERATION_EVENTS;
+use gateway_support::Simulation;
+
+/// Number of items in the jobs.
+const ITEMS: usize = 24;
+
+/// Time in which a job ends after a fault, in milliseconds.
+const RECOVERY_MS: u64 = 40_000;
+
+/// Fails if a job is not complete, or if a text has events of two software versions. Returns the
+/// versions of the texts.
+fn assert_unmixed(sim: &Simulation) -> BTreeSet<String> {
+    let texts = sim.texts();
+    assert_eq!(texts.len(), ITEMS);
+    let versions = texts.iter().map(|text| {
+        let events: Vec<&str> = text.lines().collect();
+        assert_eq!(u64::try_from(events.len()).unwrap(), GENERATION_EVENTS);
+        let versions: BTreeSet<&str> = events.into_iter().collect();
+        assert_eq!(versions.len(), 1, "a text is joined from {versions:?}");
+        versions.first().unwrap().to_string()
+    });
+    versions.collect()
+}
+
+/// Fails if a broken generation goes on at a target with another software version.
+#[test]
+fn a_text_goes_on_at_the_software_version_that_began_it() {
+    let mut sim = Simulation::new(2);
+    sim.set_targets(false, &["v1", "v1", "v2", "v2"]);
+    sim.run(200);
+    sim.break_after = Some(5);
+
+    sim.submit(0, ITEMS);
+    sim.run(RECOVERY_MS);
+
+    let versions = assert_unmixed(&sim);
+    assert_eq!(versions.len(), 2, "only one of the versions was used");
+}
+
+/// Fails if the text of a generation whose software version has left goes on at another one, or
+/// never ends.
+#[test]
+fn a_text_whose_software_version_is_gone_begins_anew() {
+    let mut sim = Simulation::new(2);
+    sim.break_after = Some(5);
+    sim.submit(0, ITEMS);
+    sim.run(300);
+
+    sim.set_targets(true, &["v2", "v2"]);
+    sim.run(RECOVERY_MS);
+
+    assert_unmixed(&sim);
+}
+
+/// Fails if drafts that outlive all gateways go on at targets with another software version.
+#[test]
+fn drafts_kept_over_a_kill_of_all_gateways_stay_unmixed() {
+    for (later, software) in [(true, ["v2", "v2"]), (false, ["v2", "v1"])] {
+        let mut sim = Simulation::new(3);
+        sim.generation_ms = 5_000;
+        sim.submit(0, ITEMS);
+        sim.run(3_500);
+
+        for index in 0..3 {
+            sim.kill(index);
+        }
+        sim.set_targets(later, &software);
+        for index in 0..3 {
+            sim.start(index);
+        }
+        sim.run(RECOVERY_MS);
+
+        assert_unmixed(&sim);
+    }
+}
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -71,6 +71,9 @@
 /// Timeout of a request for permits in milliseconds.
 const PERMIT_TIMEOUT_MS: u64 = 240;
 
+/// Number of events in a generation.
+pub const GENERATION_EVENTS: u64 = 10;
+
 /// Duration of a generation in milliseconds.
 const GENERATION_MS: u64 = 700;
 
@@ -136,6 +139,12 @@
     pub plain_interval: Option<u64>,
     /// Requests for permits without an answer.
     permit_calls: Vec<PermitCall>,
+    /// Registered targets.
+    targets: Vec<TargetEntry>,
+    /// Duration of a generation in milliseconds.
+    pub generation_ms: u64,
+    /// Number of events after which the first attempt of each item breaks, or `None`.
+    pub break_after: Option<u64>,
 }
 
 /// Request of a gateway to another one for permits.
@@ -277,6 +286,9 @@
             arrivals: Vec::new(),
             plain_interval: None,
             permit_calls: Vec::new(),
+            targets: (0..4).map(target).collect(),
+            generation_ms: GENERATION_MS,
+            break_after: None,
         };
         for index in 0..powers.len() {
             sim.start(index);
@@ -315,7 +327,12 @@
         node.replies.clear();
         node.runs.clear();
         node.plain_calls.clear();
-        let targets = (0..4).map(|i| WatchedObject::Target(target(i))).collect();
+        let targets = self
+            .targets
+            .iter()
+            .cloned()
+            .map(WatchedObject::Target)
+            .collect();
         let heads = self.views(Kind::Heads);
         let peers = self.views(Kind::Peers);
         let limits = self.views(Kind::Limits);
@@ -635,6 +652,7 @@
         self.send(index, STEP_MS, ended);
     }
 
+    /// Runs a generation. The text of each event is the software version of the target.
     fn generate(&mut self, index: usize, run: &RunRequest) {
         let starts = self.starts.entry(run.item.id.clone()).or_default();
         starts.push(self.now);
@@ -642,10 +660,60 @@
         let target = run.target.name.clone();
         self.nodes[index].runs.insert(run.id, target);
         let mut partial = run.partial.clone();
-        let next = partial.events + 1;
-        run.versions.push(&mut partial, next, 1, "text").unwrap();
-        let message = Message::RunEnded(run.id, RunEnd::Complete, partial);
-        self.send(index, GENERATION_MS, message);
+        if partial.events == 0 {
+            partial.software = Some(run.software.clone());
+        }
+        let interval = self.generation_ms / GENERATION_EVENTS;
+        let first_attempt = self.starts[&run.item.id].len() == 1;
+        let last = match self.break_after {
+            Some(events) if first_attempt => events,
+            _ => GENERATION_EVENTS,
+        };
+        let begun = partial.events;
+        while partial.events < last {
+            let next = partial.events + 1;
+            let text = run.software.as_str();
+            run.versions.push(&mut partial, next, 1, text).unwrap();
+            let progress = Message::RunProgress(run.id, partial.clone());
+            self.send(index, (next - begun) * interval, progress);
+        }
+        let end = match last {
+            GENERATION_EVENTS => RunEnd::Complete,
+            _ => RunEnd::Broken("the target closed the stream".to_owned()),
+        };
+        let delay = (last - begun) * interval;
+        self.send(index, delay, Message::RunEnded(run.id, end, partial));
+    }
+
+    /// Replaces the targets by ones with these software versions, which have names of their own if
+    /// they are `later`.
+    pub fn set_targets(&mut self, later: bool, software: &[&str]) {
+        let first = if later { 4 } else { 0 };
+        let entry = |(index, software): (usize, &&str)| TargetEntry {
+            software: SoftwareVersion::from(*software),
+            ..target(first + index)
+        };
+        self.targets = software.iter().enumerate().map(entry).collect();
+        for index in 0..self.nodes.len() {
+            let targets = self
+                .targets
+                .iter()
+                .cloned()
+                .map(WatchedObject::Target)
+                .collect();
+            let listing = Message::Listing(Kind::Targets, targets);
+            self.send(index, STORE_LATENCY_MS, listing);
+        }
+    }
+
+    /// Returns the texts of the results in the store.
+    pub fn texts(&self) -> Vec<Arc<str>> {
+        let pages = self.store.values().filter_map(|(_, record)| match record {
+            Record::Page(page) => Some(page),
+            _ => None,
+        });
+        let outcomes = pages.flat_map(|page| &page.outcomes);
+        outcomes.map(|outcome| outcome.text.clone()).collect()
     }
 
     fn load(&self, index: usize) -> BTreeMap<TargetName, u32> {
