Let the text of an item go on only at the software version that began it

What callers saw: results of items whose text was joined from two software versions of the back end, answered as complete, with nothing to show it.

Cause: the text of an unfinished item names what generated it only by weight versions. A broken stream, a move to a faster target, a takeover and a start after a kill of all gateways sent it on to any target. The class is state that is kept without the condition under which it may be used.

Change: a text goes on at the software version that it carries, also from a draft. It waits for a target of that version for up to 500 ms if one still serves, and begins anew if another version takes it first (text_discarded). Moves look for a faster target of the same version. An unfinished draft of an older build, which names no version, is not used. A complete text is.

--- a/crates/core/src/decision/batch/mod.rs
+++ b/crates/core/src/decision/batch/mod.rs
@@ -20,6 +20,7 @@
 pub use crate::decision::batch::run::Scoring;
 pub use crate::decision::batch::run::Waiting;
 pub use crate::decision::batch::runner::EndedRun;
+pub use crate::decision::batch::runner::Generation;
 pub use crate::decision::batch::runner::Pace;
 pub use crate::decision::batch::runner::Runner;
 pub use crate::decision::batch::runner::RunnerLimits;
--- a/crates/core/src/decision/batch/runner.rs
+++ b/crates/core/src/decision/batch/runner.rs
@@ -25,6 +25,7 @@
 use crate::domain::batch::Scorer;
 use crate::domain::name::GroupName;
 use crate::domain::name::ItemId;
+use crate::domain::name::SoftwareVersion;
 use crate::domain::name::TargetName;
 use crate::domain::time::Time;
 
@@ -52,14 +53,7 @@
 #[derive(Clone, Debug)]
 pub enum Task {
     /// Generate the text of the item.
-    Generate {
-        /// Position of the item in the job.
-        index: usize,
-        /// Targets of the last failed attempts, which should not get the item again.
-        avoid: Vec<TargetName>,
-        /// Group of items that share a prompt.
-        group: Option<GroupName>,
-    },
+    Generate(Generation),
     /// Score the text of the item.
     Score {
         /// Position of the item in the job.
@@ -69,6 +63,22 @@
     },
 }
 
+/// Generation that an item needs next.
+#[derive(Clone, Debug)]
+pub struct Generation {
+    /// Position of the item in the job.
+    pub index: usize,
+    /// Time since which the generation may start.
+    pub due: Time,
+    /// Targets of the last failed attempts, which should not get the item again.
+    pub avoid: Vec<TargetName>,
+    /// Group of items that share a prompt.
+    pub group: Option<GroupName>,
+    /// Software version that began the text and has to go on with it, or `None` if there is no text
+    /// yet.
+    pub software: Option<SoftwareVersion>,
+}
+
 /// Measured time per event at a target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Pace {
@@ -124,7 +134,8 @@
 
 impl Runner {
     /// Creates a runner for the items that are not listed yet. Items continue from the longest
-    /// draft whose versions are permitted.
+    /// draft whose versions are permitted. An unfinished draft that does not name its software
+    /// version is not used, since another version must not go on with it.
     pub fn new(
         now: Time,
         batch: Arc<Batch>,
@@ -136,9 +147,10 @@
             if journal.contains(&item.id) {
                 return Slot::Listed;
             }
-            let fitting = drafts
-                .iter()
-                .filter(|d| d.id == item.id && limits.versions.permits(&d.partial));
+            let fitting = drafts.iter().filter(|d| {
+                let continuable = d.whole || d.partial.software.is_some();
+                d.id == item.id && continuable && limits.versions.permits(&d.partial)
+            });
             let best = fitting.max_by_key(|d| (d.whole, d.partial.events));
             let partial = best.map(|d| d.partial.clone()).unwrap_or_default();
             let run = Run::new(item.clone(), partial);
@@ -170,11 +182,15 @@
                 self.slots[index] = Slot::Finished(run.complete());
             }
             match &self.slots[index] {
-                Slot::Waiting(run) if now >= run.state.due => tasks.push(Task::Generate {
-                    index,
-                    avoid: run.state.avoid.clone(),
-                    group: run.item.group.clone(),
-                }),
+                Slot::Waiting(run) if now >= run.state.due => {
+                    tasks.push(Task::Generate(Generation {
+                        index,
+                        due: run.state.due,
+                        avoid: run.state.avoid.clone(),
+                        group: run.item.group.clone(),
+                        software: run.state.partial.software.clone(),
+                    }));
+                }
                 Slot::Generated(run) if now >= run.state.due => {
                     let scorer = run.item.scorer.clone();
                     tasks.extend(scorer.map(|scorer| Task::Score { index, scorer }));
@@ -213,6 +229,16 @@
         Some((item, partial))
     }
 
+    /// Discards the text of a waiting item, which is then generated from the start. Returns the item
+    /// and the number of discarded events, or `None` if it is not waiting.
+    pub fn discard_text(&mut self, index: usize) -> Option<(ItemId, u64)> {
+        let Slot::Waiting(run) = self.slots.get_mut(index)? else {
+            return None;
+        };
+        let discarded = mem::take(&mut run.state.partial);
+        Some((run.item.id.clone(), discarded.events))
+    }
+
     /// Marks the text of an item as sent to a target for scoring.
     pub fn score(&mut self, index: usize, id: RunId, target: TargetName) {
         let Some(slot) = self.slots.get_mut(index) else {
--- a/crates/core/src/decision/directory/mod.rs
+++ b/crates/core/src/decision/directory/mod.rs
@@ -20,6 +20,7 @@
 use crate::domain::name::CentreName;
 use crate::domain::name::ModelName;
 use crate::domain::name::PoolName;
+use crate::domain::name::SoftwareVersion;
 use crate::domain::name::TargetName;
 use crate::domain::time::Time;
 
@@ -62,6 +63,8 @@
 pub struct TargetNeeds {
     /// Model and its oldest permitted version, or `None` for plain requests.
     pub model: Option<(ModelName, WeightVersion)>,
+    /// Software version that the target must have, or `None` if any will do.
+    pub software: Option<SoftwareVersion>,
     /// Targets that must not be chosen.
     pub excluded: Vec<TargetName>,
     /// Target that has a part of the prompt cached.
@@ -315,23 +318,34 @@
         self.targets.get(name).is_some_and(|t| t.is_slow(median))
     }
 
-    /// Returns `true` if a target of the pool that is not slow has a free slot for this model.
+    /// Returns `true` if a target of the pool that stays has this software version.
+    pub fn has_software(&self, pool: &PoolName, software: &SoftwareVersion) -> bool {
+        let mut entries = self.entries();
+        entries.any(|e| e.pool == *pool && !e.leaving && e.software == *software)
+    }
+
+    /// Returns `true` if a target that is not slow could take over a request from another one, with
+    /// the same software version and a permitted version of the model.
     pub fn has_fast_slot(
         &mut self,
         now: Time,
-        pool: &PoolName,
-        model: Option<&(ModelName, WeightVersion)>,
+        slow: &TargetName,
+        model: Option<(ModelName, WeightVersion)>,
     ) -> bool {
+        let Some(slow) = self.get(slow).cloned() else {
+            return false;
+        };
         let need = TargetNeeds {
-            model: model.cloned(),
+            model,
+            software: Some(slow.software),
             free_slot: true,
             ..TargetNeeds::default()
         };
-        let median = self.median_pace(pool);
+        let median = self.median_pace(&slow.pool);
         let mut targets = self.targets.values();
         let limits = &self.limits;
         targets.any(|t| {
-            t.fits(now, pool, &need) && limits.may_send(now, &t.entry) && !t.is_slow(median)
+            t.fits(now, &slow.pool, &need) && limits.may_send(now, &t.entry) && !t.is_slow(median)
         })
     }
 
--- a/crates/core/src/decision/directory/target.rs
+++ b/crates/core/src/decision/directory/target.rs
@@ -84,6 +84,10 @@
             && (!need.free_slot || self.running + self.remote_running < self.entry.slots)
             && !need.excluded.contains(&self.entry.name)
             && self.has_version(need)
+            && need
+                .software
+                .as_ref()
+                .is_none_or(|s| *s == self.entry.software)
     }
 
     /// Returns `true` if the target has a permitted version of the requested model.
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -1,7 +1,9 @@
 //! Dispatch of items and scoring requests to targets.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use crate::decision::batch::Generation;
 use crate::decision::batch::RunEnd;
 use crate::decision::batch::RunId;
 use crate::decision::batch::Runner;
@@ -22,7 +24,6 @@
 use crate::domain::batch::Scorer;
 use crate::domain::event::Event;
 use crate::domain::name::BatchId;
-use crate::domain::name::GroupName;
 use crate::domain::name::TargetName;
 use crate::domain::table::Route;
 
@@ -32,6 +33,19 @@
 /// Maximum number of runs moved away from slow targets in one tick.
 const MAX_MOVES_PER_TICK: usize = 8;
 
+/// Time for which a text waits for a free target of the software version that began it. Beginning
+/// anew takes longer than this for most texts.
+const CONTINUATION_WAIT: Duration = Duration::from_millis(500);
+
+/// What to do with the remaining items of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Dispatch {
+    /// The next item may be sent.
+    Next,
+    /// No target has a free slot.
+    Full,
+}
+
 impl Gateway {
     /// Dispatches all tasks for which targets have free slots, ordered by rank and age of the job.
     pub(super) fn dispatch(&mut self) {
@@ -80,35 +94,30 @@
         let mut full = false;
         for task in tasks {
             match task {
-                Task::Generate { .. } if full => {}
-                Task::Generate {
-                    index,
-                    avoid,
-                    group,
-                } => {
-                    let Some(route) = &route else {
-                        continue;
-                    };
-                    full = !self.generate(id, &head, route, index, avoid, group.as_ref());
+                Task::Generate(_) if full => {}
+                Task::Generate(task) => {
+                    if let Some(route) = &route {
+                        full = self.generate(id, &head, route, task) == Dispatch::Full;
+                    }
                 }
                 Task::Score { index, scorer } => self.score(id, index, scorer),
             }
         }
     }
 
-    /// Sends an item to a target. Returns `false` if no target has a free slot.
+    /// Sends an item to a target.
     fn generate(
         &mut self,
         id: &BatchId,
         head: &Head,
         route: &Arc<Route>,
-        index: usize,
-        avoid: Vec<TargetName>,
-        group: Option<&GroupName>,
-    ) -> bool {
+        task: Generation,
+    ) -> Dispatch {
         let now = self.now;
-        let Some(target) = self.choose_target(id, head, route, avoid, group) else {
-            return false;
+        let index = task.index;
+        let target = match self.choose_continuing(id, head, route, task) {
+            Ok(target) => target,
+            Err(next) => return next,
         };
         let run = self.next_run_id();
         let started = match self.jobs.get_mut(id).map(|job| &mut job.work) {
@@ -120,10 +129,10 @@
         let Some((item, partial)) = started else {
             self.directory
                 .release(now, &target.name, CallEnd::Cancelled);
-            return true;
+            return Dispatch::Next;
         };
         let Some(entry) = self.directory.get(&target.name).cloned() else {
-            return true;
+            return Dispatch::Next;
         };
         let version = head.model.as_ref().and_then(|m| entry.version(m));
         let begun = partial.software.as_ref();
@@ -160,28 +169,68 @@
             rank: self.rank(head),
             stall_timeout,
         })));
-        true
+        Dispatch::Next
+    }
+
+    /// Chooses the target of an item. A text waits for a target of the software version that began
+    /// it, and is discarded if a target of another version takes the item first. Without a target,
+    /// returns what to do with the other items.
+    fn choose_continuing(
+        &mut self,
+        id: &BatchId,
+        head: &Head,
+        route: &Route,
+        mut task: Generation,
+    ) -> Result<Choice, Dispatch> {
+        if let Some(target) = self.choose_target(id, head, route, &task) {
+            return Ok(target);
+        }
+        let Some(software) = task.software.take() else {
+            return Err(Dispatch::Full);
+        };
+        let mut pools = route.split.iter().map(|(pool, _)| pool);
+        let served = pools.any(|pool| self.directory.has_software(pool, &software));
+        let waited = self.now.since(task.due);
+        if served && waited < CONTINUATION_WAIT {
+            return Err(Dispatch::Next);
+        }
+        let target = self.choose_target(id, head, route, &task);
+        let target = target.ok_or(Dispatch::Full)?;
+        if let Some(Work::Running(active)) = self.jobs.get_mut(id).map(|job| &mut job.work)
+            && let Some((item, events)) = active.runner.discard_text(task.index)
+        {
+            let fields = vec![
+                ("batch", id.to_string()),
+                ("item", item.to_string()),
+                ("software", software.to_string()),
+                ("served", served.to_string()),
+                ("events", events.to_string()),
+                ("waited_ms", waited.as_millis().to_string()),
+            ];
+            self.log(Event::TextDiscarded, fields);
+        }
+        Ok(target)
     }
 
     /// Chooses the target of an item, at best the one that holds the prompt of its group. Targets
-    /// in `avoid` are used only if no other one has a free slot.
+    /// that the item should avoid are used only if no other one has a free slot.
     fn choose_target(
         &mut self,
         id: &BatchId,
         head: &Head,
         route: &Route,
-        avoid: Vec<TargetName>,
-        group: Option<&GroupName>,
+        task: &Generation,
     ) -> Option<Choice> {
         let random = self.next_random();
         let pool = route.pool(random)?;
         let prefer = match self.jobs.get(id).map(|job| &job.work) {
-            Some(Work::Running(active)) => active.runner.group_target(group),
+            Some(Work::Running(active)) => active.runner.group_target(task.group.as_ref()),
             _ => None,
         };
         let mut need = TargetNeeds {
             model: head.model.clone().map(|model| (model, head.min_version)),
-            excluded: avoid,
+            software: task.software.clone(),
+            excluded: task.avoid.clone(),
             preferred: prefer,
             free_slot: true,
             allow_paused: false,
@@ -257,11 +306,8 @@
                 while moves < MAX_MOVES_PER_TICK
                     && let Some(run) = active.runner.movable_run(&target)
                 {
-                    let pool = self.directory.get(&target).map(|t| t.pool.clone());
                     let model = job.head.model.clone().map(|m| (m, job.head.min_version));
-                    let has_room = pool.is_some_and(|pool| {
-                        self.directory.has_fast_slot(now, &pool, model.as_ref())
-                    });
+                    let has_room = self.directory.has_fast_slot(now, &target, model);
                     if !has_room {
                         break;
                     }
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -190,6 +190,9 @@
     ScoringFailed = (642, Warn, "scoring_failed", "a scoring request failed"),
     /// The text of an item is complete. Fields: `batch`, `item`, `target`, `events`, `moves`, `failures`, `millis`.
     ItemWhole = (643, Info, "item_whole", "the text of an item is complete"),
+    /// The text of an item is discarded, because no target of the software version that began it
+    /// takes it. Fields: `batch`, `item`, `software`, `served`, `events`, `waited_ms`.
+    TextDiscarded = (644, Warn, "text_discarded", "the text of an item is discarded because the software version that began it does not go on"),
     /// A request was answered. Fields: `request`, `route`, `status`, `attempts`, `target`, `millis`.
     RequestAnswered = (650, Debug, "request_answered", "a request is answered"),
     /// A request was refused. Fields: `request`, `status`, `reason`, `attempts`, `millis`, `config`.
--- a/crates/core/tests/runner.rs
+++ b/crates/core/tests/runner.rs
@@ -29,6 +29,11 @@
 
 /// Creates the runner of a job with items of these sizes, in groups of two.
 fn runner(sizes: &[u64]) -> Runner {
+    runner_with_drafts(sizes, &[])
+}
+
+/// Creates the runner of a job whose items have these drafts.
+fn runner_with_drafts(sizes: &[u64], drafts: &[Draft]) -> Runner {
     let item = |(index, size): (usize, &u64)| {
         Arc::new(Item {
             id: ItemId::from(format!("i{index}")),
@@ -54,12 +59,12 @@
             single: false,
         },
     };
-    Runner::new(START, Arc::new(batch), limits, &Journal::default(), &[])
+    Runner::new(START, Arc::new(batch), limits, &Journal::default(), drafts)
 }
 
 fn generated(tasks: Vec<Task>) -> Vec<usize> {
     let index = |task| match task {
-        Task::Generate { index, .. } => Some(index),
+        Task::Generate(generation) => Some(generation.index),
         Task::Score { .. } => None,
     };
     tasks.into_iter().filter_map(index).collect()
@@ -182,8 +187,27 @@
 
     let tasks = runner.tasks(START + Duration::from_secs(1));
 
-    let Some(Task::Generate { avoid, .. }) = tasks.first() else {
+    let Some(Task::Generate(generation)) = tasks.first() else {
         panic!("no task: {tasks:?}")
     };
-    assert_eq!(*avoid, ["a", "b"].map(TargetName::from));
+    assert_eq!(generation.avoid, ["a", "b"].map(TargetName::from));
+}
+
+/// Fails if an unfinished draft that an older build stored, which names no software version, goes
+/// on at a target of any version.
+#[test]
+fn a_draft_without_a_software_version_is_not_continued() {
+    let known = draft("i0", 5);
+    let mut unknown = draft("i1", 7);
+    unknown.partial.software = None;
+
+    let mut runner = runner_with_drafts(&[10, 10], &[known, unknown]);
+    let target = TargetName::from("t");
+    let continued = |runner: &mut Runner, index| {
+        let run = runner.generate(START, index, RunId(1), target.clone());
+        run.unwrap().1.events
+    };
+
+    assert_eq!(continued(&mut runner, 0), 5);
+    assert_eq!(continued(&mut runner, 1), 0);
 }
