Ask the store before a new runner denies results

What callers saw: a result that had been read at one gateway was denied at another one for up to two seconds, after the runner of the job had been frozen and its job taken over.

Cause: the former runner listed results as it woke, before it learned of the takeover. The new runner answered from its own list, which lacked them until its next page met the page that stood.

Change: only a process that accepted the job and has run it alone since answers without a read of the store that there is no result. The simulation can delay the changes that a gateway learns of.

Result: results_of_a_former_runner_are_not_denied fails without the change and passes.

--- a/crates/core/src/decision/gateway/jobs.rs
+++ b/crates/core/src/decision/gateway/jobs.rs
@@ -61,6 +61,9 @@
     pub(super) ending: Option<Ending>,
     /// Whether a change of the runner is being written.
     pub(super) changing_runner: bool,
+    /// Whether no other process has run the job. A former runner may still list results when it
+    /// wakes from a pause, or by a write that takes effect late.
+    pub(super) sole_runner: bool,
     /// Time at which the runner was first considered gone.
     pub(super) suspected_since: Option<Time>,
     pub(super) last_used: Time,
@@ -126,11 +129,18 @@
             bodies: Vec::new(),
             ending: None,
             changing_runner: false,
+            sole_runner: false,
             suspected_since: None,
             last_used: now,
         }
     }
 
+    /// Returns `true` if this process runs the job and knows all results without a read from the
+    /// object API.
+    pub(super) fn lists_alone(&self) -> bool {
+        matches!(self.work, Work::Running(_)) && self.sole_runner
+    }
+
     /// Returns `true` if the head names this run of a process as the runner.
     pub(super) fn is_run_by(&self, me: &Peer) -> bool {
         self.head
@@ -188,6 +198,7 @@
             return;
         };
         job.complete_at = None;
+        job.sole_runner = false;
         let running = active.runner.running();
         let ended = job.head.ended;
         if ended {
--- a/crates/core/src/decision/gateway/load.rs
+++ b/crates/core/src/decision/gateway/load.rs
@@ -43,8 +43,7 @@
             let call = StoreCall::Get(Kind::Drafts, Arc::from(id.as_str()));
             calls.push((Purpose::LoadDrafts(id.clone()), call));
         }
-        let idle = !matches!(job.work, Work::Running(_));
-        let reading = idle && !job.readers.is_empty() && !job.has_all_results();
+        let reading = !job.lists_alone() && !job.readers.is_empty() && !job.has_all_results();
         let unread = loading && job.complete_at.is_none();
         if !job.loading_page && (unread || reading) {
             job.loading_page = true;
@@ -112,10 +111,14 @@
         job.loading_page = false;
         match answer {
             Ok(Answer::Found(Some((_, Record::Page(page))))) => {
-                job.journal.extend(start, &page.outcomes);
-                if job.has_all_results() {
+                if start + page.outcomes.len() >= job.head.total {
                     job.complete_at = Some(job.page_requested);
                 }
+                if matches!(job.work, Work::Running(_)) {
+                    self.apply_page(id, start, &page);
+                } else {
+                    job.journal.extend(start, &page.outcomes);
+                }
             }
             Ok(Answer::Found(None)) => {
                 job.complete_at = Some(job.page_requested);
--- a/crates/core/src/decision/gateway/read.rs
+++ b/crates/core/src/decision/gateway/read.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use crate::decision::gateway::Gateway;
-use crate::decision::gateway::jobs::Work;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Question;
 use crate::decision::gateway::message::Reply;
@@ -111,14 +110,14 @@
         if job.readers.is_empty() {
             return;
         }
-        let running = matches!(job.work, Work::Running(_));
+        let alone = job.lists_alone();
         let total = job.head.total;
         let whole = job.has_all_results();
         let full = whole || job.head.ended;
         let mut replies = Vec::new();
         job.readers.retain(|reader| {
             let outcomes = job.journal.page(reader.after);
-            let certain = running || whole || job.complete_at.is_some_and(|at| at >= reader.since);
+            let certain = alone || whole || job.complete_at.is_some_and(|at| at >= reader.since);
             if !outcomes.is_empty() {
                 let reply = Reply::Results(total, reader.after, outcomes);
                 replies.push((reader.call, reply));
--- a/crates/core/src/decision/gateway/submit.rs
+++ b/crates/core/src/decision/gateway/submit.rs
@@ -161,6 +161,7 @@
                     .filter(|job| job.is_run_by(&self.settings.peer));
                 if let Some(job) = fresh {
                     job.complete_at = Some(now);
+                    job.sole_runner = true;
                     job.batch = Some(submission.batch.clone());
                     self.start_runner(id, submission.batch);
                     self.dispatch();
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -105,6 +105,8 @@
     pub frozen: bool,
     /// Whether calls between this gateway and the others get no answer.
     pub cut: bool,
+    /// Additional time in milliseconds until this gateway learns of changes in the store.
+    pub watch_lag: u64,
     /// CPU allowance of the host, in percent of a core.
     power: u32,
     /// Source from which the gateway receives watched objects.
@@ -264,6 +266,7 @@
             fault: StoreFault::None,
             frozen: false,
             cut: false,
+            watch_lag: 0,
             power: *power,
             source: Source::Store,
             incarnation: 0,
@@ -547,6 +550,11 @@
         self.send(index, STEP_MS, stated);
     }
 
+    /// Returns `true` if a gateway has generations or scoring requests that have not ended.
+    pub fn runs_jobs(&self, index: usize) -> bool {
+        !self.nodes[index].runs.is_empty()
+    }
+
     /// Returns the largest number of requests that a target got in a window of this length after a
     /// time.
     pub fn most_arrivals(&self, target: &str, since: u64, window: u64) -> usize {
@@ -797,8 +805,9 @@
         for index in 0..self.nodes.len() {
             if self.nodes[index].fault != StoreFault::Unavailable {
                 let view = view.clone();
+                let delay = STORE_LATENCY_MS + self.nodes[index].watch_lag;
                 if let Some(view) = view {
-                    self.send(index, STORE_LATENCY_MS, Message::Changed(view));
+                    self.send(index, delay, Message::Changed(view));
                 }
             }
         }
