--- a/crates/adapters/src/web/mod.rs
+++ b/crates/adapters/src/web/mod.rs
@@ -2,6 +2,7 @@
 
 mod pool;
 mod serve;
+mod streamed;
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -13,6 +14,11 @@
 pub use crate::web::serve::Listener;
 pub use crate::web::serve::ServerLimits;
 pub use crate::web::serve::Shutdown;
+pub use crate::web::streamed::BodySender;
+pub use crate::web::streamed::ReceiverGone;
+pub use crate::web::streamed::ResponseBody;
+pub use crate::web::streamed::streamed_body;
+pub use crate::web::streamed::whole_body;
 
 /// Body of a request or response that is held in memory.
 pub type Body = Full<Bytes>;
--- a/crates/adapters/src/web/serve.rs
+++ b/crates/adapters/src/web/serve.rs
@@ -1,6 +1,7 @@
 //! HTTP server that passes the requests of its connections to a handler.
 
 use std::convert::Infallible;
+use std::error::Error;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -10,8 +11,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hyper::Request;
 use hyper::Response;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -24,7 +27,6 @@
 use tokio::time::sleep;
 
 use crate::event::emit;
-use crate::web::Body;
 use crate::web::set_socket_options;
 
 /// Delay after a failed accept, for example when the process has no file descriptor left.
@@ -97,10 +99,16 @@
     }
 
     /// Serves connections until `closing` is closed. Calls `limits` for each new connection.
-    pub async fn serve<H, F>(self, closing: Shutdown, limits: impl Fn() -> ServerLimits, handle: H)
-    where
+    pub async fn serve<H, F, B>(
+        self,
+        closing: Shutdown,
+        limits: impl Fn() -> ServerLimits,
+        handle: H,
+    ) where
         H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-        F: Future<Output = Response<Body>> + Send + 'static,
+        F: Future<Output = Response<B>> + Send + 'static,
+        B: Body<Data = Bytes> + Send + 'static,
+        B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
         let mut closed = closing.sender.subscribe();
         loop {
@@ -133,14 +141,16 @@
     }
 }
 
-async fn serve_connection<H, F>(
+async fn serve_connection<H, F, B>(
     stream: TcpStream,
     mut closed: watch::Receiver<bool>,
     limits: ServerLimits,
     handle: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
-    F: Future<Output = Response<Body>> + Send + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
 {
     set_socket_options(&stream);
     let service = service_fn(move |request| {
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -52,6 +52,7 @@
             "name": name, "host": HOST, "pathPrefix": prefix, "kind": kind, "timeoutMs": 3_000,
             "targetLatencyMs": 150, "priority": 0, "service": service, "maxAttempts": 3,
             "public": public, "resultDeadlineMs": 7_500, "retentionS": 600,
+            "resumable": kind == "streaming",
         })
     };
     json!({
@@ -60,6 +61,7 @@
             route("roll", "/roll/", "rollout", "engines", false),
             route("page", "/page/", "safe", "shop", false),
             route("once", "/once/", "unsafe", "shop", false),
+            route("stream", "/stream/", "streaming", "shop", false),
             route("score", "/score/", "safe", "shop", true),
         ],
         "services": [
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -18,6 +18,9 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use sardinepath_adapters::web::Body;
+use sardinepath_adapters::web::ResponseBody;
+use sardinepath_adapters::web::streamed_body;
+use sardinepath_adapters::web::whole_body;
 use sardinepath_platform::names;
 use serde_json::Value;
 use serde_json::json;
@@ -57,6 +60,7 @@
 #[derive(Debug)]
 pub struct TargetStandIn {
     name: String,
+    software: String,
     store: Arc<StoreStandIn>,
     address: SocketAddr,
     state: Mutex<State>,
@@ -77,18 +81,32 @@
     leaving: bool,
     /// Request limit that each answer states, in requests a second.
     limit: Option<f64>,
+    /// Number of events after which a stream that was not resumed breaks, or `None`.
+    break_after: Option<u64>,
 }
 
 impl TargetStandIn {
-    /// Starts a target on a free loopback port and registers it in the store under a pool.
+    /// Starts a target of the software version `v1` on a free loopback port and registers it in the
+    /// store under a pool.
     pub async fn start(
         store: Arc<StoreStandIn>,
         name: &str,
         pool: &str,
+    ) -> anyhow::Result<Arc<Self>> {
+        Self::start_version(store, name, pool, "v1").await
+    }
+
+    /// Starts a target of a software version.
+    pub async fn start_version(
+        store: Arc<StoreStandIn>,
+        name: &str,
+        pool: &str,
+        software: &str,
     ) -> anyhow::Result<Arc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let target = Arc::new(Self {
             name: name.to_owned(),
+            software: software.to_owned(),
             store,
             address: listener.local_addr()?,
             state: Mutex::new(State {
@@ -100,6 +118,7 @@
                 event_interval: Duration::from_millis(15),
                 leaving: false,
                 limit: None,
+                break_after: None,
             }),
         });
         target.register(pool);
@@ -132,6 +151,16 @@
         self.lock().limit = limit;
     }
 
+    /// Sets the number of events after which streams that were not resumed break.
+    pub fn set_break_after(&self, events: Option<u64>) {
+        self.lock().break_after = events;
+    }
+
+    /// Removes the entry of the target, which goes on serving.
+    pub fn remove_entry(&self) {
+        self.store.remove("servers", &self.name);
+    }
+
     /// Registers the target as draining, so that gateways send it no new requests.
     pub fn leave(&self, pool: &str) {
         self.lock().leaving = true;
@@ -141,7 +170,7 @@
     fn register(&self, pool: &str) {
         let state = self.lock();
         let spec = json!({
-            "service": pool, "address": self.address.to_string(), "zone": "z", "version": "v1",
+            "service": pool, "address": self.address.to_string(), "zone": "z", "version": self.software,
             "slots": 8, "state": if state.leaving { "draining" } else { "ready" },
             "coldRemainingMs": 0, "stage": "both", "sequence": 1, "born": 1,
             "models": [{ "name": MODEL, "version": state.version, "adapters": [] }],
@@ -245,14 +274,17 @@
     target: Arc<TargetStandIn>,
     request: Request<Incoming>,
     pool: String,
-) -> Response<Body> {
+) -> Response<ResponseBody> {
+    if request.uri().path().starts_with("/stream/") {
+        return serve_stream(target, request).await;
+    }
     let (head, body) = request.into_parts();
     let body = body::json(body).await;
     let expected = header(&head.headers, names::EXPECT_TARGET);
     if expected.is_some_and(|expected| expected != target.name) {
-        return json_response(StatusCode::MISDIRECTED_REQUEST, &json!({}));
+        return json_response(StatusCode::MISDIRECTED_REQUEST, &json!({})).map(whole_body);
     }
-    match head.uri.path() {
+    let response = match head.uri.path() {
         "/report" => target.report(),
         "/order" => target.order(&body, pool).await,
         _ => {
@@ -273,7 +305,58 @@
             }
             response
         }
+    };
+    response.map(whole_body)
+}
+
+/// Streams the events of a stream for a caller, after the last one that the caller has. The data of
+/// each event is the software version of the target.
+async fn serve_stream(
+    target: Arc<TargetStandIn>,
+    request: Request<Incoming>,
+) -> Response<ResponseBody> {
+    let (head, body) = request.into_parts();
+    // The request body has no effect.
+    let _ = body::json(body).await;
+    if header(&head.headers, names::EXPECT_TARGET).is_some_and(|name| name != target.name) {
+        return json_response(StatusCode::MISDIRECTED_REQUEST, &json!({})).map(whole_body);
+    }
+    let id = target.record_start(&head.headers);
+    let last_event = last_event(&head.headers);
+    let (interval, break_after) = {
+        let state = target.lock();
+        (state.event_interval, state.break_after)
+    };
+    let (sender, body) = streamed_body();
+    let mut response = Response::new(body);
+    for (name, value) in [
+        (names::REQUEST_ID, id.clone()),
+        (names::DIGEST, format!("d.{id}")),
+        ("content-type", "text/event-stream".to_owned()),
+    ] {
+        if let Ok(value) = value.parse() {
+            response.headers_mut().insert(name, value);
+        }
     }
+    tokio::spawn(async move {
+        for event in last_event + 1..=GENERATION_EVENTS {
+            if last_event == 0 && break_after.is_some_and(|last| event > last) {
+                return sender.abort("the target breaks the stream").await;
+            }
+            sleep(interval).await;
+            let event = format!("id: {event}\ndata: {}\n\n", target.software);
+            if sender.send(Bytes::from(event)).await.is_err() {
+                return;
+            }
+        }
+    });
+    response
+}
+
+/// Returns the number of the last event that a caller has, or 0.
+fn last_event(headers: &HeaderMap) -> u64 {
+    let stated = header(headers, names::LAST_EVENT_ID).and_then(|n| n.parse().ok());
+    stated.unwrap_or(0)
 }
 
 /// Reads one request and streams its events, starting after the last event that the caller has.
@@ -298,9 +381,7 @@
         return;
     }
     let id = target.record_start(&headers);
-    let last_event = header(&headers, names::LAST_EVENT_ID)
-        .and_then(|n| n.parse().ok())
-        .unwrap_or(0);
+    let last_event = last_event(&headers);
     let head = format!(
         "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: d.{id}\r\n{}: {version}\r\n\
          content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
