Forward streams to callers and resume them only at the version that began them

What callers saw: an answer on a route of the kind streaming came whole at its end, a stream that broke at its target was lost, and one that its caller took up went on at any software version, with nothing in the answer to show it. After a kill of all gateways the same.

Cause: the kind was not known, so streams were plain unsafe requests, and nothing kept the version that began a stream.

Change: events are forwarded as they arrive. A resumable stream that breaks goes on within its answer at a target of the same version. Each pool with resumable streams has a settled version in the object API; streams that begin at another one are recorded under their id before their first event is forwarded, so any gateway finds the version of a stream that is taken up, also in its next life. A version is settled after it was the only one for 60 s, the time for which a stream can be resumed. If the version is not known or no longer served, the caller is told at once. Without a release the records cost nothing.

--- a/crates/core/src/decision/directory/mod.rs
+++ b/crates/core/src/decision/directory/mod.rs
@@ -101,6 +101,8 @@
     pub name: TargetName,
     /// Address to which the request is sent.
     pub address: SocketAddr,
+    /// Software version of the target.
+    pub software: SoftwareVersion,
     /// Time until which the request may be sent. Later the target has to be chosen again.
     pub valid_until: Time,
     /// True if the target limits its requests, so that the choice covers a single request.
@@ -230,6 +232,7 @@
         Some(Choice {
             name,
             address: target.entry.address,
+            software: target.entry.software.clone(),
             valid_until: now + CHOICE_VALIDITY,
             limited,
         })
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -131,10 +131,11 @@
                 .release(now, &target.name, CallEnd::Cancelled);
             return Dispatch::Next;
         };
-        let Some(entry) = self.directory.get(&target.name).cloned() else {
-            return Dispatch::Next;
-        };
-        let version = head.model.as_ref().and_then(|m| entry.version(m));
+        let entry = self.directory.get(&target.name);
+        let version = entry
+            .zip(head.model.as_ref())
+            .and_then(|(t, m)| t.version(m));
+        let pool = entry.map(|t| t.pool.clone());
         let begun = partial.software.as_ref();
         self.log(
             Event::ItemSent,
@@ -142,7 +143,7 @@
                 ("batch", id.to_string()),
                 ("item", item.id.to_string()),
                 ("target", target.name.to_string()),
-                ("software", entry.software.to_string()),
+                ("software", target.software.to_string()),
                 ("events", partial.events.to_string()),
                 (
                     "begun",
@@ -153,11 +154,10 @@
             ],
         );
         self.runs.insert(run, id.clone());
-        let stall_timeout = self.directory.stall_timeout(&entry.pool);
+        let stall_timeout = pool.map(|pool| self.directory.stall_timeout(&pool));
         self.effects.push(Effect::StartRun(Box::new(RunRequest {
             id: run,
             target,
-            software: entry.software,
             host: route.host.clone(),
             workspace: head.workspace.clone(),
             item,
@@ -167,7 +167,7 @@
                 single: route.needs_one_version(),
             },
             rank: self.rank(head),
-            stall_timeout,
+            stall_timeout: stall_timeout.unwrap_or_default(),
         })));
         Dispatch::Next
     }
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -41,6 +41,7 @@
 use crate::domain::name::PoolName;
 use crate::domain::name::RouteName;
 use crate::domain::name::SoftwareVersion;
+use crate::domain::name::StreamId;
 use crate::domain::name::TargetName;
 use crate::domain::name::WorkspaceName;
 use crate::domain::table::Route;
@@ -109,6 +110,24 @@
         pool: PoolName,
         /// Targets that were already tried for this request.
         tried: Vec<TargetName>,
+        /// Software version that the target must have, or `None` if any will do.
+        software: Option<SoftwareVersion>,
+    },
+    /// Find the software version that began a stream.
+    FindStream {
+        /// Pool that serves the stream.
+        pool: PoolName,
+        /// Id of the request that began the stream.
+        begun: StreamId,
+    },
+    /// Record the software version that begins a stream, before its first event is forwarded.
+    RecordStream {
+        /// Pool that serves the stream.
+        pool: PoolName,
+        /// Id of the request that begins the stream.
+        id: StreamId,
+        /// Software version of its target.
+        software: SoftwareVersion,
     },
     /// Choose the process that accepts and runs a batch job.
     ChooseRunner {
@@ -198,6 +217,10 @@
     Counts(Counts),
     /// Permits for a limited target.
     Permits(PermitGrant),
+    /// Software version that began the stream, or `None` if it is not known.
+    StreamBegun(Option<SoftwareVersion>),
+    /// Whether the software version that begins a stream will be found later.
+    StreamRecorded(bool),
 }
 
 /// Answer of a process to a ping.
@@ -259,8 +282,6 @@
     pub id: RunId,
     /// Chosen target.
     pub target: Choice,
-    /// Software version of the target.
-    pub software: SoftwareVersion,
     /// Value of the `host` header.
     pub host: Arc<str>,
     /// Workspace of the job, or `None` for a job without one.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -9,6 +9,7 @@
 //! - `draft`: texts that are reused by another process or a later job
 //! - `dispatch`: items and scoring requests sent to targets
 //! - `plain`, `limit`: targets of plain requests, and permits for targets that limit their requests
+//! - `streams`: software versions that began the streams to callers
 //! - `duty`, `usage`: work of the lease holder (weight updates and usage reports)
 //! - `peers`, `source`, `watched`: other processes, watch sources, and watched objects
 
@@ -30,6 +31,7 @@
 mod removal;
 mod source;
 pub mod stored;
+mod streams;
 mod submit;
 mod usage;
 mod watched;
@@ -58,6 +60,7 @@
 use crate::decision::gateway::stored::Kind;
 use crate::decision::gateway::stored::Purpose;
 use crate::decision::gateway::stored::StoreCall;
+use crate::decision::gateway::streams::Streams;
 use crate::decision::gateway::submit::Submission;
 use crate::decision::gateway::usage::Reports;
 use crate::decision::lease::Terms;
@@ -118,6 +121,7 @@
     retained: VecDeque<Draft>,
     peers: Peers,
     permits: Permits,
+    streams: Streams,
     feed: Feed,
     duty: Duty,
     weights: Weights,
@@ -189,6 +193,7 @@
             retained: VecDeque::new(),
             peers: Peers::default(),
             permits: Permits::default(),
+            streams: Streams::default(),
             feed: Feed::default(),
             duty: Duty::new(&settings),
             weights: Weights::default(),
@@ -270,6 +275,7 @@
         self.tick_jobs();
         self.tick_peers();
         self.tick_limits();
+        self.tick_streams();
         self.tick_source();
         self.dispatch();
         self.write_pages();
@@ -298,7 +304,15 @@
 
     fn handle_question(&mut self, call: CallId, question: Question) {
         match question {
-            Question::ChooseTarget { pool, tried } => self.choose_plain_target(call, &pool, tried),
+            Question::ChooseTarget {
+                pool,
+                tried,
+                software,
+            } => self.choose_plain_target(call, &pool, tried, software),
+            Question::FindStream { pool, begun } => self.find_stream(call, pool, &begun),
+            Question::RecordStream { pool, id, software } => {
+                self.record_stream(call, &pool, id, software);
+            }
             Question::ChooseRunner { id, route } => self.choose_runner(call, &id, &route),
             Question::Submit {
                 id,
--- a/crates/core/src/decision/gateway/plain.rs
+++ b/crates/core/src/decision/gateway/plain.rs
@@ -6,6 +6,7 @@
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Reply;
 use crate::domain::name::PoolName;
+use crate::domain::name::SoftwareVersion;
 use crate::domain::name::TargetName;
 
 impl Gateway {
@@ -15,9 +16,11 @@
         call: CallId,
         pool: &PoolName,
         tried: Vec<TargetName>,
+        software: Option<SoftwareVersion>,
     ) {
         let untried = TargetNeeds {
             excluded: tried,
+            software,
             seed: self.settings.seed,
             ..TargetNeeds::default()
         };
--- a/crates/core/src/decision/gateway/stored.rs
+++ b/crates/core/src/decision/gateway/stored.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::decision::gateway::message::CallId;
 use crate::decision::lease::LeaseRecord;
 use crate::decision::tally::WindowCounts;
 use crate::domain::batch::Drafts;
@@ -18,6 +19,9 @@
 use crate::domain::name::BatchId;
 use crate::domain::name::HostName;
 use crate::domain::name::ModelName;
+use crate::domain::name::PoolName;
+use crate::domain::name::SoftwareVersion;
+use crate::domain::name::StreamId;
 use crate::domain::name::TargetName;
 use crate::domain::table::RouteTable;
 
@@ -69,6 +73,12 @@
     Forget,
     /// Store or delete the request limit of a target.
     Limit(TargetName),
+    /// Read the software version that began a stream, for a question about the pool.
+    FindStream(CallId, PoolName),
+    /// Store the software version that begins a stream, for a question.
+    RecordStream(CallId, StreamId),
+    /// Store the software version of the streams of a pool that have no record.
+    Settle(PoolName),
 }
 
 /// Kind of an object, which determines its path.
@@ -98,6 +108,10 @@
     Windows,
     /// Request limits that targets stated.
     Limits,
+    /// Software versions of pools, at which all streams without a record began.
+    Software,
+    /// Streams that began at another software version.
+    Streams,
 }
 
 /// Content of a stored object.
@@ -119,6 +133,15 @@
     Window(WindowCounts),
     /// Request limit of a target.
     Limit(StoredLimit),
+    /// Software version of a pool or of a stream.
+    Software(SoftwareRecord),
+}
+
+/// Software version of a pool or of a stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SoftwareRecord {
+    /// Software version.
+    pub software: SoftwareVersion,
 }
 
 /// Request limit of a target as stored, so that a process that starts knows it.
@@ -175,4 +198,6 @@
     Limit(TargetName, StoredLimit),
     /// Target whose request limit was lifted.
     LimitGone(TargetName),
+    /// Software version of the streams of a pool that have no record.
+    Software(PoolName, Revision, SoftwareVersion),
 }
--- a/crates/core/src/decision/gateway/watched.rs
+++ b/crates/core/src/decision/gateway/watched.rs
@@ -110,6 +110,9 @@
             WatchedObject::PeerGone(host) => self.remove_peer(&host),
             WatchedObject::Limit(target, stored) => self.limit_watched(&target, Some(stored)),
             WatchedObject::LimitGone(target) => self.limit_watched(&target, None),
+            WatchedObject::Software(pool, revision, software) => {
+                self.software_settled(pool, revision, software)
+            }
         }
     }
 
@@ -131,7 +134,7 @@
     }
 
     /// Returns `true` if target entries may be missing because the watch was lost recently.
-    fn is_unsettled(&self) -> bool {
+    pub(super) fn is_unsettled(&self) -> bool {
         const SETTLE_TIME: std::time::Duration = std::time::Duration::from_millis(2_000);
         self.watch_start
             .is_none_or(|since| self.now.since(since) < SETTLE_TIME)
@@ -161,6 +164,9 @@
             Purpose::Announce | Purpose::Announced => self.announcement_answered(answer),
             Purpose::Retire(id) => self.removal_answered(&id, &answer),
             Purpose::Limit(target) => self.limit_stored(&target, &answer),
+            Purpose::FindStream(call, pool) => self.stream_found(call, &pool, answer),
+            Purpose::RecordStream(call, id) => self.stream_recorded(call, id, &answer),
+            Purpose::Settle(pool) => self.settle_answered(&pool),
             Purpose::Leave | Purpose::Forget => {}
         }
     }
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -156,6 +156,9 @@
     PermitsGranted = (615, Info, "permits_granted", "permits for a limited target were requested"),
     /// A process that gives permits did not answer. Fields: `target`, `granter`.
     GranterSilent = (616, Warn, "granter_silent", "a process that gives permits did not answer"),
+    /// The software version at which unrecorded streams of a pool began is stored. Fields: `pool`,
+    /// `software`, `before`, `revision`.
+    SoftwareSettled = (617, Info, "software_settled", "the software version of unrecorded streams of a pool is stored"),
     /// A trainer announced a version. Fields: `model`, `version`.
     VersionNamed = (620, Info, "version_named", "a trainer announced a version of the weights"),
     /// A target was ordered to load a version. Fields: `target`, `version`, `fence`.
@@ -199,6 +202,11 @@
     RequestRefused = (651, Warn, "request_refused", "a request is refused"),
     /// An attempt of a request failed. Fields: `request`, `attempt`, `target`, `error`.
     AttemptFailed = (652, Warn, "attempt_failed", "an attempt of a request failed"),
+    /// A stream began, or went on at another target. Fields: `request`, `target`, `software`, `after`,
+    /// `resumes`.
+    StreamSent = (653, Info, "stream_sent", "a stream begins or goes on at a target"),
+    /// A stream ended before its last event. Fields: `request`, `events`, `error`.
+    StreamBroken = (654, Warn, "stream_broken", "a stream ended before its last event"),
     /// Log events were dropped. Fields: `count`.
     EventsLeftOut = (690, Warn, "events_left_out", "log events were dropped because there were too many"),
 }
--- a/crates/core/src/domain/name.rs
+++ b/crates/core/src/domain/name.rs
@@ -72,6 +72,10 @@
     /// Name of a target, which is one replica of a model engine or of a plain service.
     TargetName
 );
+name_type!(
+    /// Id of the request that began a stream.
+    StreamId
+);
 name_type!(
     /// Version of the software of a target, which is independent of its weight versions. Versions
     /// have no order.
--- a/crates/core/src/domain/table.rs
+++ b/crates/core/src/domain/table.rs
@@ -59,10 +59,20 @@
     Safe,
     /// A request may run at most once.
     Unsafe,
+    /// A request is answered by a stream of events.
+    Stream(StreamSettings),
     /// Requests are submissions of batch jobs.
     Batch(BatchSettings),
 }
 
+/// Settings for the streams of a route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StreamSettings {
+    /// True if a stream may go on at another target after its last event. Otherwise a request runs
+    /// at most once.
+    pub resumable: bool,
+}
+
 /// Settings for the batch jobs of a route.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BatchSettings {
@@ -163,7 +173,15 @@
     pub fn batch_settings(&self) -> Option<BatchSettings> {
         match self.kind {
             RouteKind::Batch(settings) => Some(settings),
-            RouteKind::Safe | RouteKind::Unsafe => None,
+            RouteKind::Safe | RouteKind::Unsafe | RouteKind::Stream(_) => None,
+        }
+    }
+
+    /// Returns the settings for streams, or `None` if the requests are of another kind.
+    pub fn stream_settings(&self) -> Option<StreamSettings> {
+        match self.kind {
+            RouteKind::Stream(settings) => Some(settings),
+            RouteKind::Safe | RouteKind::Unsafe | RouteKind::Batch(_) => None,
         }
     }
 
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -59,6 +59,7 @@
 use sardinepath_core::domain::table::Route;
 use sardinepath_core::domain::table::RouteKind;
 use sardinepath_core::domain::table::RouteTable;
+use sardinepath_core::domain::table::StreamSettings;
 use sardinepath_core::domain::time::Time;
 use sardinepath_core::port::object::ObjectError;
 
@@ -201,15 +202,25 @@
     })
 }
 
+fn stream_route() -> Arc<Route> {
+    Arc::new(Route {
+        name: RouteName::from("streams"),
+        prefix: Arc::from("/streams/"),
+        kind: RouteKind::Stream(StreamSettings { resumable: true }),
+        ..(*route()).clone()
+    })
+}
+
 fn table() -> Arc<RouteTable> {
     let mut table = RouteTable {
         version: 1,
         needs_key: true,
         ..RouteTable::default()
     };
-    table
-        .hosts
-        .insert(Arc::from("dreams.example"), vec![route(), score_route()]);
+    table.hosts.insert(
+        Arc::from("dreams.example"),
+        vec![route(), score_route(), stream_route()],
+    );
     Arc::new(table)
 }
 
@@ -339,12 +350,14 @@
         let heads = self.views(Kind::Heads);
         let peers = self.views(Kind::Peers);
         let limits = self.views(Kind::Limits);
+        let software = self.views(Kind::Software);
         for message in [
             Message::Changed(WatchedObject::Table(table())),
             Message::Listing(Kind::Targets, targets),
             Message::Listing(Kind::Heads, heads),
             Message::Listing(Kind::Peers, peers),
             Message::Listing(Kind::Limits, limits),
+            Message::Listing(Kind::Software, software),
         ] {
             self.send(index, STORE_LATENCY_MS, message);
         }
@@ -517,6 +530,7 @@
             let question = Question::ChooseTarget {
                 pool: PoolName::from("engines"),
                 tried: Vec::new(),
+                software: None,
             };
             let call = self.ask(index, question);
             self.nodes[index].plain_calls.push(call);
@@ -669,7 +683,7 @@
         self.nodes[index].runs.insert(run.id, target);
         let mut partial = run.partial.clone();
         if partial.events == 0 {
-            partial.software = Some(run.software.clone());
+            partial.software = Some(run.target.software.clone());
         }
         let interval = self.generation_ms / GENERATION_EVENTS;
         let first_attempt = self.starts[&run.item.id].len() == 1;
@@ -680,7 +694,7 @@
         let begun = partial.events;
         while partial.events < last {
             let next = partial.events + 1;
-            let text = run.software.as_str();
+            let text = run.target.software.as_str();
             run.versions.push(&mut partial, next, 1, text).unwrap();
             let progress = Message::RunProgress(run.id, partial.clone());
             self.send(index, (next - begun) * interval, progress);
@@ -800,7 +814,7 @@
     fn put(&mut self, kind: Kind, name: Arc<str>, record: Record) -> Result<Answer, ObjectError> {
         self.revision += 1;
         let revision = self.revision;
-        let view = view(&name, revision, &record);
+        let view = view(kind, &name, revision, &record);
         self.store.insert((kind, name), (revision, record));
         for index in 0..self.nodes.len() {
             if self.nodes[index].fault != StoreFault::Unavailable {
@@ -825,7 +839,7 @@
     fn views(&self, kind: Kind) -> Vec<WatchedObject> {
         let objects = self.store.iter().filter(|((of, _), _)| *of == kind);
         objects
-            .filter_map(|((_, name), (at, record))| view(name, *at, record))
+            .filter_map(|((_, name), (at, record))| view(kind, name, *at, record))
             .collect()
     }
 
@@ -836,7 +850,7 @@
     }
 }
 
-fn view(name: &str, revision: u64, record: &Record) -> Option<WatchedObject> {
+fn view(kind: Kind, name: &str, revision: u64, record: &Record) -> Option<WatchedObject> {
     match record {
         Record::Head(head) => Some(WatchedObject::Head(
             BatchId::from(name),
@@ -844,6 +858,11 @@
             head.clone(),
         )),
         Record::Peer(peer) => Some(WatchedObject::Peer(peer.clone())),
+        Record::Software(record) if kind == Kind::Software => {
+            let pool = PoolName::from(name);
+            let software = record.software.clone();
+            Some(WatchedObject::Software(pool, Revision(revision), software))
+        }
         Record::Limit(limit) => Some(WatchedObject::Limit(TargetName::from(name), *limit)),
         _ => None,
     }
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -340,10 +340,10 @@
     }
     tokio::spawn(async move {
         for event in last_event + 1..=GENERATION_EVENTS {
+            sleep(interval).await;
             if last_event == 0 && break_after.is_some_and(|last| event > last) {
                 return sender.abort("the target breaks the stream").await;
             }
-            sleep(interval).await;
             let event = format!("id: {event}\ndata: {}\n\n", target.software);
             if sender.send(Bytes::from(event)).await.is_err() {
                 return;
