Give up answers without end within bounded memory and time

What callers saw: nothing yet; a target that sends bytes until the connection closes could hold up to 32 MB for each plain answer being read, without a common bound, a generation with ever more bytes ran on while they came, and a body in tiny parts was read for the whole time of the call.

Cause: limits stood on single answers and counted only bytes of data, and a generation had a limit only on single events.

--- a/crates/adapters/src/web/mod.rs
+++ b/crates/adapters/src/web/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 client and server with persistent connections, for calls to and from the gateway.
 
+mod buffer;
 mod pool;
 mod serve;
 mod streamed;
--- a/crates/adapters/src/web/pool.rs
+++ b/crates/adapters/src/web/pool.rs
@@ -11,8 +11,6 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::header::CONNECTION;
-use http_body_util::BodyExt;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -23,6 +21,7 @@
 use tokio::time::timeout;
 
 use crate::web::Body;
+use crate::web::buffer::BufferBudget;
 use crate::web::set_socket_options;
 
 /// Time limit for opening a connection.
@@ -39,6 +38,9 @@
 /// exchange, unless the server answered before it had read the whole request.
 const READY_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Maximum size of the head of a response, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_CONNECTIONS: usize = 16;
 
@@ -57,6 +59,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>>,
+    /// Memory for the bodies of responses.
+    buffers: BufferBudget,
 }
 
 /// Connection that waits for its next request.
@@ -221,17 +225,18 @@
 impl UnreadResponse {
     /// Reads the complete body, and returns the connection to the pool.
     ///
-    /// Fails if the body is larger than `max_bytes` or incomplete.
+    /// Fails if the body is larger than `max_bytes` or incomplete, or if too many bytes of all
+    /// responses are being read.
     pub async fn read(self, max_bytes: usize) -> Result<(http::response::Parts, Bytes), SendError> {
         let UnreadResponse {
             head,
             body,
             connection,
         } = self;
-        let read = Limited::new(body, max_bytes).collect().await;
-        let body = read.map_err(|e| SendError::MayHaveArrived(e.to_string()))?;
+        let read = connection.pool.buffers.read(body, max_bytes).await;
+        let body = read.map_err(SendError::MayHaveArrived)?;
         connection.release(&head.headers);
-        Ok((head, body.to_bytes()))
+        Ok((head, body))
     }
 
     /// Returns the head, the body and a function that returns the connection to the pool.
@@ -287,7 +292,9 @@
         connected.map_err(|_| not_sent(format!("no connection within {CONNECT_TIMEOUT:?}")))?;
     let stream = stream.map_err(|e| not_sent(e.to_string()))?;
     set_socket_options(&stream);
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_HEAD_BYTES);
+    let handshake = builder.handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|e| not_sent(e.to_string()))?;
     tokio::spawn(async move {
         if let Err(e) = connection.await {
