Split the simulation of gateways and its tests

The store, the requests and the fixtures of the simulation move to files of their own, and so do the tests of watch sources (4) and of reads (1).

--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -12,11 +12,9 @@
 use proptest::prelude::prop;
 use proptest::prop_oneof;
 use proptest::proptest;
-use sardinepath_core::decision::gateway::message::FeedEnd;
 use sardinepath_core::decision::gateway::message::Message;
 use sardinepath_core::decision::gateway::message::Question;
 use sardinepath_core::decision::gateway::message::Reply;
-use sardinepath_core::decision::gateway::message::Source;
 use sardinepath_core::decision::gateway::stored::Kind;
 use sardinepath_core::decision::gateway::stored::WatchedObject;
 use sardinepath_core::domain::ids::WeightVersion;
@@ -516,92 +514,6 @@
     assert_eq!(sim.objects(), 0);
 }
 
-fn watchers(sim: &Simulation) -> BTreeSet<usize> {
-    let nodes = sim.nodes.iter().enumerate();
-    let watching = nodes.filter(|(_, node)| node.source == Source::Store);
-    watching.map(|(index, _)| index).collect()
-}
-
-/// Fails if silent watchers are not replaced, or if all gateways of a large fleet watch the store
-/// in their place.
-#[test]
-fn two_others_watch_when_the_watchers_are_silent() {
-    let mut sim = Simulation::new(12);
-    let before = watchers(&sim);
-
-    for node in 0..12 {
-        for lost in &before {
-            let lost = Message::FeedLost(address(*lost), FeedEnd::Unresponsive);
-            sim.message(node, lost);
-        }
-    }
-    sim.run(100);
-    let after = watchers(&sim);
-
-    assert_eq!(before.len(), 2);
-    // The silent watchers still count themselves as watchers.
-    assert_eq!(after.difference(&before).count(), 2, "{before:?} {after:?}");
-}
-
-/// Fails if a gateway searches for a watcher longer than the propagation of a change may take.
-#[test]
-fn a_gateway_that_finds_no_watcher_watches_itself() {
-    let mut sim = Simulation::new(12);
-    let watching = watchers(&sim);
-    let blind = (0..12).find(|node| !watching.contains(node)).unwrap();
-
-    for _ in 0..10 {
-        if let Some(other) = sim.nodes[blind].source.peer() {
-            sim.message(blind, Message::FeedLost(other, FeedEnd::Disconnected));
-        }
-        sim.run(100);
-    }
-
-    assert_eq!(sim.nodes[blind].source, Source::Store);
-}
-
-/// Fails if a follower leaves a working source when the exclusion of another one ends.
-#[test]
-fn a_follower_stays_where_it_gets_objects() {
-    let mut sim = Simulation::new(12);
-    let watching = watchers(&sim);
-    let follower = (0..12).find(|node| !watching.contains(node)).unwrap();
-    let mut tries = 0;
-    while let Some(other) = sim.nodes[follower].source.peer()
-        && watching.iter().any(|node| address(*node) == other)
-    {
-        sim.message(follower, Message::FeedLost(other, FeedEnd::Disconnected));
-        sim.run(100);
-        tries += 1;
-        assert!(tries < 9, "no other gateway is asked");
-    }
-    let found = sim.nodes[follower].source;
-    sim.message(follower, Message::WatchContact(Kind::Heads, true));
-
-    sim.run(4_000);
-
-    assert!(found.peer().is_some());
-    assert_eq!(sim.nodes[follower].source, found);
-}
-
-/// Fails if a gateway without access to the store follows a gateway that does not watch it.
-#[test]
-fn a_gateway_without_the_store_follows_a_watcher() {
-    let mut sim = Simulation::new(12);
-    let watching = watchers(&sim);
-    let cut = (0..12).find(|node| !watching.contains(node)).unwrap();
-
-    sim.message(cut, Message::StoreProbed(false));
-    sim.run(1_000);
-
-    let addresses: Vec<_> = watching.iter().map(|node| address(*node)).collect();
-    let source = sim.nodes[cut].source;
-    assert!(
-        matches!(source, Source::StandIn(a) if addresses.contains(&a)),
-        "{source:?}"
-    );
-}
-
 /// Fails if a window is reported with different counts, or by two gateways with one fencing token.
 #[test]
 fn a_window_is_reported_once() {
@@ -683,52 +595,3 @@
         }
     }
 }
-
-/// Fails if a gateway that took over a job from a frozen one says that there is no result at a
-/// position that the other one listed as it woke.
-#[test]
-fn results_of_a_former_runner_are_not_denied() {
-    let mut woken = 0;
-    let moments = (480..640).step_by(20);
-    for (frozen_after, frozen) in
-        moments.flat_map(|at| [2_300, 2_500, 2_700, 2_900].map(|f| (at, f)))
-    {
-        let mut sim = Simulation::new(3);
-        sim.submit(0, 24);
-        sim.run(300);
-        let runner = (0..3).find(|i| sim.runs_jobs(*i)).unwrap();
-        sim.run(frozen_after);
-        sim.nodes[runner].frozen = true;
-        sim.nodes[runner].watch_lag = 4_000;
-        let before = sim.listed().len();
-        sim.run(frozen);
-        sim.nodes[runner].frozen = false;
-        sim.run(100);
-        let listed = sim.listed().len();
-        if listed == before {
-            continue;
-        }
-        woken += 1;
-
-        for index in 0..3 {
-            let call = sim.ask(index, read_from(listed - 1));
-            sim.run(100);
-
-            let reply = sim.reply(index, call);
-            let denied = matches!(reply, Some(Reply::Results(_, _, found)) if found.is_empty());
-            assert!(!denied, "gateway {index} denies position {}", listed - 1);
-        }
-    }
-    assert!(woken > 0, "no gateway listed results as it woke");
-}
-
-/// Returns a question for the results from a position on.
-fn read_from(after: usize) -> Question {
-    Question::Read {
-        id: batch_id(),
-        workspace: workspace(),
-        after,
-        wait: Duration::ZERO,
-        local: true,
-    }
-}
--- /dev/null
+++ b/crates/core/tests/gateway_support/traffic.rs
@@ -0,0 +1,259 @@
+//! Requests between gateways, to targets and from callers in the simulation.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use sardinepath_core::decision::batch::RunEnd;
+use sardinepath_core::decision::directory::CallEnd;
+use sardinepath_core::decision::directory::Choice;
+use sardinepath_core::decision::gateway::message::CallId;
+use sardinepath_core::decision::gateway::message::Message;
+use sardinepath_core::decision::gateway::message::Pong;
+use sardinepath_core::decision::gateway::message::Question;
+use sardinepath_core::decision::gateway::message::Reply;
+use sardinepath_core::decision::gateway::message::RunRequest;
+use sardinepath_core::decision::gateway::stored::Kind;
+use sardinepath_core::decision::gateway::stored::Record;
+use sardinepath_core::decision::gateway::stored::WatchedObject;
+use sardinepath_core::decision::lease::Permit;
+use sardinepath_core::decision::permit::PermitRequest;
+use sardinepath_core::decision::weights::Load;
+use sardinepath_core::decision::weights::OrderEnd;
+use sardinepath_core::domain::fleet::TargetEntry;
+use sardinepath_core::domain::ids::Incarnation;
+use sardinepath_core::domain::limit::LimitStatement;
+use sardinepath_core::domain::limit::RequestLimit;
+use sardinepath_core::domain::name::HostName;
+use sardinepath_core::domain::name::PoolName;
+use sardinepath_core::domain::name::SoftwareVersion;
+use sardinepath_core::domain::name::TargetName;
+use sardinepath_core::domain::time::Time;
+
+use crate::gateway_support::STEP_MS;
+use crate::gateway_support::STORE_LATENCY_MS;
+use crate::gateway_support::Simulation;
+use crate::gateway_support::StoreFault;
+use crate::gateway_support::fixtures::address;
+use crate::gateway_support::fixtures::host;
+use crate::gateway_support::fixtures::target;
+
+/// Timeout of a request for permits in milliseconds.
+const PERMIT_TIMEOUT_MS: u64 = 240;
+
+/// Number of events in a generation.
+pub const GENERATION_EVENTS: u64 = 10;
+
+/// Request of a gateway to another one for permits.
+pub(super) struct PermitCall {
+    asker: usize,
+    granter: usize,
+    call: CallId,
+    target: TargetName,
+    timeout: u64,
+}
+
+impl Simulation {
+    /// Passes a request for permits on to the granter, which does not get it if it is cut off.
+    pub(super) fn ask_permits(
+        &mut self,
+        asker: usize,
+        granter: SocketAddr,
+        request: PermitRequest,
+    ) {
+        let granter = (0..self.nodes.len())
+            .find(|i| address(*i) == granter)
+            .unwrap();
+        let target = request.target.clone();
+        let reachable = !self.nodes[asker].cut && !self.nodes[granter].cut;
+        self.next_call += 1;
+        let call = CallId(self.next_call);
+        if reachable {
+            let message = Message::Ask(call, Question::GrantPermits(request));
+            self.send(granter, STEP_MS, message);
+        }
+        self.permit_calls.push(PermitCall {
+            asker,
+            granter,
+            call,
+            target,
+            timeout: self.now + PERMIT_TIMEOUT_MS,
+        });
+    }
+
+    /// Passes the answers to requests for permits on to the askers.
+    pub(super) fn answer_permits(&mut self) {
+        for ask in std::mem::take(&mut self.permit_calls) {
+            let granter = address(ask.granter);
+            let reply = self.nodes[ask.granter].replies.remove(&ask.call);
+            let grant = match reply {
+                Some(Reply::Permits(grant)) => Some(grant),
+                _ if self.now < ask.timeout => {
+                    self.permit_calls.push(ask);
+                    continue;
+                }
+                _ => None,
+            };
+            let message = Message::PermitsAnswered(ask.target, granter, grant);
+            self.send(ask.asker, 0, message);
+        }
+    }
+
+    /// Asks for the target of a plain request if the next one is due.
+    pub(super) fn ask_plain(&mut self, index: usize) {
+        let due = self.plain_interval.is_some_and(|interval| {
+            let offset = u64::try_from(index).unwrap() * STEP_MS;
+            (self.now + offset) % interval < STEP_MS
+        });
+        if due && self.nodes[index].gateway.is_some() {
+            let question = Question::ChooseTarget {
+                pool: PoolName::from("engines"),
+                tried: Vec::new(),
+                software: None,
+            };
+            let call = self.ask(index, question);
+            self.nodes[index].plain_calls.push(call);
+        }
+    }
+
+    /// Sends the plain requests whose target was chosen.
+    pub(super) fn send_plain(&mut self, index: usize) {
+        for call in std::mem::take(&mut self.nodes[index].plain_calls) {
+            match self.nodes[index].replies.remove(&call) {
+                Some(Reply::Target(choice)) => {
+                    self.arrive(index, &choice);
+                    let ended = Message::RequestEnded(choice.name, CallEnd::Answered);
+                    self.send(index, STEP_MS, ended);
+                }
+                Some(_) => {}
+                None => self.nodes[index].plain_calls.push(call),
+            }
+        }
+    }
+
+    /// Records a request at a target, whose answer states the request limit of the target.
+    pub(super) fn arrive(&mut self, index: usize, choice: &Choice) {
+        self.arrivals.push((self.now, choice.name.clone()));
+        let statement = match self.limits.get(&choice.name) {
+            Some(limit) => LimitStatement::Limited(RequestLimit::new(*limit).unwrap()),
+            None if choice.limited => LimitStatement::Unlimited,
+            None => return,
+        };
+        let stated = Message::LimitStated(choice.name.clone(), statement);
+        self.send(index, STEP_MS, stated);
+    }
+
+    /// Returns `true` if a gateway has generations or scoring requests that have not ended.
+    pub fn runs_jobs(&self, index: usize) -> bool {
+        !self.nodes[index].runs.is_empty()
+    }
+
+    /// Returns the largest number of requests that a target got in a window of this length after a
+    /// time.
+    pub fn most_arrivals(&self, target: &str, since: u64, window: u64) -> usize {
+        let times = || {
+            let of = |(at, name): &&(u64, TargetName)| *at >= since && name.as_str() == target;
+            self.arrivals.iter().filter(of).map(|(at, _)| *at)
+        };
+        let within = |start: u64| {
+            times()
+                .filter(|at| (start..start + window).contains(at))
+                .count()
+        };
+        times().map(within).max().unwrap_or(0)
+    }
+
+    /// Accepts an order whose permit is still valid.
+    pub(super) fn order(&mut self, index: usize, load: Load, permit: Permit) {
+        if permit.allows(Time(self.now)) {
+            self.orders.push((index, permit.fence.0, self.now));
+        }
+        let ended = Message::OrderEnded(load.target, OrderEnd::Accepted);
+        self.send(index, STEP_MS, ended);
+    }
+
+    /// Runs a generation. The text of each event is the software version of the target.
+    pub(super) fn generate(&mut self, index: usize, run: &RunRequest) {
+        let starts = self.starts.entry(run.item.id.clone()).or_default();
+        starts.push(self.now);
+        self.arrive(index, &run.target);
+        let target = run.target.name.clone();
+        self.nodes[index].runs.insert(run.id, target);
+        let mut partial = run.partial.clone();
+        if partial.events == 0 {
+            partial.software = Some(run.target.software.clone());
+        }
+        let interval = self.generation_ms / GENERATION_EVENTS;
+        let first_attempt = self.starts[&run.item.id].len() == 1;
+        let last = match self.break_after {
+            Some(events) if first_attempt => events,
+            _ => GENERATION_EVENTS,
+        };
+        let begun = partial.events;
+        while partial.events < last {
+            let next = partial.events + 1;
+            let text = run.target.software.as_str();
+            run.versions.push(&mut partial, next, 1, text).unwrap();
+            let progress = Message::RunProgress(run.id, partial.clone());
+            self.send(index, (next - begun) * interval, progress);
+        }
+        let end = match last {
+            GENERATION_EVENTS => RunEnd::Complete,
+            _ => RunEnd::Broken("the target closed the stream".to_owned()),
+        };
+        let delay = (last - begun) * interval;
+        self.send(index, delay, Message::RunEnded(run.id, end, partial));
+    }
+
+    /// Replaces the targets by ones with these software versions, which have names of their own if
+    /// they are `later`.
+    pub fn set_targets(&mut self, later: bool, software: &[&str]) {
+        let first = if later { 4 } else { 0 };
+        let entry = |(index, software): (usize, &&str)| TargetEntry {
+            software: SoftwareVersion::from(*software),
+            ..target(first + index)
+        };
+        self.targets = software.iter().enumerate().map(entry).collect();
+        for index in 0..self.nodes.len() {
+            let targets = self
+                .targets
+                .iter()
+                .cloned()
+                .map(WatchedObject::Target)
+                .collect();
+            let listing = Message::Listing(Kind::Targets, targets);
+            self.send(index, STORE_LATENCY_MS, listing);
+        }
+    }
+
+    /// Returns the texts of the results in the store.
+    pub fn texts(&self) -> Vec<Arc<str>> {
+        let pages = self.store.values().filter_map(|(_, record)| match record {
+            Record::Page(page) => Some(page),
+            _ => None,
+        });
+        let outcomes = pages.flat_map(|page| &page.outcomes);
+        outcomes.map(|outcome| outcome.text.clone()).collect()
+    }
+
+    pub(super) fn load(&self, index: usize) -> BTreeMap<TargetName, u32> {
+        let mut load = BTreeMap::new();
+        for target in self.nodes[index].runs.values() {
+            *load.entry(target.clone()).or_default() += 1;
+        }
+        load
+    }
+
+    pub(super) fn pong(&self, name: &HostName) -> Option<Pong> {
+        let index = (0..self.nodes.len()).find(|i| host(*i) == *name)?;
+        let node = &self.nodes[index];
+        let alive = node.gateway.is_some() && !node.frozen;
+        let incarnation = u64::try_from(index).unwrap() * 1_000 + node.incarnation;
+        let unavailable = node.fault == StoreFault::Unavailable;
+        alive.then(|| Pong {
+            incarnation: Incarnation(incarnation),
+            silence: if unavailable { 60_000 } else { 0 },
+            load: self.load(index),
+        })
+    }
+}
