Keep permits of limited targets for callers apart from those for items

What callers saw: while all targets of a pool were limited and items of a job waited, a gateway that gave the permits itself refused all plain requests (0 of 40 served in virtual time).

Cause: the pause after a request for permits was kept per target. Items ask all the time and are told to wait until one permit is left over for callers; the same pause then applied to the callers. A permit that came for a caller could also be taken by an item.

Change: requests for permits and the permits themselves are kept apart for requests that can wait and for others, which may use both.

--- a/crates/core/src/decision/directory/limits.rs
+++ b/crates/core/src/decision/directory/limits.rs
@@ -47,8 +47,18 @@
 #[derive(Debug)]
 struct Known {
     statement: Statement,
-    permits: u32,
-    permits_until: Time,
+    permits: Permits,
+}
+
+/// Permits for a target.
+#[derive(Clone, Copy, Debug, Default)]
+struct Permits {
+    /// Number of permits for requests that cannot wait.
+    urgent: u32,
+    /// Number of permits for any request.
+    any: u32,
+    /// Time until which they can be used.
+    until: Time,
 }
 
 impl Limits {
@@ -76,8 +86,7 @@
             None => {
                 let known = Known {
                     statement,
-                    permits: 0,
-                    permits_until: Time::default(),
+                    permits: Permits::default(),
                 };
                 self.known.insert(target.clone(), known);
             }
@@ -90,26 +99,35 @@
         self.known.remove(target);
     }
 
-    /// Adds permits for requests to a limited target.
-    pub fn add_permits(&mut self, now: Time, target: &TargetName, count: u32) {
-        if let Some(known) = self.known.get_mut(target) {
-            known.permits = known.valid_permits(now) + count;
-            known.permits_until = now + PERMIT_VALIDITY;
+    /// Adds permits for requests to a limited target, which can wait if they are `deferrable`.
+    pub fn add_permits(&mut self, now: Time, target: &TargetName, count: u32, deferrable: bool) {
+        let Some(known) = self.known.get_mut(target) else {
+            return;
+        };
+        let permits = &mut known.permits;
+        if now >= permits.until {
+            *permits = Permits::default();
+        }
+        permits.until = now + PERMIT_VALIDITY;
+        if deferrable {
+            permits.any += count;
+        } else {
+            permits.urgent += count;
         }
     }
 
     /// Returns `true` if the target has no limit or this process has a permit for it.
-    pub(super) fn may_send(&self, now: Time, entry: &TargetEntry) -> bool {
+    pub(super) fn may_send(&self, now: Time, entry: &TargetEntry, deferrable: bool) -> bool {
         self.listed
             && self
                 .limited(entry)
-                .is_none_or(|known| known.valid_permits(now) > 0)
+                .is_none_or(|known| known.permits.allow(now, deferrable))
     }
 
     /// Returns `true` if the target has a limit and this process has no permit for it.
-    pub(super) fn needs_permit(&self, now: Time, entry: &TargetEntry) -> bool {
+    pub(super) fn needs_permit(&self, now: Time, entry: &TargetEntry, deferrable: bool) -> bool {
         self.limited(entry)
-            .is_some_and(|known| known.valid_permits(now) == 0)
+            .is_some_and(|known| !known.permits.allow(now, deferrable))
     }
 
     /// Returns `true` if the target has a limit that it should confirm.
@@ -118,12 +136,17 @@
     }
 
     /// Uses a permit for a request. Returns `true` if the target has a limit.
-    pub(super) fn use_permit(&mut self, entry: &TargetEntry) -> bool {
+    pub(super) fn use_permit(&mut self, entry: &TargetEntry, deferrable: bool) -> bool {
         if self.limited(entry).is_none() {
             return false;
         }
         if let Some(known) = self.known.get_mut(&entry.name) {
-            known.permits = known.permits.saturating_sub(1);
+            let permits = &mut known.permits;
+            if !deferrable && permits.urgent > 0 {
+                permits.urgent -= 1;
+            } else {
+                permits.any = permits.any.saturating_sub(1);
+            }
         }
         true
     }
@@ -147,15 +170,14 @@
 }
 
 impl Known {
-    fn valid_permits(&self, now: Time) -> u32 {
-        if now < self.permits_until {
-            self.permits
-        } else {
-            0
-        }
-    }
-
     fn is_old(&self, now: Time) -> bool {
         now.since(self.statement.heard) >= REFRESH_AGE
     }
 }
+
+impl Permits {
+    /// Returns `true` if a request may be sent, which can wait if it is `deferrable`.
+    fn allow(self, now: Time, deferrable: bool) -> bool {
+        now < self.until && (self.any > 0 || (!deferrable && self.urgent > 0))
+    }
+}
--- a/crates/core/src/decision/directory/mod.rs
+++ b/crates/core/src/decision/directory/mod.rs
@@ -69,6 +69,8 @@
     pub excluded: Vec<TargetName>,
     /// Target that has a part of the prompt cached.
     pub preferred: Option<TargetName>,
+    /// `true` if the request can wait, so that it leaves permits for limited targets to others.
+    pub deferrable: bool,
     /// `true` if the target must have a free slot.
     pub free_slot: bool,
     /// `true` if a target that is paused after a failure may be chosen too.
@@ -220,7 +222,9 @@
     ) -> Option<Choice> {
         let median = self.median_pace(pool);
         let limits = &self.limits;
-        let fits = |t: &&Target| t.fits(now, pool, need) && limits.may_send(now, &t.entry);
+        let fits = |t: &&Target| {
+            t.fits(now, pool, need) && limits.may_send(now, &t.entry, need.deferrable)
+        };
         let cost = |t: &Target| t.cost(median, need, centre) + limits.cost(now, &t.entry);
         let cost = |t| (cost(t), t);
         let fitting = self.targets.values().filter(fits).map(cost);
@@ -228,7 +232,7 @@
         let name = best.entry.name.clone();
         let target = self.targets.get_mut(&name)?;
         target.running += 1;
-        let limited = self.limits.use_permit(&target.entry);
+        let limited = self.limits.use_permit(&target.entry, need.deferrable);
         Some(Choice {
             name,
             address: target.entry.address,
@@ -250,7 +254,9 @@
         let median = self.median_pace(pool);
         let targets = self.targets.values();
         let mut fitting: Vec<_> = targets
-            .filter(|t| self.limits.needs_permit(now, &t.entry) && t.fits(now, pool, need))
+            .filter(|t| {
+                self.limits.needs_permit(now, &t.entry, need.deferrable) && t.fits(now, pool, need)
+            })
             .map(|t| (t.cost(median, need, centre), t.entry.name.clone()))
             .collect();
         fitting.sort_by(|(a, _), (b, _)| a.total_cmp(b));
@@ -272,7 +278,7 @@
             .filter_map(|name| self.targets.get(name));
         let found = targets.find(|t| {
             limits.needs_refresh(now, &t.entry)
-                && limits.needs_permit(now, &t.entry)
+                && limits.needs_permit(now, &t.entry, need.deferrable)
                 && t.fits(now, pool, need)
         });
         found.map(|t| t.entry.name.clone())
@@ -348,7 +354,9 @@
         let mut targets = self.targets.values();
         let limits = &self.limits;
         targets.any(|t| {
-            t.fits(now, &slow.pool, &need) && limits.may_send(now, &t.entry) && !t.is_slow(median)
+            t.fits(now, &slow.pool, &need)
+                && limits.may_send(now, &t.entry, true)
+                && !t.is_slow(median)
         })
     }
 
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -16,7 +16,6 @@
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::jobs::Work;
 use crate::decision::gateway::jobs::find_route;
-use crate::decision::gateway::limit::PermitNeed;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::RunRequest;
 use crate::domain::batch::Head;
@@ -232,16 +231,17 @@
             software: task.software.clone(),
             excluded: task.avoid.clone(),
             preferred: prefer,
+            deferrable: true,
             free_slot: true,
             allow_paused: false,
             seed: self.settings.seed,
         };
-        let choice = self.choose_permitted(pool, &need, PermitNeed::Deferrable);
+        let choice = self.choose_permitted(pool, &need);
         if choice.is_some() || need.excluded.is_empty() {
             return choice;
         }
         need.excluded.clear();
-        self.choose_permitted(pool, &need, PermitNeed::Deferrable)
+        self.choose_permitted(pool, &need)
     }
 
     /// Sends the scoring request of a generated text.
@@ -268,11 +268,12 @@
         let table = self.table.clone()?;
         let route = table.route(&scorer.host, &scorer.path)?;
         let need = TargetNeeds {
+            deferrable: true,
             seed: self.settings.seed,
             ..TargetNeeds::default()
         };
         let pool = route.pool(random)?;
-        self.choose_permitted(pool, &need, PermitNeed::Deferrable)
+        self.choose_permitted(pool, &need)
     }
 
     /// Returns the number of failed scoring requests after which an item is given up.
--- a/crates/core/src/decision/gateway/limit.rs
+++ b/crates/core/src/decision/gateway/limit.rs
@@ -50,8 +50,9 @@
 pub(super) struct Permits {
     /// Permits that this process can give.
     pub(super) buckets: BTreeMap<TargetName, Bucket>,
-    /// Requests for permits to other processes.
-    pub(super) requests: BTreeMap<TargetName, Request>,
+    /// Requests for permits, for requests that can wait (`true`) and for others apart, since items
+    /// get none while there is still one for a caller.
+    pub(super) requests: BTreeMap<(TargetName, bool), Request>,
     /// Granters that did not answer, with the end of the exclusion.
     pub(super) silent: BTreeMap<SocketAddr, Time>,
     /// Limits that this process has to store or delete.
@@ -65,9 +66,9 @@
     Paused(Time),
 }
 
-/// Urgency of the requests for which permits are needed.
+/// Purpose of a request for permits.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum PermitNeed {
+enum PermitNeed {
     /// A caller waits.
     Urgent,
     /// Items of a job, of which several may wait.
@@ -92,7 +93,6 @@
         &mut self,
         pool: &PoolName,
         need: &TargetNeeds,
-        urgency: PermitNeed,
     ) -> Option<Choice> {
         self.refresh_limit(pool, need);
         let centre = self.settings.centre.clone();
@@ -100,9 +100,13 @@
             return Some(choice);
         }
         let limited = self.directory.without_permit(self.now, pool, need, &centre);
+        let purpose = match need.deferrable {
+            true => PermitNeed::Deferrable,
+            false => PermitNeed::Urgent,
+        };
         let granted = limited
             .iter()
-            .any(|target| self.request_permits(target, urgency));
+            .any(|target| self.request_permits(target, purpose));
         granted
             .then(|| self.directory.choose(self.now, pool, need, &centre))
             .flatten()
@@ -124,9 +128,11 @@
     }
 
     /// Requests permits for a target. Returns `true` if this process is the granter and gave some.
-    fn request_permits(&mut self, target: &TargetName, urgency: PermitNeed) -> bool {
+    fn request_permits(&mut self, target: &TargetName, purpose: PermitNeed) -> bool {
         let now = self.now;
-        match self.permits.requests.get(target) {
+        let deferrable = purpose != PermitNeed::Urgent;
+        let key = (target.clone(), deferrable);
+        match self.permits.requests.get(&key) {
             Some(Request::Sent) => return false,
             Some(Request::Paused(until)) if now < *until => return false,
             _ => {}
@@ -137,25 +143,25 @@
         let request = PermitRequest {
             target: target.clone(),
             known: aged(known, now),
-            count: match urgency {
+            count: match purpose {
                 PermitNeed::Urgent | PermitNeed::Refresh => 1,
                 PermitNeed::Deferrable => DEFERRABLE_PERMITS,
             },
-            deferrable: urgency != PermitNeed::Urgent,
+            deferrable,
         };
         match self.granter(target) {
             Granter::Local(_) => {
                 // Permits that are not used expire, so this process takes them one by one.
-                let grant = self.grant_permits(&PermitRequest {
+                let request = PermitRequest {
                     count: 1,
                     ..request
-                });
-                self.accept_grant(target, &grant);
+                };
+                let grant = self.grant_permits(&request);
+                self.accept_grant(&request, &grant);
                 grant.count > 0
             }
             Granter::Remote(address) => {
-                let requests = &mut self.permits.requests;
-                requests.insert(target.clone(), Request::Sent);
+                self.permits.requests.insert(key, Request::Sent);
                 self.effects.push(Effect::AskPermits(address, request));
                 false
             }
@@ -242,11 +248,15 @@
     /// Handles the answer of another process to a request for permits.
     pub(super) fn permits_answered(
         &mut self,
-        target: &TargetName,
+        request: &PermitRequest,
         granter: SocketAddr,
         grant: Option<PermitGrant>,
     ) {
-        self.permits.requests.remove(target);
+        let target = &request.target;
+        if request.count > 0 {
+            let key = (target.clone(), request.deferrable);
+            self.permits.requests.remove(&key);
+        }
         let Some(grant) = grant else {
             let until = self.now + SILENCE_EXCLUSION;
             self.permits.silent.insert(granter, until);
@@ -258,22 +268,24 @@
             return;
         };
         self.learn_limit(target, grant.known, "granter");
-        self.accept_grant(target, &grant);
-        if grant.count > 0 || grant.known.limit.is_none() {
+        self.accept_grant(request, &grant);
+        if request.deferrable && (grant.count > 0 || grant.known.limit.is_none()) {
             self.dispatch();
         }
     }
 
-    /// Adds the permits of a grant, or pauses the requests for permits if there are none.
-    fn accept_grant(&mut self, target: &TargetName, grant: &PermitGrant) {
+    /// Adds the permits of a grant, or pauses such requests for permits if there are none.
+    fn accept_grant(&mut self, request: &PermitRequest, grant: &PermitGrant) {
+        let target = &request.target;
         if grant.count > 0 {
             let limits = &mut self.directory.limits;
-            limits.add_permits(self.now, target, grant.count);
-            return;
+            limits.add_permits(self.now, target, grant.count, request.deferrable);
+        } else if request.count > 0 {
+            let pause = Duration::from_millis(grant.retry).clamp(MIN_ASK_DELAY, MAX_ASK_DELAY);
+            let key = (target.clone(), request.deferrable);
+            let paused = Request::Paused(self.now + pause);
+            self.permits.requests.insert(key, paused);
         }
-        let pause = Duration::from_millis(grant.retry).clamp(MIN_ASK_DELAY, MAX_ASK_DELAY);
-        let paused = Request::Paused(self.now + pause);
-        self.permits.requests.insert(target.clone(), paused);
     }
 
     /// Records what an answer of a target says about its request limit.
--- a/crates/core/src/decision/gateway/limit_store.rs
+++ b/crates/core/src/decision/gateway/limit_store.rs
@@ -151,7 +151,7 @@
         for target in gone {
             self.directory.limits.forget(&target);
             self.permits.buckets.remove(&target);
-            self.permits.requests.remove(&target);
+            self.permits.requests.retain(|(of, _), _| *of != target);
             if self.is_granter(&target) {
                 self.schedule_write(&target);
             }
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -62,7 +62,7 @@
     /// An answer of a target states its request limit, or no longer does.
     LimitStated(TargetName, LimitStatement),
     /// Another process answered a request for permits, or `None` if it did not.
-    PermitsAnswered(TargetName, SocketAddr, Option<PermitGrant>),
+    PermitsAnswered(PermitRequest, SocketAddr, Option<PermitGrant>),
     /// A request of a workspace started running and counts towards its usage.
     RequestStarted(WorkspaceName),
     /// A running generation has produced this text so far.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -226,8 +226,8 @@
             Message::Ask(call, question) => self.handle_question(call, question),
             Message::RequestEnded(target, end) => self.directory.release(now, &target, end),
             Message::LimitStated(target, statement) => self.limit_stated(&target, statement),
-            Message::PermitsAnswered(target, granter, grant) => {
-                self.permits_answered(&target, granter, grant)
+            Message::PermitsAnswered(request, granter, grant) => {
+                self.permits_answered(&request, granter, grant)
             }
             Message::RequestStarted(workspace) => {
                 let wall = self.wall_time();
--- a/crates/core/src/decision/gateway/plain.rs
+++ b/crates/core/src/decision/gateway/plain.rs
@@ -2,7 +2,6 @@
 
 use crate::decision::directory::TargetNeeds;
 use crate::decision::gateway::Gateway;
-use crate::decision::gateway::limit::PermitNeed;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Reply;
 use crate::domain::name::PoolName;
@@ -35,7 +34,7 @@
         };
         let mut choice = None;
         for need in [&untried, &any, &paused] {
-            choice = choice.or_else(|| self.choose_permitted(pool, need, PermitNeed::Urgent));
+            choice = choice.or_else(|| self.choose_permitted(pool, need));
         }
         let reply = match choice {
             Some(choice) => Reply::Target(choice),
--- a/crates/core/tests/gateway_limits.rs
+++ b/crates/core/tests/gateway_limits.rs
@@ -184,3 +184,24 @@
         "t0 got {lifted} requests in 2 s after its limit of zero ended"
     );
 }
+
+/// Fails if the items of a job, which can wait, take all permits, so that callers are refused.
+#[test]
+fn waiting_items_leave_permits_to_callers() {
+    for gateways in [1, 3] {
+        let mut sim = Simulation::new(gateways);
+        let limits = [("t0", 2.0), ("t1", 2.0), ("t2", 2.0), ("t3", 2.0)];
+        limit(&mut sim, &limits);
+        sim.submit(0, 200);
+        sim.run(4_000);
+
+        sim.plain_interval = Some(1_000);
+        sim.run(20_000);
+
+        let (served, refused) = (sim.plain_served, sim.plain_refused);
+        assert!(
+            refused * 10 <= served,
+            "{served} served and {refused} refused by {gateways} gateways"
+        );
+    }
+}
