Let only answers and granters lift a request limit

Cause: the deletion of a stored limit lifted it at all gateways. A deletion whose answer was lost may take effect seconds later, after the target has named a limit again, and then every gateway would send a request as if there were none.

Change: a deletion lifts nothing. A gateway that has not heard of a limit for a second asks for a permit, and learns from the granter or from the next answer that it has ended. States of writes of limits that no longer exist are dropped.

Result: the seven tests of limits pass, among them limits_that_change_or_end_are_followed.

--- a/crates/core/src/decision/gateway/limit.rs
+++ b/crates/core/src/decision/gateway/limit.rs
@@ -322,18 +322,13 @@
         }
     }
 
-    /// Handles the stored limit of a target, or its deletion. Its age is unknown, so a statement of
-    /// the last second counts as newer.
-    pub(super) fn limit_watched(&mut self, target: &TargetName, stored: Option<StoredLimit>) {
-        let known = self.directory.limits.get(target);
-        let started_at = match (stored, known) {
-            (Some(stored), _) => stored.started_at,
-            (None, Some(known)) => known.started_at,
-            (None, None) => return,
-        };
+    /// Handles the stored limit of a target. Its age is unknown, so a statement of the last second
+    /// counts as newer. A deletion lifts no limit, since it may take effect after a newer limit was
+    /// stored; the next answer of the target tells.
+    pub(super) fn limit_watched(&mut self, target: &TargetName, stored: StoredLimit) {
         let watched = AgedStatement {
-            limit: stored.map(|stored| stored.limit),
-            started_at,
+            limit: Some(stored.limit),
+            started_at: stored.started_at,
             age: u64::try_from(REFRESH_AGE.as_millis()).unwrap_or(u64::MAX),
         };
         self.learn_limit(target, watched, "store");
--- a/crates/core/src/decision/gateway/limit_store.rs
+++ b/crates/core/src/decision/gateway/limit_store.rs
@@ -84,6 +84,10 @@
         let now = self.now;
         self.permits.silent.retain(|_, until| now < *until);
         self.drop_gone_limits();
+        let limits = &self.directory.limits;
+        self.permits.writes.retain(|target, write| {
+            !matches!(write.state, WriteState::Done(_)) || limits.get(target).is_some()
+        });
         let mut calls = Vec::new();
         for (target, write) in &mut self.permits.writes {
             let WriteState::Due(at) = write.state else {
--- a/crates/core/src/decision/gateway/stored.rs
+++ b/crates/core/src/decision/gateway/stored.rs
@@ -196,8 +196,6 @@
     PeerGone(HostName),
     /// Request limit of a target.
     Limit(TargetName, StoredLimit),
-    /// Target whose request limit was lifted.
-    LimitGone(TargetName),
     /// Software version of the streams of a pool that have no record.
     Software(PoolName, Revision, SoftwareVersion),
 }
--- a/crates/core/src/decision/gateway/watched.rs
+++ b/crates/core/src/decision/gateway/watched.rs
@@ -108,8 +108,7 @@
             WatchedObject::HeadGone(id) => self.drop_job(&id),
             WatchedObject::Peer(peer) => self.insert_peer(peer),
             WatchedObject::PeerGone(host) => self.remove_peer(&host),
-            WatchedObject::Limit(target, stored) => self.limit_watched(&target, Some(stored)),
-            WatchedObject::LimitGone(target) => self.limit_watched(&target, None),
+            WatchedObject::Limit(target, stored) => self.limit_watched(&target, stored),
             WatchedObject::Software(pool, revision, software) => {
                 self.software_settled(pool, revision, software)
             }
