Give processes that run at the same time ports of their own in the soak

The log of the gateway says that its address was in use: a killed gateway's port was taken by another process before it started again.

Change: each process takes its ports from one sixteenth of the range, by its id.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -6,6 +6,7 @@
 use std::fs::OpenOptions;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::ops::Range;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -35,7 +36,10 @@
 use crate::store::json_response;
 
 /// Range of the ports on which gateways listen.
-const GATEWAY_PORTS: std::ops::Range<u16> = 20_000..32_000;
+const GATEWAY_PORTS: Range<u16> = 20_000..32_000;
+
+/// Number of parts of the range, of which each process uses one.
+const PORT_PARTS: u16 = 16;
 
 /// Accepted usage reports: window number, duty holder, fencing token and counts.
 pub type Reports = Vec<(u64, String, u64, Value)>;
@@ -200,11 +204,12 @@
 /// The port lies below the system's range of ephemeral ports: an outgoing connection could take an
 /// ephemeral port while its gateway is down, as happened with seed 120. Each port is
 /// returned only once per process, since two callers could find the same port free before either
-/// of them listens.
+/// of them listens. Processes that run at the same time use different parts of the range, since one
+/// could take the port of a gateway of another one while that is down, as happened with seed 19.
 pub fn free_address() -> anyhow::Result<SocketAddr> {
     static USED_PORTS: Mutex<BTreeSet<u16>> = Mutex::new(BTreeSet::new());
     loop {
-        let port = rand::rng().random_range(GATEWAY_PORTS);
+        let port = rand::rng().random_range(own_ports(std::process::id()));
         let mut used_ports = USED_PORTS.lock().unwrap_or_else(PoisonError::into_inner);
         if used_ports.insert(port)
             && let Ok(listener) = TcpListener::bind(("127.0.0.1", port))
@@ -213,3 +218,11 @@
         }
     }
 }
+
+/// Returns the part of the ports that a process uses.
+fn own_ports(process: u32) -> Range<u16> {
+    let part = u16::try_from(process % u32::from(PORT_PARTS)).unwrap_or(0);
+    let length = (GATEWAY_PORTS.end - GATEWAY_PORTS.start) / PORT_PARTS;
+    let start = GATEWAY_PORTS.start + part * length;
+    start..start + length
+}
