Send nothing more to a target that says in an answer that it leaves

Cause: nothing read the header with which a target states in each answer that it is leaving. A gateway that the store did not answer, or whose watch was late, went on sending requests, items and scores to it.

The directory keeps the statement with the run that made it, so it outweighs every entry until one of a later run. Gateways pass statements on with the pings of runners and their answers. A choice of a target counts for 1 s instead of 2 s. The stand-in says it, and the soak lets targets leave, with and without an entry that says so; streams of the stand-in moved to a file of their own.

--- a/crates/adapters/src/peer/mod.rs
+++ b/crates/adapters/src/peer/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! It uses HTTP/1.1 with JSON bodies.
 //!
-//! - `GET /ping` returns a `Pong`.
+//! - `GET /ping` takes the query field `leaving`, a JSON list of `LeaveStatement`, and returns a
+//!   `Pong`.
 //! - `GET /counts/{window}` returns the counts of a usage window.
 //! - `GET /results/{batch}` takes the query fields `after`, `wait` (milliseconds) and `workspace`.
 //!   It returns a `ResultPage`, 404 if there is no such job, or 503 if the gateway cannot tell.
@@ -30,6 +31,7 @@
 use sardinepath_core::decision::gateway::message::Reply;
 use sardinepath_core::decision::tally::Counts;
 use sardinepath_core::domain::batch::Outcome;
+use sardinepath_core::domain::leave::LeaveStatement;
 use sardinepath_core::domain::name::BatchId;
 use sardinepath_core::domain::name::WorkspaceName;
 use serde::Deserialize;
@@ -92,9 +94,34 @@
     outcomes: Vec<Arc<Outcome>>,
 }
 
-/// Requests the state of another gateway. Returns `None` if the request fails.
-pub async fn ping(pool: &Pool, address: SocketAddr) -> Option<Pong> {
-    get_json(pool, address, "/ping", PING_TIMEOUT).await.ok()
+/// Requests the state of another gateway and tells it of leaving targets. Returns `None` if the
+/// request fails.
+pub async fn ping(pool: &Pool, address: SocketAddr, leaving: &[LeaveStatement]) -> Option<Pong> {
+    let path = ping_path(leaving);
+    get_json(pool, address, &path, PING_TIMEOUT).await.ok()
+}
+
+fn ping_path(leaving: &[LeaveStatement]) -> String {
+    match serde_json::to_string(leaving) {
+        Ok(text) if !leaving.is_empty() => {
+            format!("/ping?leaving={}", utf8_percent_encode(&text, ESCAPED))
+        }
+        _ => "/ping".to_owned(),
+    }
+}
+
+/// Returns the leaving targets in the query of a ping. A list that cannot be read is left out, since
+/// the state of this gateway matters more.
+fn decode_leaving(query: Option<&str>) -> Vec<LeaveStatement> {
+    let text = query_field(query, "leaving").and_then(percent_decode);
+    let decoded = text.map(|text| serde_json::from_str(&text));
+    decoded
+        .transpose()
+        .unwrap_or_else(|e| {
+            log::warn!("the leaving targets of a ping cannot be read: {e}");
+            None
+        })
+        .unwrap_or_default()
 }
 
 /// Requests another gateway's counts of a usage window. Returns `None` if the request fails.
@@ -190,7 +217,7 @@
 pub fn decode_question(path: &str, query: Option<&str>) -> Option<Question> {
     let mut parts = path.trim_start_matches('/').split('/');
     match (parts.next()?, parts.next()) {
-        ("ping", None) => Some(Question::Ping),
+        ("ping", None) => Some(Question::Ping(decode_leaving(query))),
         ("counts", Some(window)) => window.parse().ok().map(Question::UsageCounts),
         ("results", Some(id)) => {
             let id = BatchId::from(percent_decode(id)?);
--- a/crates/core/src/decision/directory/mod.rs
+++ b/crates/core/src/decision/directory/mod.rs
@@ -3,6 +3,7 @@
 //! Entries come from the object API. Load, speed and failures come from the requests of this
 //! process and from the loads that other processes report.
 
+mod leaves;
 mod limits;
 mod target;
 
@@ -10,6 +11,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use crate::decision::directory::leaves::Leaves;
 pub use crate::decision::directory::limits::Limits;
 pub use crate::decision::directory::limits::REFRESH_AGE;
 pub use crate::decision::directory::limits::Statement;
@@ -17,6 +19,7 @@
 use crate::decision::directory::target::Target;
 use crate::domain::fleet::TargetEntry;
 use crate::domain::ids::WeightVersion;
+use crate::domain::leave::LeaveStatement;
 use crate::domain::name::CentreName;
 use crate::domain::name::ModelName;
 use crate::domain::name::PoolName;
@@ -45,8 +48,9 @@
 const MAX_STALL_TIMEOUT: Duration = Duration::from_millis(2_000);
 
 /// Time for which a choice of a target is valid. A process that was paused for longer does not know
-/// whether the target has left in the meantime.
-const CHOICE_VALIDITY: Duration = Duration::from_secs(2);
+/// whether the target has left in the meantime. With the time to connect it stays below the time
+/// for which a leaving target serves.
+const CHOICE_VALIDITY: Duration = Duration::from_secs(1);
 
 /// Known targets by name.
 #[derive(Debug, Default)]
@@ -56,6 +60,8 @@
     medians: BTreeMap<PoolName, Option<f64>>,
     /// Request limits that targets stated.
     pub limits: Limits,
+    /// Targets that said that they are leaving.
+    leaves: Leaves,
 }
 
 /// Requirements and preferences of a request for its target.
@@ -105,6 +111,8 @@
     pub address: SocketAddr,
     /// Software version of the target.
     pub software: SoftwareVersion,
+    /// Start of the run of the target, as in its entry.
+    pub started_at: u64,
     /// Time until which the request may be sent. Later the target has to be chosen again.
     pub valid_until: Time,
     /// True if the target limits its requests, so that the choice covers a single request.
@@ -119,9 +127,11 @@
 }
 
 impl Directory {
-    /// Adds or updates the entry of a target. An entry of an earlier run of the target is ignored.
-    pub fn insert(&mut self, entry: TargetEntry) {
+    /// Adds or updates the entry of a target. An entry of an earlier run of the target is ignored,
+    /// and a target that said that it is leaving does so whatever its entry says.
+    pub fn insert(&mut self, mut entry: TargetEntry) {
         self.medians.clear();
+        entry.leaving |= self.leaves.cover(&entry);
         if let Some(known) = self.targets.get_mut(&entry.name) {
             if entry.started_at < known.entry.started_at {
                 return;
@@ -140,6 +150,23 @@
         self.targets.insert(target.entry.name.clone(), target);
     }
 
+    /// Records that a target said that it is leaving, so that it gets no new requests. Returns
+    /// `false` if this is known already.
+    pub fn record_leaving(&mut self, now: Time, statement: &LeaveStatement) -> bool {
+        if !self.leaves.record(now, statement) {
+            return false;
+        }
+        if let Some(target) = self.targets.get_mut(&statement.target) {
+            target.entry.leaving |= self.leaves.cover(&target.entry);
+        }
+        true
+    }
+
+    /// Returns the statements of leaving targets of which other processes should be told.
+    pub fn recent_leaves(&self, now: Time) -> Vec<LeaveStatement> {
+        self.leaves.recent(now)
+    }
+
     /// Removes a target whose entry is gone. During and shortly after an `outage` of the object API
     /// the target is only marked, because entries expire then although their targets are alive.
     pub fn remove(&mut self, now: Time, name: &TargetName, outage: bool) {
@@ -177,6 +204,9 @@
             self.medians.clear();
             self.targets.remove(name);
         }
+        let targets = &self.targets;
+        self.leaves
+            .drop_gone(now, |name| targets.contains_key(name));
         gone
     }
 
@@ -237,6 +267,7 @@
             name,
             address: target.entry.address,
             software: target.entry.software.clone(),
+            started_at: target.entry.started_at,
             valid_until: now + CHOICE_VALIDITY,
             limited,
         })
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -34,6 +34,7 @@
 use crate::domain::event::Event;
 use crate::domain::fleet::Peer;
 use crate::domain::ids::Incarnation;
+use crate::domain::leave::LeaveStatement;
 use crate::domain::limit::LimitStatement;
 use crate::domain::name::BatchId;
 use crate::domain::name::HostName;
@@ -61,6 +62,8 @@
     RequestEnded(TargetName, CallEnd),
     /// An answer of a target states its request limit, or no longer does.
     LimitStated(TargetName, LimitStatement),
+    /// An answer of a target states that it is leaving.
+    LeavingStated(LeaveStatement),
     /// Another process answered a request for permits, or `None` if it did not.
     PermitsAnswered(PermitRequest, SocketAddr, Option<PermitGrant>),
     /// A request of a workspace started running and counts towards its usage.
@@ -176,8 +179,8 @@
         /// Workspace of the key.
         workspace: Option<WorkspaceName>,
     },
-    /// Read the state of this process, on behalf of another one.
-    Ping,
+    /// Read the state of this process, on behalf of another one that knows of these leaving targets.
+    Ping(Vec<LeaveStatement>),
     /// Read the counts of this process for a usage window.
     UsageCounts(u64),
     /// Give another process permits for a limited target.
@@ -232,6 +235,9 @@
     pub silence: u64,
     /// Number of its running requests at each target.
     pub load: BTreeMap<TargetName, u32>,
+    /// Targets that said recently that they are leaving.
+    #[serde(default)]
+    pub leaving: Vec<LeaveStatement>,
 }
 
 /// Reason why a process forwards no watched objects.
@@ -323,8 +329,8 @@
     MoveRun(RunId),
     /// Send a scoring request to a target.
     Score(RunId, Choice, Scorer),
-    /// Ping another process.
-    Ping(Runner),
+    /// Ping another process and tell it of these leaving targets.
+    Ping(Runner, Vec<LeaveStatement>),
     /// Report that the drain is complete.
     Drained,
     /// Ask another process for permits and answer with `Message::PermitsAnswered`.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -9,6 +9,7 @@
 //! - `draft`: texts that are reused by another process or a later job
 //! - `dispatch`: items and scoring requests sent to targets
 //! - `plain`, `limit`: targets of plain requests, and permits for targets that limit their requests
+//! - `leaving`: targets that say in their answers that they are leaving
 //! - `streams`: software versions that began the streams to callers
 //! - `duty`, `usage`: work of the lease holder (weight updates and usage reports)
 //! - `peers`, `source`, `watched`: other processes, watch sources, and watched objects
@@ -19,6 +20,7 @@
 mod ending;
 mod head;
 mod jobs;
+mod leaving;
 mod limit;
 mod limit_store;
 mod load;
@@ -46,6 +48,7 @@
 use crate::decision::directory::Directory;
 use crate::decision::gateway::duty::Duty;
 use crate::decision::gateway::jobs::Job;
+use crate::decision::gateway::leaving::LeaveSource;
 use crate::decision::gateway::limit::Permits;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Effect;
@@ -226,6 +229,9 @@
             Message::Ask(call, question) => self.handle_question(call, question),
             Message::RequestEnded(target, end) => self.directory.release(now, &target, end),
             Message::LimitStated(target, statement) => self.limit_stated(&target, statement),
+            Message::LeavingStated(statement) => {
+                self.leaving_stated(&statement, LeaveSource::Answer)
+            }
             Message::PermitsAnswered(request, granter, grant) => {
                 self.permits_answered(&request, granter, grant)
             }
@@ -337,12 +343,14 @@
                 item,
             } => self.body(call, id, workspace, item),
             Question::EndJob { id, workspace } => self.end_job(call, id, workspace),
-            Question::Ping => {
+            Question::Ping(leaving) => {
+                self.leaves_told(&leaving);
                 let pong = Pong {
                     incarnation: self.settings.peer.incarnation,
                     silence: u64::try_from(self.store.outage_time(self.now).as_millis())
                         .unwrap_or(0),
                     load: self.directory.own_load(),
+                    leaving: self.directory.recent_leaves(self.now),
                 };
                 self.reply(call, Reply::Pong(pong));
             }
--- a/crates/core/src/decision/gateway/peers.rs
+++ b/crates/core/src/decision/gateway/peers.rs
@@ -177,7 +177,8 @@
             if !health.awaiting_pong && now >= health.next_ping {
                 health.awaiting_pong = true;
                 health.next_ping = now + PING_INTERVAL;
-                self.effects.push(Effect::Ping(runner));
+                let leaving = self.directory.recent_leaves(now);
+                self.effects.push(Effect::Ping(runner, leaving));
             }
         }
     }
@@ -188,7 +189,9 @@
             return;
         };
         health.awaiting_pong = false;
+        let mut leaving = Vec::new();
         if let Some(pong) = pong {
+            leaving = pong.leaving;
             health.last_pong = now;
             let limit = u64::try_from(SILENCE_LIMIT.as_millis()).unwrap_or(u64::MAX);
             if pong.silence < limit {
@@ -202,6 +205,7 @@
         } else {
             health.load.clear();
         }
+        self.leaves_told(&leaving);
         self.update_peer_loads();
     }
 
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -159,6 +159,8 @@
     /// The software version at which unrecorded streams of a pool began is stored. Fields: `pool`,
     /// `software`, `before`, `revision`.
     SoftwareSettled = (617, Info, "software_settled", "the software version of unrecorded streams of a pool is stored"),
+    /// A target said in an answer that it is leaving. Fields: `target`, `started_at`, `source`.
+    TargetLeaving = (618, Info, "target_leaving", "a target said that it is leaving and gets no new requests"),
     /// A trainer announced a version. Fields: `model`, `version`.
     VersionNamed = (620, Info, "version_named", "a trainer announced a version of the weights"),
     /// A target was ordered to load a version. Fields: `target`, `version`, `fence`.
--- a/crates/core/src/domain/mod.rs
+++ b/crates/core/src/domain/mod.rs
@@ -9,6 +9,7 @@
 pub mod hash;
 pub mod ids;
 pub mod key;
+pub mod leave;
 pub mod limit;
 pub mod name;
 pub mod order;
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code, unused_imports)] // Each test crate uses only some of the names.
 
 mod fixtures;
+mod leaving;
 mod store;
 mod traffic;
 
@@ -44,6 +45,8 @@
 use crate::gateway_support::fixtures::table;
 use crate::gateway_support::fixtures::target;
 pub use crate::gateway_support::fixtures::workspace;
+pub use crate::gateway_support::leaving::DRAIN_MS;
+use crate::gateway_support::leaving::Leaving;
 pub use crate::gateway_support::store::StoreFault;
 pub use crate::gateway_support::traffic::GENERATION_EVENTS;
 use crate::gateway_support::traffic::PermitCall;
@@ -105,6 +108,10 @@
     pub limits: BTreeMap<TargetName, f64>,
     /// Arrival time of each request at a target.
     pub arrivals: Vec<(u64, TargetName)>,
+    /// Gateway that sent each of these requests.
+    senders: Vec<usize>,
+    /// Targets that say that they are leaving.
+    pub leaving: Leaving,
     /// Interval in milliseconds at which each gateway gets a plain request, or `None`.
     pub plain_interval: Option<u64>,
     /// Number of plain requests that got a target.
@@ -155,6 +162,8 @@
             orders: Vec::new(),
             limits: BTreeMap::new(),
             arrivals: Vec::new(),
+            senders: Vec::new(),
+            leaving: Leaving::default(),
             plain_interval: None,
             plain_served: 0,
             plain_refused: 0,
@@ -200,6 +209,7 @@
         node.replies.clear();
         node.runs.clear();
         node.plain_calls.clear();
+        self.forget_leaving(|of, _| of == index);
         let targets = self
             .targets
             .iter()
@@ -386,15 +396,15 @@
                     self.send(index, STEP_MS, Message::ScoringEnded(run, end));
                 }
                 Effect::StopRun(run) => drop(self.nodes[index].runs.remove(&run)),
-                Effect::Ping(runner) => {
-                    let pong = self.pong(&runner.host);
+                Effect::Ping(runner, leaving) => {
+                    let pong = self.pong(index, &runner.host, leaving);
                     self.send(index, STEP_MS, Message::PingEnded(runner.host, pong));
                 }
                 Effect::AskPermits(address, request) => {
                     self.ask_permits(index, address, request);
                 }
                 Effect::CollectCounts(window, peer) => {
-                    let alive = self.pong(&peer.host).is_some();
+                    let alive = self.pong(index, &peer.host, Vec::new()).is_some();
                     let counts = alive.then(Counts::new);
                     self.send(
                         index,
--- a/crates/core/tests/gateway_support/traffic.rs
+++ b/crates/core/tests/gateway_support/traffic.rs
@@ -9,7 +9,6 @@
 use sardinepath_core::decision::directory::Choice;
 use sardinepath_core::decision::gateway::message::CallId;
 use sardinepath_core::decision::gateway::message::Message;
-use sardinepath_core::decision::gateway::message::Pong;
 use sardinepath_core::decision::gateway::message::Question;
 use sardinepath_core::decision::gateway::message::Reply;
 use sardinepath_core::decision::gateway::message::RunRequest;
@@ -21,10 +20,8 @@
 use sardinepath_core::decision::weights::Load;
 use sardinepath_core::decision::weights::OrderEnd;
 use sardinepath_core::domain::fleet::TargetEntry;
-use sardinepath_core::domain::ids::Incarnation;
 use sardinepath_core::domain::limit::LimitStatement;
 use sardinepath_core::domain::limit::RequestLimit;
-use sardinepath_core::domain::name::HostName;
 use sardinepath_core::domain::name::PoolName;
 use sardinepath_core::domain::name::SoftwareVersion;
 use sardinepath_core::domain::name::TargetName;
@@ -33,9 +30,7 @@
 use crate::gateway_support::STEP_MS;
 use crate::gateway_support::STORE_LATENCY_MS;
 use crate::gateway_support::Simulation;
-use crate::gateway_support::StoreFault;
 use crate::gateway_support::fixtures::address;
-use crate::gateway_support::fixtures::host;
 use crate::gateway_support::fixtures::target;
 
 /// Timeout of a request for permits in milliseconds.
@@ -143,6 +138,8 @@
     /// Records a request at a target, whose answer states the request limit of the target.
     pub(super) fn arrive(&mut self, index: usize, choice: &Choice) {
         self.arrivals.push((self.now, choice.name.clone()));
+        self.senders.push(index);
+        self.arrive_leaving(index, choice);
         let statement = match self.limits.get(&choice.name) {
             Some(limit) => LimitStatement::Limited(RequestLimit::new(*limit).unwrap()),
             None if choice.limited => LimitStatement::Unlimited,
@@ -235,6 +232,25 @@
         }
     }
 
+    /// Registers a target again, as a run that started at another time or under another state.
+    pub fn register(&mut self, target: &str, change: impl Fn(&mut TargetEntry)) {
+        let name = TargetName::from(target);
+        let Some(entry) = self.targets.iter_mut().find(|entry| entry.name == name) else {
+            panic!("no target {target}");
+        };
+        let before = entry.started_at;
+        change(entry);
+        let entry = entry.clone();
+        if entry.started_at > before {
+            self.leaving.targets.remove(&name);
+            self.forget_leaving(|_, target| *target == name);
+        }
+        for index in 0..self.nodes.len() {
+            let changed = Message::Changed(WatchedObject::Target(entry.clone()));
+            self.send(index, STORE_LATENCY_MS, changed);
+        }
+    }
+
     /// Returns the texts of the results in the store.
     pub fn texts(&self) -> Vec<Arc<str>> {
         let pages = self.store.values().filter_map(|(_, record)| match record {
@@ -252,17 +268,4 @@
         }
         load
     }
-
-    pub(super) fn pong(&self, name: &HostName) -> Option<Pong> {
-        let index = (0..self.nodes.len()).find(|i| host(*i) == *name)?;
-        let node = &self.nodes[index];
-        let alive = node.gateway.is_some() && !node.frozen;
-        let incarnation = u64::try_from(index).unwrap() * 1_000 + node.incarnation;
-        let unavailable = node.fault == StoreFault::Unavailable;
-        alive.then(|| Pong {
-            incarnation: Incarnation(incarnation),
-            silence: if unavailable { 60_000 } else { 0 },
-            load: self.load(index),
-        })
-    }
 }
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -23,9 +23,9 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
-use crate::target::GENERATION_EVENTS;
+use crate::generation::GENERATION_EVENTS;
+use crate::generation::event_data;
 use crate::target::MODEL;
-use crate::target::event_data;
 
 /// Host name of all routes.
 pub const HOST: &str = "dreams.example";
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,6 +7,7 @@
 mod body;
 pub mod callers;
 pub mod fleet;
+pub mod generation;
 pub mod proxy;
 pub mod run;
 pub mod store;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -25,6 +25,7 @@
 use crate::proxy::Disturbance;
 use crate::store::StoreFault;
 use crate::store::StoreStandIn;
+use crate::target::DRAIN_TIME;
 use crate::target::MODEL;
 use crate::target::TargetStandIn;
 
@@ -32,7 +33,13 @@
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(25);
 
 /// Additional time that a terminated gateway has to drain before it is killed and restarted.
-const DRAIN_TIME: Duration = Duration::from_secs(4);
+const STOP_TIME: Duration = Duration::from_secs(4);
+
+/// Number of model engines. The other targets are plain services.
+const ENGINE_COUNT: usize = 3;
+
+/// Probability that a target begins to leave when a fault is injected.
+const LEAVE_PROBABILITY: f64 = 0.15;
 
 /// Time within which all gateways must accept connections.
 const START_TIMEOUT: Duration = Duration::from_secs(10);
@@ -65,6 +72,8 @@
 
 struct Run {
     random: ChaCha8Rng,
+    /// Random numbers for targets that leave, apart from those for the other faults.
+    leave_random: ChaCha8Rng,
     store: Arc<StoreStandIn>,
     fleet: Vec<GatewayProcess>,
     targets: Vec<Arc<TargetStandIn>>,
@@ -83,6 +92,8 @@
     RestorePath(usize),
     RestoreStore,
     RestoreTarget(usize),
+    /// A target that left starts anew.
+    StartTarget(usize),
 }
 
 /// Runs the soak test with the parameters of a plan.
@@ -168,12 +179,8 @@
         store.put("config", "main", &config(1, &[KEY, "spare"]));
         let mut targets = Vec::new();
         for index in 0..5 {
-            let (name, pool) = if index < 3 {
-                ("e", "engines")
-            } else {
-                ("s", "shop")
-            };
-            let name = format!("{name}{index}");
+            let pool = pool_of(index);
+            let name = format!("{}{index}", &pool[..1]);
             targets.push(TargetStandIn::start(store.clone(), &name, pool).await?);
         }
         let mut fleet = Vec::new();
@@ -183,6 +190,7 @@
         }
         let run = Self {
             random: ChaCha8Rng::seed_from_u64(plan.seed),
+            leave_random: ChaCha8Rng::seed_from_u64(!plan.seed),
             store,
             fleet,
             targets,
@@ -215,6 +223,9 @@
         while Instant::now() < stop {
             self.recover_due(Instant::now());
             self.inject_fault();
+            if self.leave_random.random_bool(LEAVE_PROBABILITY) {
+                self.leave_target();
+            }
             let pause = self.random.random_range(100..900);
             sleep(Duration::from_millis(pause)).await;
         }
@@ -255,6 +266,27 @@
         }
     }
 
+    /// Makes a target say that it is leaving, unless another one of its pool does. Its entry says so
+    /// in every second case.
+    fn leave_target(&mut self) {
+        let target = self.leave_random.random_range(0..self.targets.len());
+        let pool = pool_of(target);
+        let leaving = self.recoveries.iter().any(|(_, recovery)| {
+            matches!(recovery, Recovery::StartTarget(other) if pool_of(*other) == pool)
+        });
+        if leaving {
+            return;
+        }
+        let listed = self.leave_random.random_bool(0.5);
+        self.record(format!("target {target} leaves, listed: {listed}"));
+        self.targets[target].say_leaving();
+        if listed {
+            self.targets[target].leave(pool);
+        }
+        let end = Instant::now() + 2 * DRAIN_TIME;
+        self.recoveries.push((end, Recovery::StartTarget(target)));
+    }
+
     /// Kills, terminates or pauses a gateway.
     fn fail_process(&mut self, node: usize, length: Duration) {
         let end = Instant::now() + length;
@@ -268,7 +300,7 @@
                 self.record(format!("terminate g{node}"));
                 self.fleet[node].signal(Signal::TERM);
                 self.recoveries
-                    .push((end + DRAIN_TIME, Recovery::RestartGateway(node)));
+                    .push((end + STOP_TIME, Recovery::RestartGateway(node)));
             }
             _ => {
                 self.record(format!("freeze g{node} for {length:?}"));
@@ -340,6 +372,7 @@
             Recovery::RestoreTarget(target) => {
                 self.targets[target].set_event_interval(Duration::from_millis(15))
             }
+            Recovery::StartTarget(target) => self.targets[target].start_anew(pool_of(target)),
         }
     }
 
@@ -386,6 +419,11 @@
                     .iter()
                     .map(|id| format!("{id}: a key reached a target")),
             );
+            faults.extend(
+                log.late_requests
+                    .iter()
+                    .map(|id| format!("{id}: sent to a target that had said that it leaves")),
+            );
             for pair in log.orders.windows(2) {
                 let (first, second) = (&pair[0], &pair[1]);
                 if second.1 < first.1 || (second.1 == first.1 && second.0 != first.0) {
@@ -422,6 +460,15 @@
         .collect()
 }
 
+/// Returns the pool of the target with this number.
+fn pool_of(target: usize) -> &'static str {
+    if target < ENGINE_COUNT {
+        "engines"
+    } else {
+        "shop"
+    }
+}
+
 /// Returns the path of the `sardinepath` program in the folder of this program.
 pub fn default_program() -> anyhow::Result<PathBuf> {
     let own = std::env::current_exe()?;
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -19,26 +19,25 @@
 use hyper::service::service_fn;
 use sardinepath_adapters::web::Body;
 use sardinepath_adapters::web::ResponseBody;
-use sardinepath_adapters::web::streamed_body;
 use sardinepath_adapters::web::whole_body;
 use sardinepath_platform::names;
 use serde_json::Value;
 use serde_json::json;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 use crate::body;
+use crate::generation::serve_generation;
+use crate::generation::serve_stream;
 use crate::store::StoreStandIn;
 use crate::store::json_response;
 
 /// Name of the only model of a fleet.
 pub const MODEL: &str = "m0";
 
-/// Number of events in each generation.
-pub const GENERATION_EVENTS: u64 = 12;
+/// Time after which a process that was told that a target is leaving must not send to it.
+pub const DRAIN_TIME: Duration = Duration::from_secs(2);
 
 /// Time that a weight load takes.
 const LOAD_TIME: Duration = Duration::from_millis(300);
@@ -54,35 +53,45 @@
     pub leaked_keys: Vec<String>,
     /// Holder and fencing token of each accepted order, in order of arrival.
     pub orders: Vec<(String, u64)>,
+    /// Ids of requests that came over a connection on which the target had said longer than
+    /// [`DRAIN_TIME`] ago that it is leaving.
+    pub late_requests: Vec<String>,
 }
 
 /// Running target that is registered in the store.
 #[derive(Debug)]
 pub struct TargetStandIn {
-    name: String,
-    software: String,
+    pub(crate) name: String,
+    pub(crate) software: String,
     store: Arc<StoreStandIn>,
     address: SocketAddr,
     state: Mutex<State>,
 }
 
+/// State of a target that its requests and its owner share.
 #[derive(Debug)]
-struct State {
+pub(crate) struct State {
     log: TargetLog,
-    version: u64,
+    pub(crate) version: u64,
     /// Number of accepted orders, which later orders name as their precondition.
     accepted: u64,
     /// Highest fencing token of an order so far.
     fence: u64,
     /// True while a weight load runs. Generations are then refused as not run.
-    busy: bool,
+    pub(crate) busy: bool,
     /// Time before each event of a generation.
-    event_interval: Duration,
+    pub(crate) event_interval: Duration,
+    /// Time before the answer to a plain request.
+    plain_delay: Duration,
     leaving: bool,
+    /// Whether each answer states that the target is leaving.
+    says_leaving: bool,
+    /// Start of this run, as the entry states it.
+    born: u64,
     /// Request limit that each answer states, in requests a second.
     limit: Option<f64>,
     /// Number of events after which a stream that was not resumed breaks, or `None`.
-    break_after: Option<u64>,
+    pub(crate) break_after: Option<u64>,
 }
 
 impl TargetStandIn {
@@ -116,7 +125,10 @@
                 fence: 0,
                 busy: false,
                 event_interval: Duration::from_millis(15),
+                plain_delay: Duration::from_millis(5),
                 leaving: false,
+                says_leaving: false,
+                born: 1,
                 limit: None,
                 break_after: None,
             }),
@@ -146,6 +158,27 @@
         self.lock().event_interval = interval;
     }
 
+    /// Sets the time before the answer to a plain request.
+    pub fn set_plain_delay(&self, delay: Duration) {
+        self.lock().plain_delay = delay;
+    }
+
+    /// States in each answer from now on that the target is leaving. Its entry does not change.
+    pub fn say_leaving(&self) {
+        self.lock().says_leaving = true;
+    }
+
+    /// Starts the target anew under its name, as a run that is not leaving.
+    pub fn start_anew(&self, pool: &str) {
+        {
+            let mut state = self.lock();
+            state.says_leaving = false;
+            state.leaving = false;
+            state.born += 1;
+        }
+        self.register(pool);
+    }
+
     /// Sets the request limit that each answer to a plain request states.
     pub fn set_limit(&self, limit: Option<f64>) {
         self.lock().limit = limit;
@@ -167,24 +200,35 @@
         self.register(pool);
     }
 
-    fn register(&self, pool: &str) {
+    /// Writes the entry of the target.
+    pub fn register(&self, pool: &str) {
         let state = self.lock();
         let spec = json!({
             "service": pool, "address": self.address.to_string(), "zone": "z", "version": self.software,
             "slots": 8, "state": if state.leaving { "draining" } else { "ready" },
-            "coldRemainingMs": 0, "stage": "both", "sequence": 1, "born": 1,
+            "coldRemainingMs": 0, "stage": "both", "sequence": 1, "born": state.born,
             "models": [{ "name": MODEL, "version": state.version, "adapters": [] }],
         });
         drop(state);
         self.store.put("servers", &self.name, &spec);
     }
 
-    fn lock(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns the headers in which an answer to a request describes the target.
+    pub(crate) fn statements(&self) -> Vec<(&'static str, String)> {
+        let state = self.lock();
+        let limit = state
+            .limit
+            .map(|limit| (names::REQUEST_LIMIT, limit.to_string()));
+        let leaving = state.says_leaving.then(|| (names::LEAVING, "1".to_owned()));
+        limit.into_iter().chain(leaving).collect()
+    }
+
     /// Records the start of a request and returns its id.
-    fn record_start(&self, headers: &HeaderMap) -> String {
+    pub(crate) fn record_start(&self, headers: &HeaderMap) -> String {
         let id = header(headers, names::REQUEST_ID).unwrap_or_default();
         let mut state = self.lock();
         state
@@ -202,6 +246,26 @@
         id
     }
 
+    /// Logs a request on a connection on which the target has said for too long that it leaves.
+    fn check_told(&self, told: &Mutex<Option<Instant>>, request: &Request<Incoming>) {
+        let told = *told.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = self.lock();
+        if state.says_leaving && told.is_some_and(|told| told.elapsed() > DRAIN_TIME) {
+            let id = header(request.headers(), names::REQUEST_ID).unwrap_or_default();
+            state.log.late_requests.push(id);
+        }
+    }
+
+    /// Notes that an answer on a connection says that the target is leaving.
+    fn note_told(&self, told: &Mutex<Option<Instant>>, headers: &HeaderMap) {
+        let mut told = told.lock().unwrap_or_else(PoisonError::into_inner);
+        if headers.contains_key(names::LEAVING) {
+            told.get_or_insert_with(Instant::now);
+        } else {
+            *told = None;
+        }
+    }
+
     async fn order(self: Arc<Self>, body: &Value, pool: String) -> Response<Body> {
         let fence = body["fencingToken"].as_u64().unwrap_or(0);
         let version = body["version"].as_u64().unwrap_or(0);
@@ -245,11 +309,6 @@
     }
 }
 
-/// Returns the data of an event in the generation of a request. Events count from 1.
-pub fn event_data(id: &str, event: u64) -> String {
-    format!("{id}-{event}")
-}
-
 /// Serves a connection. Generations are streams and are written to the socket directly; `hyper`
 /// serves everything else.
 async fn handle_connection(target: Arc<TargetStandIn>, stream: TcpStream, pool: String) {
@@ -261,9 +320,17 @@
         serve_generation(target, stream).await;
         return;
     }
+    // Time at which the target first said on this connection that it is leaving.
+    let told: Arc<Mutex<Option<Instant>>> = Arc::default();
     let service = service_fn(move |request| {
+        target.check_told(&told, &request);
+        let (target, told) = (target.clone(), told.clone());
         let response = serve_plain(target.clone(), request, pool.clone());
-        async move { Ok::<_, std::convert::Infallible>(response.await) }
+        async move {
+            let response = response.await;
+            target.note_told(&told, response.headers());
+            Ok::<_, std::convert::Infallible>(response)
+        }
     });
     let io = sardinepath_adapters::web::hyper_io(stream);
     // An error means that the caller closed the connection.
@@ -289,16 +356,15 @@
         "/order" => target.order(&body, pool).await,
         _ => {
             let id = target.record_start(&head.headers);
-            sleep(Duration::from_millis(5)).await;
+            let delay = target.lock().plain_delay;
+            sleep(delay).await;
             let mut response = Response::new(Body::new(Bytes::from(format!("answer to {id}"))));
             let headers = response.headers_mut();
-            let limit = target.lock().limit;
-            let limit = limit.map(|limit| (names::REQUEST_LIMIT, limit.to_string()));
             let signed = [
                 (names::REQUEST_ID, id.clone()),
                 (names::DIGEST, format!("d.{id}")),
             ];
-            for (name, value) in signed.into_iter().chain(limit) {
+            for (name, value) in signed.into_iter().chain(target.statements()) {
                 if let Ok(value) = value.parse() {
                     headers.insert(name, value);
                 }
@@ -309,140 +375,6 @@
     response.map(whole_body)
 }
 
-/// Streams the events of a stream for a caller, after the last one that the caller has. The data of
-/// each event is the software version of the target.
-async fn serve_stream(
-    target: Arc<TargetStandIn>,
-    request: Request<Incoming>,
-) -> Response<ResponseBody> {
-    let (head, body) = request.into_parts();
-    // The request body has no effect.
-    let _ = body::json(body).await;
-    if header(&head.headers, names::EXPECT_TARGET).is_some_and(|name| name != target.name) {
-        return json_response(StatusCode::MISDIRECTED_REQUEST, &json!({})).map(whole_body);
-    }
-    let id = target.record_start(&head.headers);
-    let last_event = last_event(&head.headers);
-    let (interval, break_after) = {
-        let state = target.lock();
-        (state.event_interval, state.break_after)
-    };
-    let (sender, body) = streamed_body();
-    let mut response = Response::new(body);
-    for (name, value) in [
-        (names::REQUEST_ID, id.clone()),
-        (names::DIGEST, format!("d.{id}")),
-        ("content-type", "text/event-stream".to_owned()),
-    ] {
-        if let Ok(value) = value.parse() {
-            response.headers_mut().insert(name, value);
-        }
-    }
-    tokio::spawn(async move {
-        for event in last_event + 1..=GENERATION_EVENTS {
-            sleep(interval).await;
-            if last_event == 0 && break_after.is_some_and(|last| event > last) {
-                return sender.abort("the target breaks the stream").await;
-            }
-            let event = format!("id: {event}\ndata: {}\n\n", target.software);
-            if sender.send(Bytes::from(event)).await.is_err() {
-                return;
-            }
-        }
-    });
-    response
-}
-
-/// Returns the number of the last event that a caller has, or 0.
-fn last_event(headers: &HeaderMap) -> u64 {
-    let stated = header(headers, names::LAST_EVENT_ID).and_then(|n| n.parse().ok());
-    stated.unwrap_or(0)
-}
-
-/// Reads one request and streams its events, starting after the last event that the caller has.
-async fn serve_generation(target: Arc<TargetStandIn>, mut stream: TcpStream) {
-    let Some(headers) = read_request(&mut stream).await else {
-        return;
-    };
-    let (busy, event_interval, version) = {
-        let state = target.lock();
-        (state.busy, state.event_interval, state.version)
-    };
-    if header(&headers, names::EXPECT_TARGET).is_some_and(|expected| expected != target.name) {
-        let _ = stream
-            .write_all(b"HTTP/1.1 421 Misdirected Request\r\ncontent-length: 0\r\n\r\n")
-            .await;
-        return;
-    }
-    if busy {
-        let refusal =
-            b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\ncontent-length: 0\r\n\r\n";
-        let _ = stream.write_all(refusal).await;
-        return;
-    }
-    let id = target.record_start(&headers);
-    let last_event = last_event(&headers);
-    let head = format!(
-        "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: d.{id}\r\n{}: {version}\r\n\
-         content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
-        names::REQUEST_ID,
-        names::DIGEST,
-        names::WEIGHT_VERSION,
-    );
-    if stream.write_all(head.as_bytes()).await.is_err() {
-        return;
-    }
-    let mut sent_version = version;
-    for event in last_event + 1..=GENERATION_EVENTS {
-        sleep(event_interval).await;
-        let now = target.lock().version;
-        let changed = match now != sent_version {
-            true => format!("{}: {now}\n", names::WEIGHT_VERSION),
-            false => String::new(),
-        };
-        sent_version = now;
-        let event = format!("{changed}id: {event}\ndata: {}\n\n", event_data(&id, event));
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        if stream.write_all(chunk.as_bytes()).await.is_err() {
-            return;
-        }
-    }
-    // Each generation uses its own connection, so the connection closes with it.
-    let _ = stream.write_all(b"0\r\n\r\n").await;
-    let _ = stream.shutdown().await;
-}
-
-/// Reads a request up to the end of its body and returns its headers. Returns `None` if the
-/// connection closes early or the head is malformed.
-async fn read_request(stream: &mut TcpStream) -> Option<HeaderMap> {
-    let mut buffer = Vec::new();
-    let mut headers = HeaderMap::new();
-    let end = loop {
-        let read = stream.read_buf(&mut buffer).await.ok()?;
-        if read == 0 {
-            return None;
-        }
-        if let Some(end) = buffer.windows(4).position(|w| w == b"\r\n\r\n") {
-            break end;
-        }
-    };
-    let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
-    for line in head.lines().skip(1) {
-        let (name, value) = line.split_once(':')?;
-        let name: http::HeaderName = name.trim().parse().ok()?;
-        headers.append(name, value.trim().parse().ok()?);
-    }
-    let length: usize = header(&headers, "content-length")
-        .and_then(|l| l.parse().ok())
-        .unwrap_or(0);
-    while buffer.len() < end + 4 + length {
-        if stream.read_buf(&mut buffer).await.ok()? == 0 {
-            return None;
-        }
-    }
-    Some(headers)
-}
-
-fn header(headers: &HeaderMap, name: &str) -> Option<String> {
+pub(crate) fn header(headers: &HeaderMap, name: &str) -> Option<String> {
     Some(headers.get(name)?.to_str().ok()?.to_owned())
 }
