Give up streams and bodies that send bytes without progress

Cause: the time without an event was counted from the last byte.

The agent takes no response that names a call for the state of its target.

--- a/crates/adapters/src/target/http.rs
+++ b/crates/adapters/src/target/http.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use flume::Sender;
@@ -38,7 +39,7 @@
 use crate::target::body::EventSplitter;
 use crate::target::body::body_metadata;
 
-/// Longest time between two body frames of a response.
+/// Longest time between two events of a stream, or two parts of another response.
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Time limit for a status request.
@@ -47,6 +48,9 @@
 /// Time limit for loading weights. It has to fit into the 32 s that a roll-out may take.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Header that names the request in a call and in the response to it.
+const REQUEST_ID: &str = "x-request-id";
+
 /// Maximum size of an unfinished server-sent event in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -68,6 +72,8 @@
     /// Client without pooling, for calls that must not run twice. A target may close an idle
     /// connection at any moment, and a call already written to it may have run.
     unpooled: Client<HttpConnector, Full<Bytes>>,
+    /// Longest time between two events of a stream, or two parts of another response.
+    read_timeout: Duration,
 }
 
 /// Channel for the events of a call. The call stops once the receiver is dropped.
@@ -89,6 +95,15 @@
             address,
             client,
             unpooled,
+            read_timeout: READ_TIMEOUT,
+        }
+    }
+
+    /// Sets the longest time between two events of a stream, or two parts of another response.
+    pub fn with_read_timeout(self, read_timeout: Duration) -> Self {
+        Self {
+            read_timeout,
+            ..self
         }
     }
 
@@ -128,9 +143,9 @@
         };
         send(events, head).await?;
         if streamed {
-            forward_stream(body, events).await
+            forward_stream(body, events, self.read_timeout).await
         } else {
-            forward_body(body, events).await
+            forward_body(body, events, self.read_timeout).await
         }
     }
 
@@ -141,7 +156,7 @@
             builder = builder.header(&*field.name, &*field.value);
         }
         builder
-            .header("x-request-id", call.request.to_string())
+            .header(REQUEST_ID, call.request.to_string())
             .header("x-priority", priority_name(call))
             .body(Full::new(Bytes::copy_from_slice(&call.body)))
             .map_err(|_| Failure::from(ErrorKind::BadRequest))
@@ -162,7 +177,9 @@
         let request = request.map_err(|_| Failure::from(ErrorKind::Internal))?;
         let response = async {
             let response = self.client.request(request).await.ok()?;
-            let success = response.status().is_success();
+            // The late second copy of the response to a call names that call.
+            let own = !response.headers().contains_key(REQUEST_ID);
+            let success = own && response.status().is_success();
             let body = response.into_body().collect().await.ok()?.to_bytes();
             success
                 .then(|| serde_json::from_slice(&body).ok())
@@ -211,7 +228,7 @@
 
 /// Returns an error if the response belongs to another request or says that the call did not run.
 fn check_head(head: &Parts, call: &Call) -> Result<(), Failure> {
-    if let Some(id) = head.headers.get("x-request-id")
+    if let Some(id) = head.headers.get(REQUEST_ID)
         && id.as_bytes() != call.request.to_string().as_bytes()
     {
         log::error!(
@@ -240,10 +257,17 @@
 }
 
 /// Forwards a stream of server-sent events, one complete event at a time.
-async fn forward_stream(mut body: Incoming, events: &EventSender) -> Result<(), Failure> {
+async fn forward_stream(
+    mut body: Incoming,
+    events: &EventSender,
+    read_timeout: Duration,
+) -> Result<(), Failure> {
     let mut splitter = EventSplitter::default();
-    while let Some(data) = next_data(&mut body).await? {
+    // Bytes that complete no event are no progress.
+    let mut stalled_at = Instant::now() + read_timeout;
+    while let Some(data) = next_data(&mut body, stalled_at).await? {
         for (bytes, metadata) in splitter.push(&data) {
+            stalled_at = Instant::now() + read_timeout;
             let event = TargetEvent::Chunk {
                 bytes,
                 versions: metadata.versions,
@@ -262,9 +286,13 @@
 }
 
 /// Reads a body whose framing shows its end and forwards it as one chunk.
-async fn forward_body(mut body: Incoming, events: &EventSender) -> Result<(), Failure> {
+async fn forward_body(
+    mut body: Incoming,
+    events: &EventSender,
+    read_timeout: Duration,
+) -> Result<(), Failure> {
     let mut bytes = Vec::new();
-    while let Some(data) = next_data(&mut body).await? {
+    while let Some(data) = next_data(&mut body, Instant::now() + read_timeout).await? {
         bytes.extend_from_slice(&data);
         if bytes.len() > 8 * MAX_EVENT_BYTES {
             return Err(Failure::from(ErrorKind::AnswerTooLarge));
@@ -280,10 +308,11 @@
     send(events, TargetEvent::End).await
 }
 
-/// Returns the next data frame, or `None` at the end of the body.
-async fn next_data(body: &mut Incoming) -> Result<Option<Bytes>, Failure> {
+/// Returns the next data frame, or `None` at the end of the body. Fails if there is none until then.
+async fn next_data(body: &mut Incoming, until: Instant) -> Result<Option<Bytes>, Failure> {
     loop {
-        match timeout(READ_TIMEOUT, body.frame()).await {
+        let left = until.saturating_duration_since(Instant::now());
+        match timeout(left, body.frame()).await {
             None => return Err(Failure::from(ErrorKind::TargetSilent)),
             Some(None) => return Ok(None),
             Some(Some(Err(_))) => return Err(Failure::from(ErrorKind::Truncated)),
