Let a panic or malformed input end only the work in which it happens

Cause: a panic in the control thread of a gateway, an entry or an agent ended that thread; the process stayed up, ready and without decisions. A task that panicked left its owner waiting: an item whose run never ended, a lease whose call was never answered. Found by fuzzing: a time limit of 1e308 s in the settings passed the check and panicked at the start.

Change: each message and timer runs by itself; a panic is logged (107 panicked) and counted, the caller of the question gets no decision, and a task that panics reports its end. After 20 panics of the timers in a row the process ends, so that it starts with an empty state.

--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod clock;
 pub mod event;
+pub mod panic;
 pub mod peer;
 pub mod platform;
 pub mod rpc;
--- a/crates/core/src/decision/process.rs
+++ b/crates/core/src/decision/process.rs
@@ -94,3 +94,33 @@
         self.drain_limit
     }
 }
+
+/// Number of consecutive panics of a timer after which the state behind it counts as broken.
+const MAX_TIMER_PANICS: u32 = 20;
+
+/// What to do after a run of a timer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TimerStep {
+    /// Go on with the next run.
+    Continue,
+    /// End the process, so that it starts anew with an empty state.
+    GiveUp,
+}
+
+/// Consecutive panics of a timer.
+#[derive(Debug, Default)]
+pub struct TimerPanics {
+    count: u32,
+}
+
+impl TimerPanics {
+    /// Records a run of the timer and returns what to do next.
+    pub fn record(&mut self, panicked: bool) -> TimerStep {
+        self.count = if panicked { self.count + 1 } else { 0 };
+        if self.count >= MAX_TIMER_PANICS {
+            TimerStep::GiveUp
+        } else {
+            TimerStep::Continue
+        }
+    }
+}
--- a/crates/core/src/decision/weights.rs
+++ b/crates/core/src/decision/weights.rs
@@ -96,7 +96,7 @@
 
 impl NewestVersion {
     fn is_unusable(self, version: WeightVersion) -> bool {
-        version.0 + UNUSABLE_LAG <= self.version.0
+        version.0.saturating_add(UNUSABLE_LAG) <= self.version.0
     }
 }
 
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -70,6 +70,8 @@
     ProcessFailed = (105, Error, "process_failed", "the process failed"),
     /// The settings file has changed. The change takes effect at the next start.
     SettingsChanged = (106, Info, "settings_changed", "the settings file has changed and is read at the next start"),
+    /// A thread or task panicked. Fields: `thread`, `error`.
+    Panicked = (107, Error, "panicked", "a task panicked; its work ends and the process goes on"),
     /// A team's declarations could not be read. Fields: `team`, `error`.
     TreeUnreadable = (200, Error, "tree_unreadable", "the declarations of a team cannot be read; the last accepted ones stay in force"),
     /// A team's declarations arrived at a revision that was already known. Fields: `team`.
--- a/crates/core/tests/process.rs
+++ b/crates/core/tests/process.rs
@@ -7,6 +7,8 @@
 use sardinepath_core::decision::process::DrainStep;
 use sardinepath_core::decision::process::Draining;
 use sardinepath_core::decision::process::Process;
+use sardinepath_core::decision::process::TimerPanics;
+use sardinepath_core::decision::process::TimerStep;
 use sardinepath_core::domain::time::Time;
 
 fn draining(start: Time, limit: Duration) -> Process<Draining> {
@@ -24,3 +26,17 @@
     let expected = [wait(2_000), wait(1), DrainStep::GiveUp, DrainStep::GiveUp];
     assert_eq!(steps, expected);
 }
+
+/// Guards against a process that ends because of a few panics of its timers, and against one that
+/// goes on for ever with a broken state.
+#[test]
+fn a_process_ends_only_if_its_timers_panic_again_and_again() {
+    let mut panics = TimerPanics::default();
+
+    let scattered = (0..1_000).map(|run| panics.record(run % 3 != 0));
+    let scattered: Vec<TimerStep> = scattered.collect();
+    let ended = (0..100).position(|_| panics.record(true) == TimerStep::GiveUp);
+
+    assert!(scattered.iter().all(|step| *step == TimerStep::Continue));
+    assert!(ended.is_some_and(|runs| runs >= 10));
+}
--- a/crates/node/src/agent/control.rs
+++ b/crates/node/src/agent/control.rs
@@ -8,6 +8,7 @@
 use flume::Receiver;
 use flume::SendError;
 use flume::Sender;
+use sardinepath_adapters::panic::survive;
 use sardinepath_core::decision::agent::AgentState;
 use sardinepath_core::decision::agent::RequestState;
 use sardinepath_core::domain::call::Counter;
@@ -124,10 +125,12 @@
         }
     }
 
-    /// Handles messages until the process stops.
+    /// Handles messages until the process stops. A panic ends the message in which it happens, and its
+    /// caller finds its reply channel closed.
     pub fn run(mut self, queue: &Receiver<Message>) {
         while let Ok(message) = queue.recv() {
-            if let Flow::Stop = self.handle(message) {
+            let flow = survive(|| self.handle(message)).unwrap_or(Flow::Continue);
+            if let Flow::Stop = flow {
                 return;
             }
             if self.state.running() == 0 {
--- a/crates/node/src/entry/control.rs
+++ b/crates/node/src/entry/control.rs
@@ -8,9 +8,12 @@
 use flume::RecvTimeoutError;
 use flume::Sender;
 use sardinepath_adapters::event::emit;
+use sardinepath_adapters::panic::survive;
 use sardinepath_core::decision::config::Config;
 use sardinepath_core::decision::config::Merge;
 use sardinepath_core::decision::config::TeamState;
+use sardinepath_core::decision::process::TimerPanics;
+use sardinepath_core::decision::process::TimerStep;
 use sardinepath_core::decision::traffic::Action;
 use sardinepath_core::decision::traffic::Outcome;
 use sardinepath_core::decision::traffic::TicketKey;
@@ -160,17 +163,22 @@
         Self { steps, ..self }
     }
 
-    /// Handles messages and timers until the process stops.
+    /// Handles messages and timers until the process stops. A panic ends the message or timer in which
+    /// it happens, and its caller finds its reply channel closed.
     pub fn run(mut self, queue: &Receiver<Message>) {
+        let mut panics = TimerPanics::default();
         loop {
             let flow = match queue.recv_timeout(TICK_INTERVAL) {
-                Ok(message) => self.handle(message),
+                Ok(message) => survive(|| self.handle(message)).unwrap_or(Flow::Continue),
                 Err(RecvTimeoutError::Timeout) => Flow::Continue,
                 Err(RecvTimeoutError::Disconnected) => Flow::Stop,
             };
-            self.tick(queue);
-            self.execute_actions();
-            if let Flow::Stop = flow {
+            let ticked = survive(|| {
+                self.tick(queue);
+                self.execute_actions();
+            });
+            let step = panics.record(ticked.is_err());
+            if matches!(flow, Flow::Stop) || step == TimerStep::GiveUp {
                 return;
             }
         }
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -4,10 +4,12 @@
 
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
+use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
+use sardinepath_adapters::panic;
 use sardinepath_core::domain::event::Event;
 
 /// Upper bounds of the latency buckets in seconds.
@@ -24,6 +26,7 @@
     calls: IntCounterVec,
     request_time: Histogram,
     store_time: Histogram,
+    panics: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -59,6 +62,10 @@
                 "sardinepath_store_seconds",
                 "Time of a call to the object API.",
             )?,
+            panics: IntCounter::new(
+                "sardinepath_panics_total",
+                "Panics of threads and tasks, each of which ended its own work only.",
+            )?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.events.clone()))?;
@@ -66,6 +73,7 @@
         registry.register(Box::new(metrics.calls.clone()))?;
         registry.register(Box::new(metrics.request_time.clone()))?;
         registry.register(Box::new(metrics.store_time.clone()))?;
+        registry.register(Box::new(metrics.panics.clone()))?;
         Ok(metrics)
     }
 
@@ -88,6 +96,8 @@
 
     /// Returns the metrics in the Prometheus text format.
     pub fn text(&self) -> String {
+        let new = panic::count().saturating_sub(self.panics.get());
+        self.panics.inc_by(new);
         TextEncoder::new()
             .encode_to_string(&self.registry.gather())
             .unwrap_or_else(|e| format!("# the metrics cannot be encoded: {e}\n"))
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -4,5 +4,6 @@
 mod control;
 mod metrics;
 
+pub use crate::gateway::control::ControlEnd;
 pub use crate::gateway::control::run;
 pub use crate::gateway::metrics::GatewayMetrics;
--- a/crates/sardinepath/src/main.rs
+++ b/crates/sardinepath/src/main.rs
@@ -14,6 +14,7 @@
 
 use flexi_logger::LoggerHandle;
 use sardinepath_adapters::event::emit;
+use sardinepath_adapters::panic;
 use sardinepath_core::decision::process::DrainEnd;
 use sardinepath_core::domain::event::Event;
 use sardinepath_platform::settings::Settings;
@@ -73,6 +74,7 @@
         Ok(logger) => logger,
         Err(e) => return print_error(&e, Exit::Failed),
     };
+    panic::install_hook();
     let exit = exit_for(role(&settings));
     logger.flush();
     exit
