Answer the requests of connections that were just accepted when a gateway stops

Cause: when the listener closed, 2.5 s after the signal, open connections were shut down gracefully, which hyper does at once for a connection that has read no request. A caller that had connected a moment before lost its request without an answer. Connections that waited to be accepted were reset with the socket.

Change: a connection stays open for 0.5 s after the listener closes, for a request that is on the way, and the connections that wait are accepted before the socket is closed.

--- a/crates/adapters/src/web/serve.rs
+++ b/crates/adapters/src/web/serve.rs
@@ -25,6 +25,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::event::emit;
 use crate::web::set_socket_options;
@@ -32,6 +33,10 @@
 /// Delay after a failed accept, for example when the process has no file descriptor left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time for which a connection without a running request stays open when its listener closes. A
+/// graceful shutdown would close it at once, although its request may already be on the way.
+const LAST_REQUEST_GRACE: Duration = Duration::from_millis(500);
+
 /// Limits on the resources that clients may use.
 #[derive(Clone, Copy, Debug)]
 pub struct ServerLimits {
@@ -49,6 +54,14 @@
     inner: TcpListener,
 }
 
+/// Result of waiting for a connection.
+enum Accepted {
+    Connection(TcpStream),
+    Failed(io::Error),
+    /// The listener is closed.
+    Closed,
+}
+
 /// Handle that shuts listeners down, and counts their connections. Clones share the same state.
 #[derive(Clone, Debug)]
 pub struct Shutdown {
@@ -111,34 +124,67 @@
         B::Error: Into<Box<dyn Error + Send + Sync>>,
     {
         let mut closed = closing.sender.subscribe();
+        let serve = |stream| spawn_connection(stream, &closing, limits(), handle.clone());
         loop {
-            let accepted = tokio::select! {
-                accepted = self.inner.accept() => accepted,
-                () = wait_closed(&mut closed) => return,
-            };
-            let stream = match accepted {
-                Ok((stream, _)) => stream,
-                Err(e) => {
+            match self.next(&mut closed).await {
+                Accepted::Connection(stream) => serve(stream),
+                Accepted::Failed(e) => {
                     emit(Event::AcceptFailed, &[("error", &e)]);
                     sleep(ACCEPT_RETRY_DELAY).await;
-                    continue;
                 }
-            };
-            let limits = limits();
-            if closing.open() >= limits.max_connections {
-                emit(Event::AcceptFailed, &[("error", &"too many connections")]);
-                continue;
+                Accepted::Closed => break,
             }
-            closing.open.fetch_add(1, Ordering::AcqRel);
-            let guard = ConnectionGuard(closing.open.clone());
-            let closed = closing.sender.subscribe();
-            let handle = handle.clone();
-            tokio::spawn(async move {
-                serve_connection(stream, closed, limits, handle).await;
-                drop(guard);
-            });
         }
+        self.into_waiting().into_iter().for_each(serve);
+    }
+
+    async fn next(&self, closed: &mut watch::Receiver<bool>) -> Accepted {
+        let accepted = tokio::select! {
+            accepted = self.inner.accept() => accepted,
+            () = wait_closed(closed) => return Accepted::Closed,
+        };
+        match accepted {
+            Ok((stream, _)) => Accepted::Connection(stream),
+            Err(e) => Accepted::Failed(e),
+        }
+    }
+
+    /// Closes the socket and returns the connections that clients had opened before, which closing it
+    /// would reset.
+    fn into_waiting(self) -> Vec<TcpStream> {
+        let mut waiting = Vec::new();
+        // The socket does not block, so the first error means that no connection waits.
+        if let Ok(socket) = self.inner.into_std() {
+            while let Ok((stream, _)) = socket.accept() {
+                let stream = stream
+                    .set_nonblocking(true)
+                    .and_then(|()| TcpStream::from_std(stream));
+                waiting.extend(stream);
+            }
+        }
+        waiting
+    }
+}
+
+/// Serves a connection in a task, unless too many are open.
+fn spawn_connection<H, F, B>(stream: TcpStream, closing: &Shutdown, limits: ServerLimits, handle: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Response<B>> + Send + 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<Box<dyn Error + Send + Sync>>,
+{
+    if closing.open() >= limits.max_connections {
+        emit(Event::AcceptFailed, &[("error", &"too many connections")]);
+        return;
     }
+    closing.open.fetch_add(1, Ordering::AcqRel);
+    let guard = ConnectionGuard(closing.open.clone());
+    let closed = closing.sender.subscribe();
+    tokio::spawn(async move {
+        serve_connection(stream, closed, limits, handle).await;
+        drop(guard);
+    });
 }
 
 async fn serve_connection<H, F, B>(
@@ -164,11 +210,18 @@
         .serve_connection(TokioIo::new(stream), service);
     let mut served = pin!(served);
     let ended = tokio::select! {
-        ended = served.as_mut() => ended,
-        () = wait_closed(&mut closed) => {
-            served.as_mut().graceful_shutdown();
-            served.await
-        }
+        ended = served.as_mut() => Some(ended),
+        () = wait_closed(&mut closed) => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => match timeout(LAST_REQUEST_GRACE, served.as_mut()).await {
+            Ok(ended) => ended,
+            Err(_) => {
+                served.as_mut().graceful_shutdown();
+                served.await
+            }
+        },
     };
     if let Err(e) = ended {
         emit(Event::CallerConnectionEnded, &[("error", &e)]);
