Compare targets to the fast ones and let runners share what they measured

Late steps had their longest text at a slow target from the start to the end (10.01 s, no move), or moved to another slow one. A target counted as slow against the median of those that the runner had measured, of which most can be slow, and each runner measured only its share of the pool.

Change: the reference is the fast quarter of the measured targets. Runners pass recent measurements on with their pings. A complete group is written at once unless other texts are being scored.

--- a/crates/adapters/src/peer/mod.rs
+++ b/crates/adapters/src/peer/mod.rs
@@ -2,8 +2,8 @@
 //!
 //! It uses HTTP/1.1 with JSON bodies.
 //!
-//! - `GET /ping` takes the query field `leaving`, a JSON list of `LeaveStatement`, and returns a
-//!   `Pong`.
+//! - `GET /ping` takes the query fields `leaving`, a JSON list of `LeaveStatement`, and `paces`, which
+//!   is 1 if the paces of targets are needed. It returns a `Pong`.
 //! - `GET /counts/{window}` returns the counts of a usage window.
 //! - `GET /results/{batch}` takes the query fields `after`, `wait` (milliseconds) and `workspace`.
 //!   It returns a `ResultPage`, 404 if there is no such job, or 503 if the gateway cannot tell.
@@ -26,6 +26,7 @@
 use percent_encoding::NON_ALPHANUMERIC;
 use percent_encoding::percent_decode_str;
 use percent_encoding::utf8_percent_encode;
+use sardinepath_core::decision::gateway::message::PingRequest;
 use sardinepath_core::decision::gateway::message::Pong;
 use sardinepath_core::decision::gateway::message::Question;
 use sardinepath_core::decision::gateway::message::Reply;
@@ -96,17 +97,24 @@
 
 /// Requests the state of another gateway and tells it of leaving targets. Returns `None` if the
 /// request fails.
-pub async fn ping(pool: &Pool, address: SocketAddr, leaving: &[LeaveStatement]) -> Option<Pong> {
-    let path = ping_path(leaving);
+pub async fn ping(pool: &Pool, address: SocketAddr, ping: &PingRequest) -> Option<Pong> {
+    let path = ping_path(ping);
     get_json(pool, address, &path, PING_TIMEOUT).await.ok()
 }
 
-fn ping_path(leaving: &[LeaveStatement]) -> String {
-    match serde_json::to_string(leaving) {
-        Ok(text) if !leaving.is_empty() => {
-            format!("/ping?leaving={}", utf8_percent_encode(&text, ESCAPED))
-        }
-        _ => "/ping".to_owned(),
+fn ping_path(ping: &PingRequest) -> String {
+    let mut fields = Vec::new();
+    if let Ok(text) = serde_json::to_string(&ping.leaving)
+        && !ping.leaving.is_empty()
+    {
+        fields.push(format!("leaving={}", utf8_percent_encode(&text, ESCAPED)));
+    }
+    if ping.paces {
+        fields.push("paces=1".to_owned());
+    }
+    match fields.is_empty() {
+        true => "/ping".to_owned(),
+        false => format!("/ping?{}", fields.join("&")),
     }
 }
 
@@ -217,7 +225,10 @@
 pub fn decode_question(path: &str, query: Option<&str>) -> Option<Question> {
     let mut parts = path.trim_start_matches('/').split('/');
     match (parts.next()?, parts.next()) {
-        ("ping", None) => Some(Question::Ping(decode_leaving(query))),
+        ("ping", None) => Some(Question::Ping(PingRequest {
+            leaving: decode_leaving(query),
+            paces: query_field(query, "paces") == Some("1"),
+        })),
         ("counts", Some(window)) => window.parse().ok().map(Question::UsageCounts),
         ("results", Some(id)) => {
             let id = BatchId::from(percent_decode(id)?);
--- a/crates/core/src/decision/batch/results.rs
+++ b/crates/core/src/decision/batch/results.rs
@@ -92,6 +92,12 @@
         of_each.max().unwrap_or(Completed::Nothing)
     }
 
+    /// Returns `true` if a text is being scored or waits for it, so that a result is close.
+    pub fn awaits_score(&self) -> bool {
+        let mut slots = self.slots.iter();
+        slots.any(|slot| matches!(slot, Slot::Generated(_) | Slot::Scoring(_)))
+    }
+
     /// Marks items as listed. Returns the runs that are no longer needed, with their targets.
     pub fn mark_listed(&mut self, ids: &[ItemId]) -> Vec<(RunId, TargetName)> {
         let mut obsolete = Vec::new();
--- a/crates/core/src/decision/directory/mod.rs
+++ b/crates/core/src/decision/directory/mod.rs
@@ -5,6 +5,7 @@
 
 mod leaves;
 mod limits;
+mod pace;
 mod target;
 
 use std::collections::BTreeMap;
@@ -15,6 +16,8 @@
 pub use crate::decision::directory::limits::Limits;
 pub use crate::decision::directory::limits::REFRESH_AGE;
 pub use crate::decision::directory::limits::Statement;
+use crate::decision::directory::pace::Pace;
+pub use crate::decision::directory::pace::ToldPace;
 use crate::decision::directory::target::ERROR_THRESHOLD;
 use crate::decision::directory::target::Target;
 use crate::domain::fleet::TargetEntry;
@@ -34,10 +37,7 @@
 /// Pause of a target after it refused a request without running it.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(200);
 
-/// Weight of the newest measurement in the exponential moving average of the pace.
-const PACE_SMOOTHING: f64 = 0.4;
-
-/// Number of median event intervals without an event after which a stream counts as stalled.
+/// Number of usual event intervals without an event after which a stream counts as stalled.
 const STALL_EVENTS: f64 = 12.0;
 
 /// Minimum time without an event after which a stream counts as stalled.
@@ -56,8 +56,8 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     targets: BTreeMap<TargetName, Target>,
-    /// Cached median pace of each pool. The cache is cleared when a pace or a target changes.
-    medians: BTreeMap<PoolName, Option<f64>>,
+    /// Cached reference pace of each pool. The cache is cleared when a pace or a target changes.
+    references: BTreeMap<PoolName, Option<f64>>,
     /// Request limits that targets stated.
     pub limits: Limits,
     /// Targets that said that they are leaving.
@@ -130,7 +130,7 @@
     /// Adds or updates the entry of a target. An entry of an earlier run of the target is ignored,
     /// and a target that said that it is leaving does so whatever its entry says.
     pub fn insert(&mut self, mut entry: TargetEntry) {
-        self.medians.clear();
+        self.references.clear();
         entry.leaving |= self.leaves.cover(&entry);
         if let Some(known) = self.targets.get_mut(&entry.name) {
             if entry.started_at < known.entry.started_at {
@@ -171,7 +171,7 @@
     /// the target is only marked, because entries expire then although their targets are alive.
     pub fn remove(&mut self, now: Time, name: &TargetName, outage: bool) {
         if !outage {
-            self.medians.clear();
+            self.references.clear();
             self.targets.remove(name);
         } else if let Some(target) = self.targets.get_mut(name) {
             target.missing_since.get_or_insert(now);
@@ -201,7 +201,7 @@
         let gone = self.targets.values().filter(|t| is_expired(t));
         let gone: Vec<TargetName> = gone.map(|t| t.entry.name.clone()).collect();
         for name in &gone {
-            self.medians.clear();
+            self.references.clear();
             self.targets.remove(name);
         }
         let targets = &self.targets;
@@ -250,12 +250,12 @@
         need: &TargetNeeds,
         centre: &CentreName,
     ) -> Option<Choice> {
-        let median = self.median_pace(pool);
+        let reference = self.reference_pace(pool);
         let limits = &self.limits;
         let fits = |t: &&Target| {
             t.fits(now, pool, need) && limits.may_send(now, &t.entry, need.deferrable)
         };
-        let cost = |t: &Target| t.cost(median, need, centre) + limits.cost(now, &t.entry);
+        let cost = |t: &Target| t.cost(reference, need, centre) + limits.cost(now, &t.entry);
         let cost = |t| (cost(t), t);
         let fitting = self.targets.values().filter(fits).map(cost);
         let (_, best) = fitting.min_by(|(a, _), (b, _)| a.total_cmp(b))?;
@@ -282,13 +282,13 @@
         need: &TargetNeeds,
         centre: &CentreName,
     ) -> Vec<TargetName> {
-        let median = self.median_pace(pool);
+        let reference = self.reference_pace(pool);
         let targets = self.targets.values();
         let mut fitting: Vec<_> = targets
             .filter(|t| {
                 self.limits.needs_permit(now, &t.entry, need.deferrable) && t.fits(now, pool, need)
             })
-            .map(|t| (t.cost(median, need, centre), t.entry.name.clone()))
+            .map(|t| (t.cost(reference, need, centre), t.entry.name.clone()))
             .collect();
         fitting.sort_by(|(a, _), (b, _)| a.total_cmp(b));
         fitting.into_iter().map(|(_, name)| name).collect()
@@ -340,22 +340,37 @@
 
     /// Adds a measurement of a target's pace, the interval between the events of a stream in
     /// milliseconds.
-    pub fn record_pace(&mut self, name: &TargetName, millis: f64) {
+    pub fn record_pace(&mut self, now: Time, name: &TargetName, millis: f64) {
         if let Some(target) = self.targets.get_mut(name) {
-            self.medians.clear();
-            let old = target.pace.unwrap_or(millis);
-            target.pace = Some(old * (1.0 - PACE_SMOOTHING) + millis * PACE_SMOOTHING);
+            self.references.clear();
+            target.pace = Some(Pace::measure(target.pace, now, millis));
         }
     }
 
-    /// Returns `true` if a target is much slower than the median of its pool.
+    /// Takes over the paces that another process measured later than this one.
+    pub fn learn_paces(&mut self, now: Time, told: &[ToldPace]) {
+        for told in told {
+            if let Some(target) = self.targets.get_mut(&told.target) {
+                self.references.clear();
+                target.pace = Pace::learn(target.pace, now, told);
+            }
+        }
+    }
+
+    /// Returns the paces of which other processes should be told.
+    pub fn recent_paces(&self, now: Time) -> Vec<ToldPace> {
+        let paces = self.targets.iter().map(|(name, t)| (name, t.pace));
+        pace::recent(now, paces)
+    }
+
+    /// Returns `true` if a target is much slower than the fast ones of its pool.
     pub fn is_slow(&mut self, name: &TargetName) -> bool {
         let Some(target) = self.targets.get(name) else {
             return false;
         };
         let pool = target.entry.pool.clone();
-        let median = self.median_pace(&pool);
-        self.targets.get(name).is_some_and(|t| t.is_slow(median))
+        let reference = self.reference_pace(&pool);
+        self.targets.get(name).is_some_and(|t| t.is_slow(reference))
     }
 
     /// Returns `true` if a target of the pool that stays has this software version.
@@ -381,35 +396,33 @@
             free_slot: true,
             ..TargetNeeds::default()
         };
-        let median = self.median_pace(&slow.pool);
+        let reference = self.reference_pace(&slow.pool);
         let mut targets = self.targets.values();
         let limits = &self.limits;
         targets.any(|t| {
             t.fits(now, &slow.pool, &need)
                 && limits.may_send(now, &t.entry, true)
-                && !t.is_slow(median)
+                && !t.is_slow(reference)
         })
     }
 
     /// Returns the time without an event after which a stream from this pool counts as stalled.
     pub fn stall_timeout(&mut self, pool: &PoolName) -> Duration {
-        let millis = self.median_pace(pool).map(|pace| pace * STALL_EVENTS);
+        let millis = self.reference_pace(pool).map(|pace| pace * STALL_EVENTS);
         let timeout = millis.and_then(|m| Duration::try_from_secs_f64(m / 1000.0).ok());
         timeout.map_or(MAX_STALL_TIMEOUT, |p| {
             p.clamp(MIN_STALL_TIMEOUT, MAX_STALL_TIMEOUT)
         })
     }
 
-    /// Returns the median pace of a pool in milliseconds, or `None` if no pace is known.
-    fn median_pace(&mut self, pool: &PoolName) -> Option<f64> {
-        if let Some(median) = self.medians.get(pool) {
-            return *median;
+    /// Returns the pace of the fast targets of a pool in milliseconds, or `None` if no pace is known.
+    fn reference_pace(&mut self, pool: &PoolName) -> Option<f64> {
+        if let Some(reference) = self.references.get(pool) {
+            return *reference;
         }
         let targets = self.targets.values().filter(|t| t.entry.pool == *pool);
-        let mut paces: Vec<f64> = targets.filter_map(|t| t.pace).collect();
-        paces.sort_by(f64::total_cmp);
-        let median = paces.get(paces.len() / 2).copied();
-        self.medians.insert(pool.clone(), median);
-        median
+        let reference = pace::reference(targets.filter_map(|t| t.pace));
+        self.references.insert(pool.clone(), reference);
+        reference
     }
 }
--- a/crates/core/src/decision/directory/target.rs
+++ b/crates/core/src/decision/directory/target.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::decision::directory::TargetNeeds;
+use crate::decision::directory::pace::Pace;
 use crate::domain::fleet::TargetEntry;
 use crate::domain::hash::fnv1a;
 use crate::domain::ids::WeightVersion;
@@ -21,7 +22,7 @@
 /// since some requests get an error at every target.
 pub(super) const ERROR_THRESHOLD: u32 = 3;
 
-/// Ratio of a target's pace to the median of its pool above which the target counts as slow.
+/// Ratio of a target's pace to that of the fast ones of its pool above which it counts as slow.
 const SLOW_RATIO: f64 = 1.25;
 
 /// State of a known target.
@@ -39,8 +40,8 @@
     pub(super) failures: u32,
     /// Number of error answers since the last success.
     pub(super) errors: u32,
-    /// Average interval between two events of a stream, in milliseconds.
-    pub(super) pace: Option<f64>,
+    /// Average interval between two events of a stream.
+    pub(super) pace: Option<Pace>,
     /// Time since which the entry is missing although the target may still be alive.
     pub(super) missing_since: Option<Time>,
 }
@@ -70,9 +71,10 @@
         self.paused_until = now + pause.min(MAX_PAUSE);
     }
 
-    /// Returns `true` if the target's pace is much slower than the median of its pool.
-    pub(super) fn is_slow(&self, median: Option<f64>) -> bool {
-        matches!((self.pace, median), (Some(pace), Some(median)) if pace > SLOW_RATIO * median)
+    /// Returns `true` if the target is much slower than the reference pace of its pool.
+    pub(super) fn is_slow(&self, reference: Option<f64>) -> bool {
+        let pace = self.pace.map(|pace| pace.millis);
+        matches!((pace, reference), (Some(pace), Some(fast)) if pace > SLOW_RATIO * fast)
     }
 
     /// Returns `true` if the target meets the requirements of a request.
@@ -99,7 +101,12 @@
 
     /// Returns the cost by which targets are compared, in units of a full load. The lowest is
     /// chosen.
-    pub(super) fn cost(&self, median: Option<f64>, need: &TargetNeeds, centre: &CentreName) -> f64 {
+    pub(super) fn cost(
+        &self,
+        reference: Option<f64>,
+        need: &TargetNeeds,
+        centre: &CentreName,
+    ) -> f64 {
         /// Bonus for a target that has a part of the prompt cached.
         const PREFIX_BONUS: f64 = 0.4;
         /// Cost of a target in another data centre.
@@ -110,12 +117,12 @@
         const PACE_WEIGHT: f64 = 8.0;
         /// Bonus for a target that is assigned to the model. It exceeds the range of the load.
         const SHARE_BONUS: f64 = 1.2;
-        /// Ratio of the pace to the median up to which targets count as equally fast.
+        /// Ratio of the pace to the reference up to which targets count as equally fast.
         const SIMILAR_PACE_RATIO: f64 = 1.12;
         let load =
             f64::from(self.running + self.remote_running) / f64::from(self.entry.slots.max(1));
-        let relative = match (self.pace, median) {
-            (Some(pace), Some(median)) if median > 0.0 => (pace / median).max(1.0),
+        let relative = match (self.pace, reference) {
+            (Some(pace), Some(fast)) if fast > 0.0 => (pace.millis / fast).max(1.0),
             _ => 1.0,
         };
         let distance = if self.entry.centre == *centre {
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -334,7 +334,7 @@
         let runner = self.runner_of(run);
         let pace = runner.and_then(|runner| runner.update_run(now, run, partial));
         if let Some(pace) = pace {
-            self.directory.record_pace(&pace.target, pace.millis);
+            self.directory.record_pace(now, &pace.target, pace.millis);
         }
     }
 
@@ -348,7 +348,7 @@
             return;
         };
         if let Some(pace) = &ended.pace {
-            self.directory.record_pace(&pace.target, pace.millis);
+            self.directory.record_pace(now, &pace.target, pace.millis);
         }
         self.directory.release(now, &ended.target, ended.call);
         let mut fields = vec![
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -14,6 +14,7 @@
 use crate::decision::batch::VersionLimits;
 use crate::decision::directory::CallEnd;
 use crate::decision::directory::Choice;
+use crate::decision::directory::ToldPace;
 use crate::decision::gateway::stored::Answer;
 use crate::decision::gateway::stored::Kind;
 use crate::decision::gateway::stored::Purpose;
@@ -179,8 +180,8 @@
         /// Workspace of the key.
         workspace: Option<WorkspaceName>,
     },
-    /// Read the state of this process, on behalf of another one that knows of these leaving targets.
-    Ping(Vec<LeaveStatement>),
+    /// Read the state of this process, on behalf of another one.
+    Ping(PingRequest),
     /// Read the counts of this process for a usage window.
     UsageCounts(u64),
     /// Give another process permits for a limited target.
@@ -226,6 +227,15 @@
     StreamRecorded(bool),
 }
 
+/// Ping of another process.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PingRequest {
+    /// Targets that said recently that they are leaving.
+    pub leaving: Vec<LeaveStatement>,
+    /// Whether the sender runs jobs, so that it needs the paces of targets.
+    pub paces: bool,
+}
+
 /// Answer of a process to a ping.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Pong {
@@ -238,6 +248,9 @@
     /// Targets that said recently that they are leaving.
     #[serde(default)]
     pub leaving: Vec<LeaveStatement>,
+    /// Paces of targets that this process measured recently, if they were asked for.
+    #[serde(default)]
+    pub paces: Vec<ToldPace>,
 }
 
 /// Reason why a process forwards no watched objects.
@@ -329,8 +342,8 @@
     MoveRun(RunId),
     /// Send a scoring request to a target.
     Score(RunId, Choice, Scorer),
-    /// Ping another process and tell it of these leaving targets.
-    Ping(Runner, Vec<LeaveStatement>),
+    /// Ping another process.
+    Ping(Runner, PingRequest),
     /// Report that the drain is complete.
     Drained,
     /// Ask another process for permits and answer with `Message::PermitsAnswered`.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -345,14 +345,18 @@
                 item,
             } => self.body(call, id, workspace, item),
             Question::EndJob { id, workspace } => self.end_job(call, id, workspace),
-            Question::Ping(leaving) => {
-                self.leaves_told(&leaving);
+            Question::Ping(ping) => {
+                self.leaves_told(&ping.leaving);
                 let pong = Pong {
                     incarnation: self.settings.peer.incarnation,
                     silence: u64::try_from(self.store.outage_time(self.now).as_millis())
                         .unwrap_or(0),
                     load: self.directory.own_load(),
                     leaving: self.directory.recent_leaves(self.now),
+                    paces: match ping.paces {
+                        true => self.directory.recent_paces(self.now),
+                        false => Vec::new(),
+                    },
                 };
                 self.reply(call, Reply::Pong(pong));
             }
--- a/crates/core/src/decision/gateway/pages.rs
+++ b/crates/core/src/decision/gateway/pages.rs
@@ -21,8 +21,9 @@
 use crate::domain::name::ItemId;
 use crate::port::object::ObjectError;
 
-/// Time for which complete groups are collected into one page. A trainer reads the next page half a
-/// second later, which is too late for a group that completes shortly after the first one.
+/// Time for which complete groups are collected into one page while other texts are being scored. A
+/// trainer reads the next page half a second later, which is too late for a group that completes
+/// shortly after the first one.
 const GROUP_DELAY: Duration = Duration::from_millis(120);
 
 /// Time after a page until results without a group are written, so that several share one write.
@@ -50,6 +51,7 @@
                 None => {
                     let due = match active.runner.completed() {
                         Completed::Nothing => continue,
+                        Completed::Group if !active.runner.awaits_score() => now,
                         Completed::Group => *active.group_since.get_or_insert(now) + GROUP_DELAY,
                         Completed::Ungrouped => active.last_page + UNGROUPED_INTERVAL,
                         Completed::PartialGroup => active.last_page + MAX_PAGE_INTERVAL,
--- a/crates/core/src/decision/gateway/peers.rs
+++ b/crates/core/src/decision/gateway/peers.rs
@@ -7,6 +7,7 @@
 
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::message::Effect;
+use crate::decision::gateway::message::PingRequest;
 use crate::decision::gateway::message::Pong;
 use crate::decision::gateway::place::placement_rank;
 use crate::decision::gateway::stored::Answer;
@@ -158,6 +159,7 @@
                 runners.insert(runner.host.clone(), runner.clone());
             }
         }
+        let runs_jobs = !self.runs.is_empty();
         let before = self.peers.health.len();
         self.peers
             .health
@@ -177,8 +179,11 @@
             if !health.awaiting_pong && now >= health.next_ping {
                 health.awaiting_pong = true;
                 health.next_ping = now + PING_INTERVAL;
-                let leaving = self.directory.recent_leaves(now);
-                self.effects.push(Effect::Ping(runner, leaving));
+                let ping = PingRequest {
+                    leaving: self.directory.recent_leaves(now),
+                    paces: runs_jobs,
+                };
+                self.effects.push(Effect::Ping(runner, ping));
             }
         }
     }
@@ -192,6 +197,7 @@
         let mut leaving = Vec::new();
         if let Some(pong) = pong {
             leaving = pong.leaving;
+            self.directory.learn_paces(now, &pong.paces);
             health.last_pong = now;
             let limit = u64::try_from(SILENCE_LIMIT.as_millis()).unwrap_or(u64::MAX);
             if pong.silence < limit {
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -6,6 +6,7 @@
 use sardinepath_core::decision::directory::CallEnd;
 use sardinepath_core::decision::directory::Directory;
 use sardinepath_core::decision::directory::TargetNeeds;
+use sardinepath_core::decision::directory::ToldPace;
 use sardinepath_core::domain::fleet::TargetEntry;
 use sardinepath_core::domain::ids::WeightVersion;
 use sardinepath_core::domain::name::CentreName;
@@ -140,7 +141,7 @@
 fn a_slow_target_is_noticed_and_comes_last() {
     let mut directory = directory(&[listed("a", 1), listed("b", 1), listed("c", 1)]);
     for (name, millis) in [("a", 40.0), ("b", 40.0), ("c", 150.0)] {
-        directory.record_pace(&TargetName::from(name), millis);
+        directory.record_pace(Time(0), &TargetName::from(name), millis);
     }
 
     let chosen: Vec<_> = (0..5)
@@ -152,6 +153,52 @@
     assert_eq!(chosen.iter().filter(|name| *name == "c").count(), 1);
 }
 
+/// Fails if slow targets are not noticed where they are most of those that were measured, as for a
+/// runner whose share of the pool has more slow targets than fast ones.
+#[test]
+fn slow_targets_are_noticed_where_most_are_slow() {
+    let names = ["a", "b", "c", "d"];
+    let mut directory = directory(&names.map(|name| listed(name, 1)));
+    for (name, millis) in [("a", 49.0), ("b", 50.0), ("c", 49.0), ("d", 38.0)] {
+        directory.record_pace(Time(0), &TargetName::from(name), millis);
+    }
+
+    let slow = names.map(|name| directory.is_slow(&TargetName::from(name)));
+
+    assert_eq!(slow, [true, true, true, false]);
+    assert_eq!(choose(&mut directory, 0, &run(1)).as_deref(), Some("d"));
+}
+
+/// Fails if the measurements of another process are not used, replace a newer one, or spoil the paces.
+#[test]
+fn paces_of_other_processes_are_used_unless_older() {
+    let mut told = directory(&["a", "b"].map(|name| listed(name, 1)));
+    told.record_pace(Time(5_000), &TargetName::from("a"), 50.0);
+    told.record_pace(Time(5_000), &TargetName::from("b"), 38.0);
+    let mut paces = told.recent_paces(Time(5_400));
+    let spoiled = paces.iter().map(|pace| ToldPace {
+        millis: f64::NAN,
+        age: 0,
+        ..pace.clone()
+    });
+    let spoiled: Vec<_> = spoiled.collect();
+    paces.extend(spoiled);
+
+    let mut unmeasured = directory(&["a", "b"].map(|name| listed(name, 1)));
+    unmeasured.learn_paces(Time(90_400), &paces);
+    let mut newer = directory(&["a", "b"].map(|name| listed(name, 1)));
+    newer.record_pace(Time(90_300), &TargetName::from("a"), 38.0);
+    newer.learn_paces(Time(90_400), &paces);
+
+    let a = TargetName::from("a");
+    assert!(unmeasured.is_slow(&a));
+    assert!(!newer.is_slow(&a));
+    assert!(
+        told.recent_paces(Time(9_000)).is_empty(),
+        "old measurements are not told"
+    );
+}
+
 /// Fails if a stalled target holds an item for seconds although others produce an event every
 /// 50 ms, or if streams of slow engines count as stalled between two events.
 #[test]
@@ -162,7 +209,7 @@
         let mut directory = directory(&names.map(|name| listed(name, 1)));
         for name in names {
             if let Some(millis) = millis {
-                directory.record_pace(&TargetName::from(name), millis);
+                directory.record_pace(Time(0), &TargetName::from(name), millis);
             }
         }
         directory.stall_timeout(&pool).as_millis()
--- a/crates/core/tests/gateway_support/leaving.rs
+++ b/crates/core/tests/gateway_support/leaving.rs
@@ -7,6 +7,7 @@
 use sardinepath_core::decision::gateway::message::CallId;
 use sardinepath_core::decision::gateway::message::Effect;
 use sardinepath_core::decision::gateway::message::Message;
+use sardinepath_core::decision::gateway::message::PingRequest;
 use sardinepath_core::decision::gateway::message::Pong;
 use sardinepath_core::decision::gateway::message::Question;
 use sardinepath_core::decision::gateway::message::Reply;
@@ -83,28 +84,28 @@
         &mut self,
         asker: usize,
         name: &HostName,
-        leaving: Vec<LeaveStatement>,
+        ping: PingRequest,
     ) -> Option<Pong> {
         let index = (0..self.nodes.len()).find(|i| host(*i) == *name)?;
         let cut = self.nodes[asker].cut || self.nodes[index].cut;
         let load = self.load(index);
         let node = &mut self.nodes[index];
         let gateway = node.gateway.as_mut().filter(|_| !node.frozen)?;
-        let told = if cut { Vec::new() } else { leaving };
+        let told = if cut { PingRequest::default() } else { ping };
         let ask = Message::Ask(CallId(0), Question::Ping(told));
         let effects = gateway.handle(Time(self.now), ask);
         let answered = effects.into_iter().find_map(|effect| match effect {
             Effect::Reply(_, Reply::Pong(pong)) => Some(pong),
             _ => None,
         });
+        let answered: Pong = answered?;
         let unavailable = node.fault == StoreFault::Unavailable;
         Some(Pong {
             incarnation: Incarnation(u64::try_from(index).unwrap() * 1_000 + node.incarnation),
             silence: if unavailable { 60_000 } else { 0 },
             load,
-            leaving: answered
-                .filter(|_| !cut)
-                .map_or_else(Vec::new, |pong| pong.leaving),
+            leaving: if cut { Vec::new() } else { answered.leaving },
+            paces: if cut { Vec::new() } else { answered.paces },
         })
     }
 }
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -18,8 +18,10 @@
 use sardinepath_core::decision::gateway::message::CallId;
 use sardinepath_core::decision::gateway::message::Effect;
 use sardinepath_core::decision::gateway::message::Message;
+use sardinepath_core::decision::gateway::message::PingRequest;
 use sardinepath_core::decision::gateway::message::Question;
 use sardinepath_core::decision::gateway::message::Reply;
+use sardinepath_core::decision::gateway::message::RunRequest;
 use sardinepath_core::decision::gateway::message::Source;
 use sardinepath_core::decision::gateway::stored::Kind;
 use sardinepath_core::decision::gateway::stored::Record;
@@ -39,10 +41,10 @@
 
 use crate::gateway_support::duty::DutyCall;
 pub use crate::gateway_support::fixtures::address;
-use crate::gateway_support::fixtures::batch;
+pub use crate::gateway_support::fixtures::batch;
 pub use crate::gateway_support::fixtures::batch_id;
 use crate::gateway_support::fixtures::host;
-use crate::gateway_support::fixtures::route;
+pub use crate::gateway_support::fixtures::route;
 use crate::gateway_support::fixtures::table;
 use crate::gateway_support::fixtures::target;
 pub use crate::gateway_support::fixtures::workspace;
@@ -131,6 +133,10 @@
     targets: Vec<TargetEntry>,
     /// Duration of a generation in milliseconds.
     pub generation_ms: u64,
+    /// Factor of the duration of a generation at each target that is slower than others.
+    pub speeds: BTreeMap<TargetName, f64>,
+    /// Generations that have started, with the time of the start and between two events.
+    generations: BTreeMap<(usize, RunId), (u64, u64, RunRequest)>,
     /// Number of events after which the first attempt of each item breaks, or `None`.
     pub break_after: Option<u64>,
 }
@@ -180,6 +186,8 @@
             permit_calls: Vec::new(),
             targets: (0..4).map(target).collect(),
             generation_ms: GENERATION_MS,
+            speeds: BTreeMap::new(),
+            generations: BTreeMap::new(),
             break_after: None,
         };
         for index in 0..powers.len() {
@@ -409,16 +417,19 @@
                     let end = ScoreEnd::Scored(Arc::from("digest"));
                     self.send(index, STEP_MS, Message::ScoringEnded(run, end));
                 }
+                Effect::MoveRun(run) => self.move_run(index, run),
                 Effect::StopRun(run) => drop(self.nodes[index].runs.remove(&run)),
-                Effect::Ping(runner, leaving) => {
-                    let pong = self.pong(index, &runner.host, leaving);
+                Effect::Ping(runner, ping) => {
+                    let pong = self.pong(index, &runner.host, ping);
                     self.send(index, STEP_MS, Message::PingEnded(runner.host, pong));
                 }
                 Effect::AskPermits(address, request) => {
                     self.ask_permits(index, address, request);
                 }
                 Effect::CollectCounts(window, peer) => {
-                    let alive = self.pong(index, &peer.host, Vec::new()).is_some();
+                    let alive = self
+                        .pong(index, &peer.host, PingRequest::default())
+                        .is_some();
                     let counts = alive.then(Counts::new);
                     self.send(
                         index,
@@ -437,7 +448,6 @@
                 | Effect::StopAccepting
                 | Effect::Drained
                 | Effect::SetRelays(_)
-                | Effect::MoveRun(_)
                 | Effect::Log(..) => {}
             }
         }
--- a/crates/core/tests/gateway_support/traffic.rs
+++ b/crates/core/tests/gateway_support/traffic.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use sardinepath_core::decision::batch::RunEnd;
+use sardinepath_core::decision::batch::RunId;
 use sardinepath_core::decision::directory::CallEnd;
 use sardinepath_core::decision::directory::Choice;
 use sardinepath_core::decision::gateway::message::CallId;
@@ -176,7 +177,10 @@
         if partial.events == 0 {
             partial.software = Some(run.target.software.clone());
         }
-        let interval = self.generation_ms / GENERATION_EVENTS;
+        let speed = self.speeds.get(&run.target.name).copied().unwrap_or(1.0);
+        let interval = slowed(self.generation_ms, speed) / GENERATION_EVENTS;
+        let generation = (self.now, interval, run.clone());
+        self.generations.insert((index, run.id), generation);
         let first_attempt = self.starts[&run.item.id].len() == 1;
         let last = match self.break_after {
             Some(events) if first_attempt => events,
@@ -198,6 +202,22 @@
         self.send(index, delay, Message::RunEnded(run.id, end, partial));
     }
 
+    /// Ends a generation whose item another target continues.
+    pub(super) fn move_run(&mut self, index: usize, id: RunId) {
+        let Some((start, interval, run)) = self.generations.remove(&(index, id)) else {
+            return;
+        };
+        let mut partial = run.partial.clone();
+        partial.software.get_or_insert(run.target.software.clone());
+        let events = (self.now - start) / interval;
+        for _ in 0..events.min(GENERATION_EVENTS - 1 - partial.events) {
+            let next = partial.events + 1;
+            let text = run.target.software.as_str();
+            run.versions.push(&mut partial, next, 1, text).unwrap();
+        }
+        self.send(index, 0, Message::RunEnded(id, RunEnd::Moved, partial));
+    }
+
     /// Replaces the targets by ones with these software versions, which have names of their own if
     /// they are `later`.
     pub fn set_targets(&mut self, later: bool, software: &[&str]) {
@@ -256,3 +276,9 @@
         load
     }
 }
+
+/// Returns a duration at a target that is slower by a factor.
+fn slowed(millis: u64, factor: f64) -> u64 {
+    let percent = (factor * 100.0).round() as u64;
+    millis * percent / 100
+}
--- a/crates/node/tests/gateway_control.rs
+++ b/crates/node/tests/gateway_control.rs
@@ -14,6 +14,7 @@
 use sardinepath_core::decision::gateway::message::CallId;
 use sardinepath_core::decision::gateway::message::Effect;
 use sardinepath_core::decision::gateway::message::Message;
+use sardinepath_core::decision::gateway::message::PingRequest;
 use sardinepath_core::decision::gateway::message::Question;
 use sardinepath_core::decision::gateway::message::Reply;
 use sardinepath_core::decision::lease::Terms;
@@ -78,7 +79,7 @@
     });
     let mut seen = Vec::new();
     for call in 0..questions {
-        let question = Question::Ping(Vec::new());
+        let question = Question::Ping(PingRequest::default());
         messages.send(Message::Ask(CallId(call), question)).unwrap();
         seen.push(replied.recv_timeout(TIMEOUT).unwrap());
     }
