Log the entry of a target only where its change decides something

Change: an entry that changes nothing is not logged; a change of versions alone is logged by the holder of the duty and by runners. item_sent still names the version that the runner believes.

--- a/crates/core/src/decision/gateway/watched.rs
+++ b/crates/core/src/decision/gateway/watched.rs
@@ -69,18 +69,7 @@
         self.store.record(self.now, true);
         match view {
             WatchedObject::Table(table) => self.apply_table(table),
-            WatchedObject::Target(listed) => {
-                let fields = vec![
-                    ("target", listed.name.to_string()),
-                    ("pool", listed.pool.to_string()),
-                    ("software", listed.software.to_string()),
-                    ("leaving", listed.leaving.to_string()),
-                    ("models", format!("{:?}", listed.models)),
-                ];
-                self.log(Event::TargetSeen, fields);
-                self.directory.insert(listed);
-                self.tick_weights();
-            }
+            WatchedObject::Target(listed) => self.target_changed(listed),
             WatchedObject::TargetGone(name) => {
                 let unsettled = self.is_unsettled();
                 self.directory.remove(self.now, &name, unsettled);
@@ -115,6 +104,25 @@
         }
     }
 
+    /// Handles the new or changed entry of a target. A change of its weight versions alone is logged
+    /// only where it decides something: at the holder of the duty and at runners.
+    fn target_changed(&mut self, listed: TargetEntry) {
+        let change = EntryChange::between(self.directory.get(&listed.name), &listed);
+        let decides = !self.duty.is_vacant() || !self.runs.is_empty();
+        if change == EntryChange::Serving || (change == EntryChange::Versions && decides) {
+            let fields = vec![
+                ("target", listed.name.to_string()),
+                ("pool", listed.pool.to_string()),
+                ("software", listed.software.to_string()),
+                ("leaving", listed.leaving.to_string()),
+                ("models", format!("{:?}", listed.models)),
+            ];
+            self.log(Event::TargetSeen, fields);
+        }
+        self.directory.insert(listed);
+        self.tick_weights();
+    }
+
     fn apply_table(&mut self, table: std::sync::Arc<RouteTable>) {
         if self
             .table
@@ -171,6 +179,37 @@
     }
 }
 
+/// What a new entry of a target changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EntryChange {
+    /// Nothing that decides.
+    Nothing,
+    /// Only the weight versions.
+    Versions,
+    /// Whether or how the target serves.
+    Serving,
+}
+
+impl EntryChange {
+    /// Returns what an entry changes compared to the known one.
+    fn between(known: Option<&TargetEntry>, listed: &TargetEntry) -> Self {
+        let Some(known) = known else {
+            return Self::Serving;
+        };
+        let same_versions = TargetEntry {
+            models: known.models.clone(),
+            ..listed.clone()
+        };
+        if same_versions != *known {
+            Self::Serving
+        } else if listed.models != known.models {
+            Self::Versions
+        } else {
+            Self::Nothing
+        }
+    }
+}
+
 impl WatchedObject {
     fn target(self) -> Option<TargetEntry> {
         match self {
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -143,7 +143,7 @@
     /// This process changed its source of objects. Fields: `source`.
     SourceChosen = (605, Info, "source_chosen", "the process changed its source of objects"),
     /// The entry of a target changed. Fields: `target`, `pool`, `leaving`, `models`.
-    TargetSeen = (610, Info, "target_seen", "the entry of a target is new or has changed"),
+    TargetSeen = (610, Info, "target_seen", "the entry of a target is new, or what it says has changed"),
     /// The entry of a target is gone. Fields: `target`, `kept`.
     TargetGone = (611, Info, "target_gone", "the entry of a target is gone"),
     /// The entry of a target did not come back after an outage. Fields: `target`.
