Look for signs of life of a silent runner in the store before its job is taken over

Cause: a runner that answered no pings for 2 s lost its job, also when only the other gateways did not reach it and it went on; its items were begun again elsewhere.

Change: a candidate reads the drafts of the job after 1 s of silence and again when it may take over. A runner that has written in between is no longer suspected. A runner that has ended, or says that the store does not answer it, is replaced as before.

--- a/crates/core/src/decision/gateway/jobs.rs
+++ b/crates/core/src/decision/gateway/jobs.rs
@@ -16,6 +16,7 @@
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::Reply;
 use crate::decision::gateway::read::Reader;
+use crate::decision::gateway::witness::Witness;
 use crate::domain::batch::Batch;
 use crate::domain::batch::Draft;
 use crate::domain::batch::Head;
@@ -66,6 +67,8 @@
     pub(super) sole_runner: bool,
     /// Time at which the runner was first considered gone.
     pub(super) suspected_since: Option<Time>,
+    /// What is known of the drafts of the runner while it is suspected.
+    pub(super) witness: Witness,
     pub(super) last_used: Time,
 }
 
@@ -131,6 +134,7 @@
             changing_runner: false,
             sole_runner: false,
             suspected_since: None,
+            witness: Witness::Unknown,
             last_used: now,
         }
     }
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -12,6 +12,7 @@
 //! - `leaving`: targets that say in their answers that they are leaving
 //! - `streams`: software versions that began the streams to callers
 //! - `duty`, `usage`: work of the lease holder (weight updates and usage reports)
+//! - `witness`: signs of life of a runner before its job is taken over
 //! - `peers`, `source`, `watched`: other processes, watch sources, and watched objects
 
 mod dispatch;
@@ -37,6 +38,7 @@
 mod submit;
 mod usage;
 mod watched;
+mod witness;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
--- a/crates/core/src/decision/gateway/peers.rs
+++ b/crates/core/src/decision/gateway/peers.rs
@@ -15,6 +15,8 @@
 use crate::decision::gateway::stored::Purpose;
 use crate::decision::gateway::stored::Record;
 use crate::decision::gateway::stored::StoreCall;
+use crate::decision::gateway::witness::Witness;
+use crate::decision::gateway::witness::WitnessStep;
 use crate::domain::batch::Head;
 use crate::domain::batch::Runner;
 use crate::domain::event::Event;
@@ -34,6 +36,10 @@
 /// does not answer it.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
 
+/// Time after which a process that answers no pings is suspected, so that it is known by the end of the
+/// silence limit whether it still writes.
+const SUSPICION_LIMIT: Duration = Duration::from_millis(1_000);
+
 /// Delay of each takeover candidate behind the one before it.
 const CANDIDATE_DELAY: Duration = Duration::from_millis(500);
 
@@ -41,6 +47,17 @@
 /// it.
 const VACANT_JOB_DELAY: Duration = Duration::from_millis(20);
 
+/// What is known of the process that runs a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Presence {
+    /// It answers pings and reaches the object API, as far as is known.
+    Alive,
+    /// It has answered no pings for a moment, but may go on.
+    Silent,
+    /// It has ended, or cannot list results.
+    Gone,
+}
+
 /// Known processes and the health of those that run jobs.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
@@ -239,18 +256,32 @@
         if job.head.ended || job.changing_runner || job.is_run_by(&self.settings.peer) {
             return;
         }
-        let gone = job.head.runner.as_ref().is_none_or(|r| self.is_gone(r));
-        let delay = gone.then(|| self.takeover_delay(&job.head));
+        let presence = match &job.head.runner {
+            Some(runner) => self.presence(runner),
+            None => Presence::Gone,
+        };
+        let delay = self.takeover_delay(&job.head);
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let Some(delay) = delay else {
+        if presence == Presence::Alive {
             job.suspected_since = None;
+            job.witness = Witness::Unknown;
             return;
-        };
+        }
         let since = *job.suspected_since.get_or_insert(now);
-        if now < since + delay {
-            return;
+        let due = since + delay;
+        let step = match presence {
+            Presence::Silent => job
+                .witness
+                .next(now, due + (SILENCE_LIMIT - SUSPICION_LIMIT)),
+            _ if now >= due => WitnessStep::TakeOver,
+            _ => WitnessStep::Wait,
+        };
+        match step {
+            WitnessStep::Read => return self.read_witness(id),
+            WitnessStep::Wait => return,
+            WitnessStep::TakeOver => {}
         }
         job.changing_runner = true;
         let runner = Runner::from(&self.settings.peer);
@@ -272,30 +303,35 @@
         self.update_head(Purpose::TakeOver(id.clone()), id, head, revision);
     }
 
-    /// Returns `true` if the process that runs a job is considered gone.
-    fn is_gone(&self, runner: &Runner) -> bool {
+    /// Returns what is known of the process that runs a job.
+    fn presence(&self, runner: &Runner) -> Presence {
         if runner.host == self.settings.peer.host {
             // The runner is an earlier run of this process.
-            return true;
+            return Presence::Gone;
         }
         let Some(known) = self.peer(&runner.host) else {
-            return true;
+            return Presence::Gone;
         };
         let health = self.peers.health.get(&runner.host);
-        // After an outage of the object API a live process needs time to notice that it is back.
-        let store_settled = self.store.uptime(self.now) >= SILENCE_LIMIT;
-        let silent = health.is_some_and(|h| {
-            let since = if store_settled {
-                h.last_healthy
-            } else {
-                h.last_pong
-            };
-            self.now.since(since) >= SILENCE_LIMIT
-        });
         let replaced = health
             .and_then(|h| h.responder.as_ref())
             .is_some_and(|peer| peer.incarnation != runner.incarnation);
-        silent || replaced || known.incarnation != runner.incarnation
+        if replaced || known.incarnation != runner.incarnation {
+            return Presence::Gone;
+        }
+        let Some(health) = health else {
+            return Presence::Alive;
+        };
+        // After an outage of the object API a live process needs time to notice that it is back.
+        let store_settled = self.store.uptime(self.now) >= SILENCE_LIMIT;
+        if self.now.since(health.last_pong) >= SUSPICION_LIMIT {
+            Presence::Silent
+        } else if store_settled && self.now.since(health.last_healthy) >= SILENCE_LIMIT {
+            // It says itself that the object API does not answer it.
+            Presence::Gone
+        } else {
+            Presence::Alive
+        }
     }
 
     /// Returns the delay before this process takes over a job. Candidates have the same order as
--- a/crates/core/src/decision/gateway/stored.rs
+++ b/crates/core/src/decision/gateway/stored.rs
@@ -51,6 +51,8 @@
     Draft(BatchId),
     /// Read the drafts of a job.
     LoadDrafts(BatchId),
+    /// Read the drafts of a job to see whether its runner still writes.
+    Witness(BatchId),
     /// Mark a job as ended.
     End(BatchId),
     /// Make this process the runner of a job.
--- a/crates/core/src/decision/gateway/watched.rs
+++ b/crates/core/src/decision/gateway/watched.rs
@@ -159,6 +159,7 @@
             Purpose::LoadPage(id, start) => self.page_loaded(&id, start, answer),
             Purpose::Append(id, start) => self.page_appended(&id, start, &answer),
             Purpose::Draft(id) => self.drafts_stored(&id, &answer),
+            Purpose::Witness(id) => self.witness_answered(&id, &answer),
             Purpose::LoadDrafts(id) => self.drafts_loaded(&id, answer),
             Purpose::End(id) => self.end_stored(&id, &answer),
             Purpose::TakeOver(id) => {
