--- a/crates/core/src/decision/batch/mod.rs
+++ b/crates/core/src/decision/batch/mod.rs
@@ -7,12 +7,15 @@
 
 mod drafts;
 mod journal;
+mod order;
+mod pace;
 mod results;
 mod run;
 mod runner;
 
 pub use crate::decision::batch::drafts::WrittenDrafts;
 pub use crate::decision::batch::journal::Journal;
+pub use crate::decision::batch::pace::Pace;
 pub use crate::decision::batch::results::Completed;
 pub use crate::decision::batch::run::Generated;
 pub use crate::decision::batch::run::Generating;
@@ -21,7 +24,6 @@
 pub use crate::decision::batch::run::Waiting;
 pub use crate::decision::batch::runner::EndedRun;
 pub use crate::decision::batch::runner::Generation;
-pub use crate::decision::batch::runner::Pace;
 pub use crate::decision::batch::runner::Runner;
 pub use crate::decision::batch::runner::RunnerLimits;
 pub use crate::decision::batch::runner::Task;
--- a/crates/core/src/decision/batch/runner.rs
+++ b/crates/core/src/decision/batch/runner.rs
@@ -1,6 +1,5 @@
 //! Runner of a batch job: the state and dispatch order of its items.
 
-use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::mem;
 use std::sync::Arc;
@@ -9,6 +8,7 @@
 use crate::decision::batch::Generated;
 use crate::decision::batch::Generating;
 use crate::decision::batch::Journal;
+use crate::decision::batch::Pace;
 use crate::decision::batch::Run;
 use crate::decision::batch::RunEnd;
 use crate::decision::batch::RunId;
@@ -16,6 +16,8 @@
 use crate::decision::batch::Scoring;
 use crate::decision::batch::VersionLimits;
 use crate::decision::batch::Waiting;
+use crate::decision::batch::order::dispatch_order;
+use crate::decision::batch::pace::pace;
 use crate::decision::directory::CallEnd;
 use crate::domain::batch::Batch;
 use crate::domain::batch::Draft;
@@ -35,10 +37,6 @@
 /// Delay after a target refused an item without running it. The target itself is paused for longer.
 const REFUSAL_DELAY: Duration = Duration::from_millis(20);
 
-/// Minimum time over which the pace of a target is measured. Over a shorter one, the delays of messages
-/// make equal targets look different.
-const MIN_PACE_WINDOW: Duration = Duration::from_millis(200);
-
 /// Maximum number of moves of one item away from slow targets.
 const MAX_MOVES: u32 = 3;
 
@@ -83,17 +81,6 @@
     pub software: Option<SoftwareVersion>,
 }
 
-/// Measured time per event at a target.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Pace {
-    /// Target that generated the events.
-    pub target: TargetName,
-    /// Mean time per event in milliseconds.
-    pub millis: f64,
-    /// Time from which on the events were counted.
-    pub since: Time,
-}
-
 /// Summary of a generation that ended.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EndedRun {
@@ -411,50 +398,3 @@
         self.runs.contains_key(&id)
     }
 }
-
-/// Returns the dispatch order of items. Long items of all groups come first because groups complete
-/// with them. Items of one group are adjacent, so they share a target and its failure delays only
-/// one group.
-fn dispatch_order(items: &[Arc<Item>]) -> Vec<usize> {
-    let mean = mean_size(items);
-    let mut longest: HashMap<Option<&GroupName>, u64> = HashMap::new();
-    for item in items {
-        let max_size = longest.entry(item.group.as_ref()).or_default();
-        *max_size = (*max_size).max(item.expected_tokens);
-    }
-    let mut order: Vec<usize> = (0..items.len()).collect();
-    order.sort_by_key(|index| {
-        let item = &items[*index];
-        let group = item.group.as_ref();
-        let max_size = longest.get(&group).copied().unwrap_or(0);
-        (
-            item.expected_tokens < mean,
-            Reverse(max_size),
-            group,
-            Reverse(item.expected_tokens),
-        )
-    });
-    order
-}
-
-fn mean_size(items: &[Arc<Item>]) -> u64 {
-    let count = u64::try_from(items.len().max(1)).unwrap_or(u64::MAX);
-    items.iter().map(|item| item.expected_tokens).sum::<u64>() / count
-}
-
-/// Returns the pace of a generation since its last progress message, or `None` without new events. The
-/// events before the first message are not counted, since their time includes the wait for a slot.
-fn pace(run: &Run<Generating>, now: Time, events: u64) -> Option<Pace> {
-    let first = run.state.last_progress == run.state.sent;
-    if first || now.since(run.state.last_progress) < MIN_PACE_WINDOW {
-        return None;
-    }
-    let new = events.saturating_sub(run.state.draft.events);
-    let count = u32::try_from(new).unwrap_or(u32::MAX);
-    let spent = now.since(run.state.last_progress).as_secs_f64() * 1000.0;
-    (count > 0).then(|| Pace {
-        target: run.state.target.clone(),
-        millis: spent / f64::from(count),
-        since: run.state.last_progress,
-    })
-}
--- a/crates/core/src/decision/directory/mod.rs
+++ b/crates/core/src/decision/directory/mod.rs
@@ -3,15 +3,18 @@
 //! Entries come from the object API. Load, speed and failures come from the requests of this
 //! process and from the loads that other processes report.
 
+mod choice;
 mod leaves;
 mod limits;
 mod pace;
 mod target;
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
+pub use crate::decision::directory::choice::CallEnd;
+pub use crate::decision::directory::choice::Choice;
+pub use crate::decision::directory::choice::TargetNeeds;
 use crate::decision::directory::leaves::Leaves;
 pub use crate::decision::directory::limits::Limits;
 pub use crate::decision::directory::limits::REFRESH_AGE;
@@ -64,68 +67,6 @@
     leaves: Leaves,
 }
 
-/// Requirements and preferences of a request for its target.
-#[derive(Clone, Debug, Default)]
-pub struct TargetNeeds {
-    /// Model and its oldest permitted version, or `None` for plain requests.
-    pub model: Option<(ModelName, WeightVersion)>,
-    /// Software version that the target must have, or `None` if any will do.
-    pub software: Option<SoftwareVersion>,
-    /// Targets that must not be chosen.
-    pub excluded: Vec<TargetName>,
-    /// Target that has a part of the prompt cached.
-    pub preferred: Option<TargetName>,
-    /// `true` if the request can wait, so that it leaves permits for limited targets to others.
-    pub deferrable: bool,
-    /// `true` if the target must have a free slot.
-    pub free_slot: bool,
-    /// `true` if a target that is paused after a failure may be chosen too.
-    pub allow_paused: bool,
-    /// Number that differs between processes, by which ties between targets are broken.
-    pub seed: u64,
-}
-
-/// Result of a request at a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CallEnd {
-    /// The target answered.
-    Answered,
-    /// The target answered with an error.
-    Error,
-    /// The target refused the request without running it.
-    Refused,
-    /// Another target answered at the address.
-    Misdirected,
-    /// The request got no answer.
-    Failed,
-    /// The caller or this process cancelled the request.
-    Cancelled,
-}
-
-/// Target chosen for a request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Choice {
-    /// Name of the target.
-    pub name: TargetName,
-    /// Address to which the request is sent.
-    pub address: SocketAddr,
-    /// Software version of the target.
-    pub software: SoftwareVersion,
-    /// Start of the run of the target, as in its entry.
-    pub started_at: u64,
-    /// Time until which the request may be sent. Later the target has to be chosen again.
-    pub valid_until: Time,
-    /// True if the target limits its requests, so that the choice covers a single request.
-    pub limited: bool,
-}
-
-impl Choice {
-    /// Returns `true` if the request may still be sent to the target.
-    pub fn is_valid(&self, now: Time) -> bool {
-        now < self.valid_until
-    }
-}
-
 impl Directory {
     /// Adds or updates the entry of a target. An entry of an earlier run of the target is ignored,
     /// and a target that said that it is leaving does so whatever its entry says.
--- /dev/null
+++ b/crates/core/src/decision/gateway/health.rs
@@ -0,0 +1,47 @@
+//! Availability of the object API.
+
+use std::time::Duration;
+
+use crate::domain::time::Time;
+
+/// Availability of the object API as this process observes it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct StoreHealth {
+    /// Start of the current outage.
+    pub(super) outage_start: Option<Time>,
+    /// End of the last outage, initially the start of the process.
+    restored_at: Time,
+}
+
+impl StoreHealth {
+    /// Creates the state of a process that starts now.
+    pub(super) fn new(now: Time) -> Self {
+        Self {
+            outage_start: None,
+            restored_at: now,
+        }
+    }
+
+    /// Records that the object API answered or did not.
+    pub(super) fn record(&mut self, now: Time, up: bool) {
+        if !up {
+            self.outage_start.get_or_insert(now);
+        } else if self.outage_start.take().is_some() {
+            self.restored_at = now;
+        }
+    }
+
+    /// Returns the length of the current outage, or zero.
+    pub(super) fn outage_time(&self, now: Time) -> Duration {
+        self.outage_start
+            .map_or(Duration::ZERO, |start| now.since(start))
+    }
+
+    /// Returns the time since the last outage ended, or zero during an outage.
+    pub(super) fn uptime(&self, now: Time) -> Duration {
+        match self.outage_start {
+            Some(_) => Duration::ZERO,
+            None => now.since(self.restored_at),
+        }
+    }
+}
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -13,13 +13,14 @@
 //! - `streams`: software versions that began the streams to callers
 //! - `duty`, `usage`: work of the lease holder (weight updates and usage reports)
 //! - `witness`: signs of life of a runner before its job is taken over
-//! - `peers`, `source`, `watched`: other processes, watch sources, and watched objects
+//! - `peers`, `health`, `source`, `watched`: other processes, watch sources, and watched objects
 
 mod dispatch;
 mod draft;
 mod duty;
 mod ending;
 mod head;
+mod health;
 mod jobs;
 mod leaving;
 mod limit;
@@ -49,13 +50,13 @@
 use crate::decision::batch::RunId;
 use crate::decision::directory::Directory;
 use crate::decision::gateway::duty::Duty;
+use crate::decision::gateway::health::StoreHealth;
 use crate::decision::gateway::jobs::Job;
 use crate::decision::gateway::leaving::LeaveSource;
 use crate::decision::gateway::limit::Permits;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::Message;
-use crate::decision::gateway::message::Pong;
 use crate::decision::gateway::message::Question;
 use crate::decision::gateway::message::Reply;
 use crate::decision::gateway::peers::Peers;
@@ -158,39 +159,6 @@
     effects: Vec<Effect>,
 }
 
-/// Availability of the object API as this process observes it.
-#[derive(Clone, Copy, Debug)]
-struct StoreHealth {
-    /// Start of the current outage.
-    outage_start: Option<Time>,
-    /// End of the last outage, initially the start of the process.
-    restored_at: Time,
-}
-
-impl StoreHealth {
-    fn record(&mut self, now: Time, up: bool) {
-        if !up {
-            self.outage_start.get_or_insert(now);
-        } else if self.outage_start.take().is_some() {
-            self.restored_at = now;
-        }
-    }
-
-    /// Returns the length of the current outage, or zero.
-    fn outage_time(&self, now: Time) -> Duration {
-        self.outage_start
-            .map_or(Duration::ZERO, |start| now.since(start))
-    }
-
-    /// Returns the time since the last outage ended, or zero during an outage.
-    fn uptime(&self, now: Time) -> Duration {
-        match self.outage_start {
-            Some(_) => Duration::ZERO,
-            None => now.since(self.restored_at),
-        }
-    }
-}
-
 impl Gateway {
     /// Creates a gateway that knows no objects yet. Its first effect announces the process.
     pub fn new(settings: GatewaySettings, now: Time) -> Self {
@@ -213,10 +181,7 @@
             reports: Reports::new(now),
             draining: false,
             drained: false,
-            store: StoreHealth {
-                outage_start: None,
-                restored_at: now,
-            },
+            store: StoreHealth::new(now),
             watch_start: None,
             removal: None,
             next_removal: now,
@@ -361,21 +326,7 @@
                 item,
             } => self.body(call, id, workspace, item),
             Question::EndJob { id, workspace } => self.end_job(call, id, workspace),
-            Question::Ping(ping) => {
-                self.leaves_told(&ping.leaving);
-                let pong = Pong {
-                    incarnation: self.settings.peer.incarnation,
-                    silence: u64::try_from(self.store.outage_time(self.now).as_millis())
-                        .unwrap_or(0),
-                    load: self.directory.own_load(),
-                    leaving: self.directory.recent_leaves(self.now),
-                    paces: match ping.paces {
-                        true => self.directory.recent_paces(self.now),
-                        false => Vec::new(),
-                    },
-                };
-                self.reply(call, Reply::Pong(pong));
-            }
+            Question::Ping(ping) => self.answer_ping(call, &ping),
             Question::UsageCounts(window) => {
                 let counts = self.tally.counts(window);
                 self.reply(call, Reply::Counts(counts));
--- a/crates/core/src/decision/gateway/peers.rs
+++ b/crates/core/src/decision/gateway/peers.rs
@@ -6,9 +6,11 @@
 use std::time::Duration;
 
 use crate::decision::gateway::Gateway;
+use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::PingRequest;
 use crate::decision::gateway::message::Pong;
+use crate::decision::gateway::message::Reply;
 use crate::decision::gateway::place::placement_rank;
 use crate::decision::gateway::stored::Answer;
 use crate::decision::gateway::stored::Kind;
@@ -205,6 +207,25 @@
         }
     }
 
+    /// Answers the ping of another process with the state of this one.
+    pub(super) fn answer_ping(&mut self, call: CallId, ping: &PingRequest) {
+        let now = self.now;
+        self.leaves_told(&ping.leaving);
+        let paces = match ping.paces {
+            true => self.directory.recent_paces(now),
+            false => Vec::new(),
+        };
+        let outage = self.store.outage_time(now);
+        let pong = Pong {
+            incarnation: self.settings.peer.incarnation,
+            silence: u64::try_from(outage.as_millis()).unwrap_or(0),
+            load: self.directory.own_load(),
+            leaving: self.directory.recent_leaves(now),
+            paces,
+        };
+        self.reply(call, Reply::Pong(pong));
+    }
+
     pub(super) fn ping_ended(&mut self, host: HostName, pong: Option<Pong>) {
         let now = self.now;
         let Some(health) = self.peers.health.get_mut(&host) else {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,8 +6,10 @@
 
 mod body;
 pub mod callers;
+mod check;
 pub mod fleet;
 pub mod generation;
+mod inject;
 pub mod proxy;
 pub mod run;
 pub mod store;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -1,6 +1,5 @@
 //! One run of the soak test: injects faults drawn from a seed, ends them and checks the results.
 
-use std::collections::BTreeMap;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -25,16 +24,12 @@
 use crate::proxy::Disturbance;
 use crate::store::StoreFault;
 use crate::store::StoreStandIn;
-use crate::target::DRAIN_TIME;
 use crate::target::MODEL;
 use crate::target::TargetStandIn;
 
 /// Time after the last fault within which every accepted job must complete.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(25);
 
-/// Additional time that a terminated gateway has to drain before it is killed and restarted.
-const STOP_TIME: Duration = Duration::from_secs(4);
-
 /// Number of model engines. The other targets are plain services.
 const ENGINE_COUNT: usize = 3;
 
@@ -70,23 +65,24 @@
     pub summary: String,
 }
 
-struct Run {
-    random: ChaCha8Rng,
+/// State of a run.
+pub(crate) struct Run {
+    pub(crate) random: ChaCha8Rng,
     /// Random numbers for targets that leave, apart from those for the other faults.
-    leave_random: ChaCha8Rng,
-    store: Arc<StoreStandIn>,
-    fleet: Vec<GatewayProcess>,
-    targets: Vec<Arc<TargetStandIn>>,
-    config_version: u64,
-    start: Instant,
-    history: Vec<String>,
+    pub(crate) leave_random: ChaCha8Rng,
+    pub(crate) store: Arc<StoreStandIn>,
+    pub(crate) fleet: Vec<GatewayProcess>,
+    pub(crate) targets: Vec<Arc<TargetStandIn>>,
+    pub(crate) config_version: u64,
+    pub(crate) start: Instant,
+    pub(crate) history: Vec<String>,
     /// Scheduled recoveries from the faults that are in effect.
-    recoveries: Vec<(Instant, Recovery)>,
-    faults: Vec<String>,
+    pub(crate) recoveries: Vec<(Instant, Recovery)>,
+    pub(crate) faults: Vec<String>,
 }
 
 #[derive(Clone, Copy, Debug)]
-enum Recovery {
+pub(crate) enum Recovery {
     RestartGateway(usize),
     ResumeGateway(usize),
     RestorePath(usize),
@@ -231,118 +227,6 @@
         }
     }
 
-    /// Draws and injects one fault or change.
-    fn inject_fault(&mut self) {
-        let node = self.random.random_range(0..self.fleet.len());
-        let length = Duration::from_millis(self.random.random_range(300..3_500));
-        let short = Duration::from_millis(self.random.random_range(50..300));
-        match self.random.random_range(0..14) {
-            0..=4 => self.fail_process(node, length),
-            5..=7 => self.fail_path(node, length, short),
-            8 | 9 => self.fail_store(length, short),
-            10 => {
-                self.record("store: history dropped".to_owned());
-                self.store.compact();
-            }
-            11 => {
-                self.config_version += 1;
-                let spare = !self.config_version.is_multiple_of(2);
-                let keys: &[&str] = if spare { &[KEY, "spare"] } else { &[KEY] };
-                self.record(format!("configuration {}", self.config_version));
-                self.store
-                    .put("config", "main", &config(self.config_version, keys));
-            }
-            12 => {
-                let target = self.random.random_range(0..3);
-                self.record(format!("target {target} slow for {length:?}"));
-                self.targets[target].set_event_interval(Duration::from_millis(90));
-                self.recoveries
-                    .push((Instant::now() + length, Recovery::RestoreTarget(target)));
-            }
-            _ => {
-                self.record(format!("hang-up signal to g{node}"));
-                self.fleet[node].signal(Signal::HUP);
-            }
-        }
-    }
-
-    /// Makes a target say that it is leaving, unless another one of its pool does. Its entry says so
-    /// in every second case.
-    fn leave_target(&mut self) {
-        let target = self.leave_random.random_range(0..self.targets.len());
-        let pool = pool_of(target);
-        let leaving = self.recoveries.iter().any(|(_, recovery)| {
-            matches!(recovery, Recovery::StartTarget(other) if pool_of(*other) == pool)
-        });
-        if leaving {
-            return;
-        }
-        let listed = self.leave_random.random_bool(0.5);
-        self.record(format!("target {target} leaves, listed: {listed}"));
-        self.targets[target].say_leaving();
-        if listed {
-            self.targets[target].leave(pool);
-        }
-        let end = Instant::now() + 2 * DRAIN_TIME;
-        self.recoveries.push((end, Recovery::StartTarget(target)));
-    }
-
-    /// Kills, terminates or pauses a gateway.
-    fn fail_process(&mut self, node: usize, length: Duration) {
-        let end = Instant::now() + length;
-        match self.random.random_range(0..5) {
-            0 | 1 => {
-                self.record(format!("kill g{node}"));
-                self.fleet[node].signal(Signal::KILL);
-                self.recoveries.push((end, Recovery::RestartGateway(node)));
-            }
-            2 => {
-                self.record(format!("terminate g{node}"));
-                self.fleet[node].signal(Signal::TERM);
-                self.recoveries
-                    .push((end + STOP_TIME, Recovery::RestartGateway(node)));
-            }
-            _ => {
-                self.record(format!("freeze g{node} for {length:?}"));
-                self.fleet[node].signal(Signal::STOP);
-                self.recoveries.push((end, Recovery::ResumeGateway(node)));
-            }
-        }
-    }
-
-    /// Disturbs the path from a gateway to the store.
-    fn fail_path(&mut self, node: usize, length: Duration, short: Duration) {
-        let kinds = [
-            Disturbance::Delay(short),
-            Disturbance::Refuse,
-            Disturbance::Silence,
-            Disturbance::OneWay,
-        ];
-        let kind = kinds[self.random.random_range(0..kinds.len())];
-        self.record(format!(
-            "path g{node} to the store: {kind:?} for {length:?}"
-        ));
-        self.fleet[node].store.disturb(kind);
-        self.recoveries
-            .push((Instant::now() + length, Recovery::RestorePath(node)));
-    }
-
-    /// Makes the store fail for all gateways.
-    fn fail_store(&mut self, length: Duration, short: Duration) {
-        let kinds = [
-            StoreFault::Busy,
-            StoreFault::Silent,
-            StoreFault::Slow(short),
-            StoreFault::AnswerLost,
-            StoreFault::Late(Duration::from_millis(1_500)),
-        ];
-        let kind = kinds[self.random.random_range(0..kinds.len())];
-        self.record(format!("store: {kind:?} for {length:?}"));
-        self.store.set_fault(kind);
-        self.recoveries
-            .push((Instant::now() + length, Recovery::RestoreStore));
-    }
-
     fn recover_due(&mut self, now: Instant) {
         let due: Vec<_> = self
             .recoveries
@@ -392,76 +276,14 @@
         self.recover(Recovery::RestoreStore);
     }
 
-    fn record(&mut self, event: String) {
+    pub(crate) fn record(&mut self, event: String) {
         let at = self.start.elapsed().as_millis();
         self.history.push(format!("{at} ms: {event}"));
     }
-
-    /// Compares the observations of the callers with the logs of the targets and the usage reports.
-    fn check_guarantees(&mut self, callers: &Callers, reports: &Reports) {
-        let mut seen = callers.observations();
-        let mut faults = std::mem::take(&mut seen.faults);
-        for target in &self.targets {
-            let log = target.log();
-            for id in &seen.refused {
-                if log.runs.contains_key(id) {
-                    faults.push(format!("{id}: reported as not run, but it ran"));
-                }
-            }
-            for id in log.runs.keys() {
-                let job = id.split('.').next().unwrap_or("");
-                if seen.refused_jobs.iter().any(|name| name == job) {
-                    faults.push(format!("{id}: ran although its job was always refused"));
-                }
-            }
-            faults.extend(
-                log.leaked_keys
-                    .iter()
-                    .map(|id| format!("{id}: a key reached a target")),
-            );
-            faults.extend(
-                log.late_requests
-                    .iter()
-                    .map(|id| format!("{id}: sent to a target that had said that it leaves")),
-            );
-            for pair in log.orders.windows(2) {
-                let (first, second) = (&pair[0], &pair[1]);
-                if second.1 < first.1 || (second.1 == first.1 && second.0 != first.0) {
-                    faults.push(format!("orders of two holders: {first:?}, {second:?}"));
-                }
-            }
-        }
-        faults.extend(repeated_runs(&self.targets));
-        let mut figures: BTreeMap<u64, _> = BTreeMap::new();
-        for (window, _, _, counts) in reports {
-            if figures.entry(*window).or_insert(counts) != &counts {
-                faults.push(format!(
-                    "window {window} was reported with different figures"
-                ));
-            }
-        }
-        self.faults.extend(faults);
-    }
-}
-
-/// Returns a fault for each request to an unsafe route that was executed more than once.
-fn repeated_runs(targets: &[Arc<TargetStandIn>]) -> Vec<String> {
-    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
-    for target in targets {
-        for (id, times) in target.log().runs {
-            if id.starts_with("once") {
-                *runs.entry(id).or_default() += times.len();
-            }
-        }
-    }
-    let repeated = runs.into_iter().filter(|(_, count)| *count > 1);
-    repeated
-        .map(|(id, count)| format!("{id}: ran {count} times"))
-        .collect()
 }
 
 /// Returns the pool of the target with this number.
-fn pool_of(target: usize) -> &'static str {
+pub(crate) fn pool_of(target: usize) -> &'static str {
     if target < ENGINE_COUNT {
         "engines"
     } else {
