Tell fewer statements in a ping, and name the average pace after what it is

The statements of leaving targets are part of the head of a ping: 64 of them with long names could exceed the limit of the receiver, and an unanswered ping makes a runner look silent. 24 are told at once. By reading, not seen in a run.

--- a/crates/core/src/decision/directory/leaves.rs
+++ b/crates/core/src/decision/directory/leaves.rs
@@ -12,8 +12,9 @@
 /// seconds more.
 const TELL_TIME: Duration = Duration::from_secs(30);
 
-/// Maximum number of statements that other processes are told at once.
-const MAX_TOLD: usize = 64;
+/// Maximum number of statements that other processes are told at once. They are part of the head of a
+/// request.
+const MAX_TOLD: usize = 24;
 
 /// Time for which the statement of a target without an entry is kept. The entry may come back after
 /// an outage of the object API.
--- a/crates/core/src/decision/directory/mod.rs
+++ b/crates/core/src/decision/directory/mod.rs
@@ -19,7 +19,7 @@
 pub use crate::decision::directory::limits::Limits;
 pub use crate::decision::directory::limits::REFRESH_AGE;
 pub use crate::decision::directory::limits::Statement;
-use crate::decision::directory::pace::Pace;
+use crate::decision::directory::pace::AveragePace;
 pub use crate::decision::directory::pace::ToldPace;
 use crate::decision::directory::target::ERROR_THRESHOLD;
 use crate::decision::directory::target::Target;
@@ -284,7 +284,7 @@
     pub fn record_pace(&mut self, now: Time, name: &TargetName, millis: f64) {
         if let Some(target) = self.targets.get_mut(name) {
             self.references.clear();
-            target.pace = Some(Pace::measure(target.pace, now, millis));
+            target.pace = Some(AveragePace::measure(target.pace, now, millis));
         }
     }
 
@@ -293,7 +293,7 @@
         for told in told {
             if let Some(target) = self.targets.get_mut(&told.target) {
                 self.references.clear();
-                target.pace = Pace::learn(target.pace, now, told);
+                target.pace = AveragePace::learn(target.pace, now, told);
             }
         }
     }
--- a/crates/core/src/decision/directory/pace.rs
+++ b/crates/core/src/decision/directory/pace.rs
@@ -1,4 +1,4 @@
-//! Pace of targets, by which slow ones are told from fast ones.
+//! AveragePace of targets, by which slow ones are told from fast ones.
 //!
 //! Answers a load of long texts on targets of a few speeds: a step ends with its longest text, so the
 //! texts go to the fast targets, and leave slow ones while fast ones have free slots. Runners pass their
@@ -25,16 +25,16 @@
 /// Slow targets may be most of those that a process has measured.
 const REFERENCE_DIVISOR: usize = 4;
 
-/// Average interval between two events of a stream at a target.
+/// Average pace of a target: the interval between two events of a stream.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct Pace {
+pub(super) struct AveragePace {
     /// Interval in milliseconds.
     pub(super) millis: f64,
     /// Time of the newest measurement.
     measured: Time,
 }
 
-/// Pace of a target as another process measured it.
+/// AveragePace of a target as another process measured it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ToldPace {
     /// Name of the target.
@@ -45,7 +45,7 @@
     pub age: u64,
 }
 
-impl Pace {
+impl AveragePace {
     /// Returns the average after a measurement of this process.
     pub(super) fn measure(before: Option<Self>, now: Time, millis: f64) -> Self {
         let old = before.map_or(millis, |before| before.millis);
@@ -82,7 +82,7 @@
 /// Returns the recent paces for other processes.
 pub(super) fn recent<'a>(
     now: Time,
-    paces: impl Iterator<Item = (&'a TargetName, Option<Pace>)>,
+    paces: impl Iterator<Item = (&'a TargetName, Option<AveragePace>)>,
 ) -> Vec<ToldPace> {
     let told = paces.filter_map(|(target, pace)| pace?.tell(now, target));
     told.take(MAX_TOLD).collect()
@@ -90,7 +90,7 @@
 
 /// Returns the pace of the fast targets in milliseconds, to which others are compared, or `None` if
 /// none is known.
-pub(super) fn reference(paces: impl Iterator<Item = Pace>) -> Option<f64> {
+pub(super) fn reference(paces: impl Iterator<Item = AveragePace>) -> Option<f64> {
     let mut millis: Vec<f64> = paces.map(|pace| pace.millis).collect();
     millis.sort_by(f64::total_cmp);
     let rank = millis.len().saturating_sub(1) / REFERENCE_DIVISOR;
--- a/crates/core/src/decision/directory/target.rs
+++ b/crates/core/src/decision/directory/target.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::decision::directory::TargetNeeds;
-use crate::decision::directory::pace::Pace;
+use crate::decision::directory::pace::AveragePace;
 use crate::domain::fleet::TargetEntry;
 use crate::domain::hash::fnv1a;
 use crate::domain::ids::WeightVersion;
@@ -41,7 +41,7 @@
     /// Number of error answers since the last success.
     pub(super) errors: u32,
     /// Average interval between two events of a stream.
-    pub(super) pace: Option<Pace>,
+    pub(super) pace: Option<AveragePace>,
     /// Time since which the entry is missing although the target may still be alive.
     pub(super) missing_since: Option<Time>,
 }
--- a/crates/core/src/decision/gateway/witness.rs
+++ b/crates/core/src/decision/gateway/witness.rs
@@ -18,7 +18,7 @@
 use crate::port::object::ObjectError;
 
 /// Time between the two reads, in which a runner writes drafts at least once.
-pub(super) const READ_INTERVAL: Duration = Duration::from_millis(1_000);
+const READ_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// What is known of the drafts of a runner that answers no pings.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
