Report a process as not ready before its drain is logged

The event was logged, then a thread started, and only then was the process marked as draining; beside load that gap is long enough for a readiness check.

Change: each role reports itself as not ready before the event; what a role does at a signal is a trait instead of a closure.

--- a/crates/node/src/agent/drain.rs
+++ b/crates/node/src/agent/drain.rs
@@ -87,12 +87,17 @@
 }
 
 impl Agent {
+    /// Reports the process as not ready.
+    pub fn begin_drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
     /// Reports that the target leaves, refuses new attempts and waits until the running ones have
     /// ended or the drain limit passes.
     pub fn drain(&self, process: Process<Serving>, clock: &dyn Clock) -> DrainEnd {
         let start = clock.now();
         let process = process.drain(start);
-        self.draining.store(true, Ordering::Relaxed);
+        self.begin_drain();
         let (idle, finished) = flume::bounded(0);
         // If the control thread has ended, the channel is dropped, which ends the wait.
         let _ = self.control.send(Message::Drain(idle));
--- a/crates/node/src/entry/drain.rs
+++ b/crates/node/src/entry/drain.rs
@@ -50,11 +50,16 @@
 }
 
 impl Entry {
+    /// Reports the process as not ready.
+    pub fn begin_drain(&self) {
+        self.draining.store(true, Ordering::Relaxed);
+    }
+
     /// Stops admission, waits until every running request has its answer or the drain limit passes,
     /// and releases the leases.
     pub fn drain(&self, process: Process<Serving>, clock: &dyn Clock) -> DrainEnd {
         let process = process.drain(clock.now());
-        self.draining.store(true, Ordering::Relaxed);
+        self.begin_drain();
         // A control thread that has ended holds no lease.
         let _ = self.control.send(Message::Step(StepMessage::Drain));
         let finished = self.server.drain();
--- a/crates/sardinepath/src/role.rs
+++ b/crates/sardinepath/src/role.rs
@@ -40,9 +40,7 @@
         ("peer", &entry.peer),
         ("admin", &entry.admin),
     ]);
-    run_until_signal(process.serve(), signals, |process| {
-        entry.drain(process, &HostClock)
-    })
+    run_until_signal(process.serve(), signals, entry)
 }
 
 /// Runs an agent until a shutdown signal arrives, then drains it.
@@ -56,9 +54,7 @@
         ("address", &agent.address),
         ("admin", &agent.admin),
     ]);
-    run_until_signal(process.serve(), signals, |process| {
-        agent.drain(process, &HostClock)
-    })
+    run_until_signal(process.serve(), signals, agent)
 }
 
 /// Runs a gateway on the platform until a shutdown signal arrives, then drains it. Metrics are
@@ -74,7 +70,7 @@
         ("peer", &settings.internal_address()),
         ("incarnation", &incarnation),
     ]);
-    run_until_signal(process.serve(), signals, |_| gateway.drain())
+    run_until_signal(process.serve(), signals, gateway)
 }
 
 /// Runs the standby role of a store host until a shutdown signal arrives.
@@ -83,10 +79,7 @@
     let process = Process::new(settings.bounds.grace_period());
     let standby = RunningStandby::start(settings)?;
     log_serving(&[("role", &"standby"), ("host", &settings.host)]);
-    run_until_signal(process.serve(), signals, |_| {
-        drop(standby);
-        DrainEnd::Finished
-    })
+    run_until_signal(process.serve(), signals, standby)
 }
 
 /// Registers the shutdown signals and SIGHUP, which the platform sends when the settings change.
@@ -108,11 +101,59 @@
     emit(Event::Serving, fields);
 }
 
+/// Role that runs until a shutdown signal arrives.
+trait Role {
+    /// Reports the process as not ready. This happens before the drain is logged.
+    fn begin_drain(&self);
+
+    /// Drains the role to its end.
+    fn drain(self, process: Process<Serving>) -> DrainEnd;
+}
+
+impl Role for Entry {
+    fn begin_drain(&self) {
+        Entry::begin_drain(self);
+    }
+
+    fn drain(self, process: Process<Serving>) -> DrainEnd {
+        Entry::drain(&self, process, &HostClock)
+    }
+}
+
+impl Role for Agent {
+    fn begin_drain(&self) {
+        Agent::begin_drain(self);
+    }
+
+    fn drain(self, process: Process<Serving>) -> DrainEnd {
+        Agent::drain(&self, process, &HostClock)
+    }
+}
+
+impl Role for RunningGateway {
+    fn begin_drain(&self) {
+        RunningGateway::begin_drain(self);
+    }
+
+    fn drain(self, _: Process<Serving>) -> DrainEnd {
+        RunningGateway::drain(self)
+    }
+}
+
+impl Role for RunningStandby {
+    /// A standby serves nothing that a load balancer asks about.
+    fn begin_drain(&self) {}
+
+    fn drain(self, _: Process<Serving>) -> DrainEnd {
+        DrainEnd::Finished
+    }
+}
+
 /// Waits for the first shutdown signal and drains the role. Later signals are only logged.
 fn run_until_signal(
     process: Process<Serving>,
     mut signals: Signals,
-    drain: impl FnOnce(Process<Serving>) -> DrainEnd,
+    role: impl Role,
 ) -> anyhow::Result<DrainEnd> {
     let limit = process.drain_limit().as_secs();
     let is_shutdown = |signal: &i32| {
@@ -126,6 +167,7 @@
     let Some(signal) = signals.forever().find(is_shutdown) else {
         bail!("the signal handler was closed")
     };
+    role.begin_drain();
     emit(
         Event::DrainStarted,
         &[("signal", &signal), ("limit", &limit)],
@@ -137,7 +179,7 @@
                 emit(Event::SignalIgnored, &[("signal", &signal)]);
             }
         })?;
-    let end = drain(process);
+    let end = role.drain(process);
     match end {
         DrainEnd::Finished => emit(Event::DrainFinished, &[]),
         DrainEnd::LimitReached => emit(Event::DrainLimitReached, &[("limit", &limit)]),
