Let a host that was restarted leave the duty to others instead of waiting as its holder

Change: only a host that may have acted itself within a lease has to hold back: a process claims the duty 1.2 of the lease after its start and after its own last tenure; others claim and act at once, as before.

--- a/crates/core/src/decision/gateway/duty.rs
+++ b/crates/core/src/decision/gateway/duty.rs
@@ -42,10 +42,10 @@
 /// Minimum remaining lease time for sending an order or report, so that it arrives in time.
 pub(super) const MIN_LEASE_REMAINDER: Duration = Duration::from_millis(300);
 
-/// Part of the length of a lease, in percent, for which a new holder does not act where old fencing
-/// tokens are not rejected. Two such waits exceed the length, also with clocks that are wrong by a
-/// fifth, so a host that loses and regains the duty does not act again within it.
-const HANDOVER_WAIT_PERCENT: u32 = 60;
+/// Part of the length of a lease, in percent, after its start and after each tenure for which a process
+/// does not claim the duty where old fencing tokens are not rejected. No host then acts again within a
+/// lease after another one did, also with clocks that are wrong by a fifth.
+const RECLAIM_WAIT_PERCENT: u32 = 120;
 
 /// State of the duty lease at this process.
 #[derive(Debug)]
@@ -55,8 +55,8 @@
     pending: Call,
     /// Whether a newer holder was observed, which ends the tenure of this process.
     fenced: bool,
-    /// Time before which this holder does not act.
-    acts_from: Time,
+    /// Time before which this process does not claim the duty.
+    claims_from: Time,
 }
 
 #[derive(Debug)]
@@ -73,14 +73,14 @@
 }
 
 impl Duty {
-    pub(super) fn new(settings: &GatewaySettings) -> Self {
+    pub(super) fn new(settings: &GatewaySettings, now: Time) -> Self {
         let duty = DutyName::from(DUTY_NAME);
         let lease = Lease::challenge_with_terms(duty, settings.peer.incarnation, settings.lease);
         Self {
             lease: Some(State::Vacant(lease)),
             pending: Call::Nothing,
             fenced: false,
-            acts_from: Time::default(),
+            claims_from: now + reclaim_wait(settings),
         }
     }
 
@@ -107,9 +107,6 @@
     /// Returns the permit to act for the duty if it remains valid long enough for a call.
     pub(super) fn permit(&self) -> Option<Permit> {
         let permit = self.duty.permit()?;
-        if self.now < self.duty.acts_from {
-            return None;
-        }
         permit
             .allows(self.now + MIN_LEASE_REMAINDER)
             .then_some(permit)
@@ -126,7 +123,9 @@
         let now = self.now;
         match self.duty.lease.take() {
             Some(State::Vacant(mut lease)) => {
-                if !self.draining && self.may_hold_duty() && self.duty.pending == Call::Nothing {
+                let may_claim =
+                    !self.draining && self.may_hold_duty() && now >= self.duty.claims_from;
+                if may_claim && self.duty.pending == Call::Nothing {
                     match lease.next(now) {
                         VacantStep::Read(_) => self.read_lease(),
                         VacantStep::Acquire(write) => self.write_lease(write),
@@ -211,7 +210,6 @@
     fn duty_acquired(&mut self) {
         let fence = self.duty.permit().map_or(0, |p| p.fence.0);
         self.duty.fenced = false;
-        self.duty.acts_from = self.now + self.handover_wait(fence);
         self.weights.reset();
         self.reset_reports();
         self.reset_removal();
@@ -222,17 +220,9 @@
         self.tick_weights();
     }
 
-    /// Returns the time for which a holder with this fencing token does not act. The first holder has
-    /// no other one before it.
-    fn handover_wait(&self, fence: u64) -> Duration {
-        if self.settings.fence_checked || fence <= 1 {
-            return Duration::ZERO;
-        }
-        self.settings.lease.length * HANDOVER_WAIT_PERCENT / 100
-    }
-
     fn duty_lost(&mut self, reason: &str) {
         self.duty.fenced = false;
+        self.duty.claims_from = self.now + reclaim_wait(&self.settings);
         self.weights.reset();
         self.log(
             Event::DutyLost,
@@ -308,6 +298,14 @@
     }
 }
 
+/// Returns the time for which a process does not claim the duty after its start or its last tenure.
+fn reclaim_wait(settings: &GatewaySettings) -> Duration {
+    match settings.fence_checked {
+        true => Duration::ZERO,
+        false => settings.lease.length * RECLAIM_WAIT_PERCENT / 100,
+    }
+}
+
 /// Change of the lease tenure of this process.
 enum TenureChange {
     Same,
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -175,7 +175,7 @@
             permits: Permits::default(),
             streams: Streams::default(),
             feed: Feed::default(),
-            duty: Duty::new(&settings),
+            duty: Duty::new(&settings, now),
             weights: Weights::default(),
             tally: Tally::new(window),
             reports: Reports::new(now),
