Log which request ran when a target crashed

The client now tells a connection that ended from a timeout or a malformed answer; after such an end the gateway asks the target's host for a connection, and a refusal shows the crash. The request is named by a fingerprint over workspace, host, method, path and body.

`a_connection_that_ends_differs_from_a_server_that_is_gone` guards the distinction.

--- a/crates/adapters/src/peer/mod.rs
+++ b/crates/adapters/src/peer/mod.rs
@@ -194,7 +194,9 @@
             _ => Forwarded::Unsure,
         },
         Err(SendError::NotSent(_)) => Forwarded::NotSent,
-        Err(SendError::Dropped(_) | SendError::MayHaveArrived(_)) => Forwarded::Unsure,
+        Err(SendError::Dropped(_) | SendError::Closed(_) | SendError::MayHaveArrived(_)) => {
+            Forwarded::Unsure
+        }
     }
 }
 
--- a/crates/adapters/src/web/buffer.rs
+++ b/crates/adapters/src/web/buffer.rs
@@ -16,6 +16,15 @@
 /// time, so a body without an end is given up sooner if it comes in small parts.
 const MIN_PART_BYTES: usize = 256;
 
+/// Reason why a body was not read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum BodyFault {
+    /// The connection ended before the end of the body.
+    Incomplete(String),
+    /// The body does not fit into the memory for it.
+    TooLarge(String),
+}
+
 /// Number of bytes of all bodies that are being read. Clones share the same count.
 #[derive(Clone, Debug, Default)]
 pub(super) struct BufferBudget {
@@ -32,7 +41,11 @@
 impl BufferBudget {
     /// Reads a complete body. Fails if it is larger than `max_bytes`, if all bodies together exceed
     /// the budget, or if the body is incomplete.
-    pub(super) async fn read(&self, mut body: Incoming, max_bytes: usize) -> Result<Bytes, String> {
+    pub(super) async fn read(
+        &self,
+        mut body: Incoming,
+        max_bytes: usize,
+    ) -> Result<Bytes, BodyFault> {
         let mut reserved = Reserved {
             budget: self,
             bytes: 0,
@@ -40,16 +53,18 @@
         let mut buffer = BytesMut::new();
         let mut counted = 0;
         while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|e| e.to_string())?;
+            let frame = frame.map_err(|e| BodyFault::Incomplete(e.to_string()))?;
             let Ok(data) = frame.into_data() else {
                 continue;
             };
             counted += data.len().max(MIN_PART_BYTES);
             if counted > max_bytes.max(MIN_PART_BYTES) {
-                return Err(format!("the body is larger than {max_bytes} bytes"));
+                let reason = format!("the body is larger than {max_bytes} bytes");
+                return Err(BodyFault::TooLarge(reason));
             }
             if !reserved.add(data.len()) {
-                return Err("the bodies of all responses are too large".to_owned());
+                let reason = "the bodies of all responses are too large".to_owned();
+                return Err(BodyFault::TooLarge(reason));
             }
             buffer.extend_from_slice(&data);
         }
--- a/crates/adapters/src/web/mod.rs
+++ b/crates/adapters/src/web/mod.rs
@@ -12,6 +12,7 @@
 pub use crate::web::pool::Pool;
 pub use crate::web::pool::SendError;
 pub use crate::web::pool::UnreadResponse;
+pub use crate::web::pool::is_refused;
 pub use crate::web::serve::Listener;
 pub use crate::web::serve::ServerLimits;
 pub use crate::web::serve::Shutdown;
--- a/crates/adapters/src/web/pool.rs
+++ b/crates/adapters/src/web/pool.rs
@@ -1,6 +1,7 @@
 //! HTTP client with a pool of persistent connections for each address.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -24,6 +25,7 @@
 use tokio::time::timeout_at;
 
 use crate::web::Body;
+use crate::web::buffer::BodyFault;
 use crate::web::buffer::BufferBudget;
 use crate::web::reset_on_close;
 use crate::web::set_socket_options;
@@ -55,6 +57,8 @@
     NotSent(String),
     /// A reused connection closed before any response. The request may have arrived.
     Dropped(String),
+    /// The connection ended after the request was sent and before the whole response.
+    Closed(String),
     /// The request was sent, at least in part, and may have arrived.
     MayHaveArrived(String),
 }
@@ -101,6 +105,7 @@
         match self {
             Self::NotSent(reason) => write!(f, "not sent: {reason}"),
             Self::Dropped(reason) => write!(f, "reused connection closed: {reason}"),
+            Self::Closed(reason) => write!(f, "connection closed: {reason}"),
             Self::MayHaveArrived(reason) => write!(f, "no response: {reason}"),
         }
     }
@@ -266,7 +271,10 @@
             connection,
         } = self;
         let read = connection.pool.buffers.read(body, max_bytes).await;
-        let body = read.map_err(SendError::MayHaveArrived)?;
+        let body = read.map_err(|fault| match fault {
+            BodyFault::Incomplete(reason) => SendError::Closed(reason),
+            BodyFault::TooLarge(reason) => SendError::MayHaveArrived(reason),
+        })?;
         connection.release(&head.headers);
         Ok((head, body))
     }
@@ -311,6 +319,13 @@
     }
 }
 
+/// Returns `true` if the host of an address says that no process listens there. Without an answer
+/// within `limit` this is not known.
+pub async fn is_refused(address: SocketAddr, limit: Duration) -> bool {
+    let connected = timeout(limit, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused)
+}
+
 /// Waits until a reused connection can send a request. Returns `false` if it closed or does not
 /// become ready in time.
 async fn is_ready(sender: &mut SendRequest<Body>, until: tokio::time::Instant) -> bool {
@@ -340,12 +355,15 @@
 /// Returns the error of a request on a reused connection. A malformed response shows that the
 /// server received the request, so only other errors count as a closed connection.
 fn reuse_error(error: hyper::Error) -> SendError {
-    if error.is_parse() {
-        return response_error(&error);
+    match response_error(&error) {
+        SendError::Closed(reason) => SendError::Dropped(reason),
+        other => other,
     }
-    SendError::Dropped(error.to_string())
 }
 
 fn response_error(error: &hyper::Error) -> SendError {
-    SendError::MayHaveArrived(error.to_string())
+    match error.is_parse() {
+        true => SendError::MayHaveArrived(error.to_string()),
+        false => SendError::Closed(error.to_string()),
+    }
 }
--- a/crates/adapters/tests/pool.rs
+++ b/crates/adapters/tests/pool.rs
@@ -15,6 +15,7 @@
 use sardinepath_adapters::web::Body;
 use sardinepath_adapters::web::Pool;
 use sardinepath_adapters::web::SendError;
+use sardinepath_adapters::web::is_refused;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::runtime::Runtime;
@@ -101,3 +102,35 @@
     let answered = ends.map(|end| end.is_ok());
     assert_eq!(answered, [true, false, true, false]);
 }
+
+/// Starts a server that reads a request and ends the connection without an answer. It goes on
+/// listening for as long as the second value lives.
+fn closing_server() -> (SocketAddr, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let accepting = listener.try_clone().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = accepting.accept().unwrap();
+        let mut buffer = [0; 4096];
+        let _ = stream.read(&mut buffer).unwrap();
+    });
+    (address, listener)
+}
+
+/// Guards against a crash of the server that is taken for a timeout or a malformed answer, and against
+/// a server that only closed the connection and counts as crashed.
+#[test]
+fn a_connection_that_ends_differs_from_a_server_that_is_gone() {
+    const LIMIT: Duration = Duration::from_secs(2);
+    let (address, listener) = closing_server();
+    let runtime = Runtime::new().unwrap();
+    let pool = Pool::default();
+
+    let end = runtime.block_on(pool.call(address, get("r1"), LIMIT, 1024));
+    let before = runtime.block_on(is_refused(address, LIMIT));
+    drop(listener);
+    let after = runtime.block_on(is_refused(address, LIMIT));
+
+    assert!(matches!(end, Err(SendError::Closed(_))), "{end:?}");
+    assert_eq!((before, after), (false, true));
+}
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -211,6 +211,9 @@
     StreamSent = (653, Info, "stream_sent", "a stream begins or goes on at a target"),
     /// A stream ended before its last event. Fields: `request`, `events`, `error`.
     StreamBroken = (654, Warn, "stream_broken", "a stream ended before its last event"),
+    /// A target crashed while a request ran on it. Fields: `request`, `fingerprint`, `target`,
+    /// `started_at`.
+    CrashedUnderRequest = (655, Warn, "crashed_under_request", "a target crashed while a request ran on it"),
     /// Log events were dropped. Fields: `count`.
     EventsLeftOut = (690, Warn, "events_left_out", "log events were dropped because there were too many"),
 }
--- a/crates/core/src/domain/mod.rs
+++ b/crates/core/src/domain/mod.rs
@@ -2,9 +2,11 @@
 
 pub mod batch;
 pub mod call;
+pub mod crash;
 pub mod declare;
 pub mod error;
 pub mod event;
+pub mod fingerprint;
 pub mod fleet;
 pub mod hash;
 pub mod ids;
--- a/crates/core/src/domain/name.rs
+++ b/crates/core/src/domain/name.rs
@@ -76,6 +76,10 @@
     /// Id of the request that began a stream.
     StreamId
 );
+name_type!(
+    /// Identity of a request that is the same when its caller sends it again under another id.
+    Fingerprint
+);
 name_type!(
     /// Version of the software of a target, which is independent of its weight versions. Versions
     /// have no order.
