Quarantine requests under which targets crash, at all gateways

Callers saw most targets of a plain service down together, and sound requests refused or failing, because one request crashed each target that ran it: an attempt was repeated at a second target, the caller came again to another gateway, and nobody kept anything of it. The class is that of the request limits: what one process saw was missing at the others and in its next life.

A crash under a request is now recorded under the request's fingerprint, in the object API, so that every gateway knows it, also one that starts or wakes up. A suspect keeps its retries but is not hedged and runs apart; after two crashes without an answer in between it is refused at once, as not run, with the time left as Retry-After, or fails with 502 if it has run. An answer clears it. Targets that crashed are paused at all gateways. Bodies are hashed only for requests with the shape of a suspect.

In virtual time, without the quarantine, five of the nine tests of gateway_crashes fail.

--- a/crates/core/src/decision/attempts.rs
+++ b/crates/core/src/decision/attempts.rs
@@ -42,6 +42,10 @@
     ran: u32,
     /// Number of attempts that no target accepted.
     refusals: u32,
+    /// `true` if the request is a suspect, which runs at one target at a time.
+    suspect: bool,
+    /// `true` if the request must not be sent any more.
+    stopped: bool,
     /// `true` if an attempt may have run that does not count against the limit of targets.
     uncertain: bool,
     /// Start of the last attempt, or the arrival of the request before the first one.
@@ -60,6 +64,8 @@
     Dropped,
     /// The target ran it or may have run it.
     MayHaveRun,
+    /// The target crashed while it ran it.
+    Crashed,
 }
 
 /// Next step of a request.
@@ -84,6 +90,8 @@
             running: 0,
             ran: 0,
             refusals: 0,
+            suspect: false,
+            stopped: false,
             uncertain: false,
             last_start: limits.arrival,
             next_start: limits.arrival,
@@ -104,8 +112,11 @@
         }
         if self.running > 0 {
             let hedge_at = self.last_start + limits.objective * HEDGE_OBJECTIVES;
-            let may_hedge =
-                limits.safe && self.running == 1 && self.ran + self.running < limits.max_targets;
+            let may_hedge = limits.safe
+                && !self.suspect
+                && !self.stopped
+                && self.running == 1
+                && self.ran + self.running < limits.max_targets;
             return match (may_hedge, now >= hedge_at.max(self.next_start)) {
                 (true, true) => AttemptStep::Send,
                 (true, false) => {
@@ -118,14 +129,12 @@
         if exhausted {
             return AttemptStep::Fail;
         }
+        if self.stopped {
+            return self.give_up();
+        }
         let late = now >= limits.arrival + limits.objective / REFUSAL_DIVISOR;
         if self.refusals >= MAX_REFUSALS || (self.refusals > 0 && late) {
-            let not_run = self.has_not_run();
-            return if not_run {
-                AttemptStep::Refuse
-            } else {
-                AttemptStep::Fail
-            };
+            return self.give_up();
         }
         if now < self.next_start {
             return AttemptStep::Wait(self.next_start);
@@ -139,6 +148,16 @@
         self.last_start = now;
     }
 
+    /// Records that a target may have crashed under the request before, so that it is not hedged.
+    pub fn record_suspect(&mut self) {
+        self.suspect = true;
+    }
+
+    /// Records that the request must not be sent any more.
+    pub fn stop(&mut self) {
+        self.stopped = true;
+    }
+
     /// Records that no target could be chosen.
     pub fn record_no_target(&mut self, now: Time) {
         self.refusals += 1;
@@ -158,6 +177,18 @@
                 self.uncertain = true;
             }
             AttemptEnd::MayHaveRun => self.ran += 1,
+            AttemptEnd::Crashed => {
+                self.ran += 1;
+                self.suspect = true;
+            }
+        }
+    }
+
+    /// Returns the last step of a request that no target answers.
+    fn give_up(&self) -> AttemptStep {
+        match self.has_not_run() {
+            true => AttemptStep::Refuse,
+            false => AttemptStep::Fail,
         }
     }
 
--- a/crates/core/src/decision/directory/choice.rs
+++ b/crates/core/src/decision/directory/choice.rs
@@ -25,10 +25,24 @@
     pub free_slot: bool,
     /// `true` if a target that is paused after a failure may be chosen too.
     pub allow_paused: bool,
+    /// `true` if a target has crashed under the request, so that it should run apart from others.
+    pub suspect: bool,
+    /// Whether the request may share its target with requests from which it should run apart.
+    pub sharing: Sharing,
     /// Number that differs between processes, by which ties between targets are broken.
     pub seed: u64,
 }
 
+/// Whether a request may share its target.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Sharing {
+    /// Suspects run alone, and other requests keep away from targets that run a suspect.
+    #[default]
+    Apart,
+    /// The request may run on any target.
+    Any,
+}
+
 /// Result of a request at a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallEnd {
--- a/crates/core/src/decision/directory/mod.rs
+++ b/crates/core/src/decision/directory/mod.rs
@@ -14,6 +14,7 @@
 
 pub use crate::decision::directory::choice::CallEnd;
 pub use crate::decision::directory::choice::Choice;
+pub use crate::decision::directory::choice::Sharing;
 pub use crate::decision::directory::choice::TargetNeeds;
 use crate::decision::directory::leaves::Leaves;
 pub use crate::decision::directory::limits::Limits;
@@ -23,6 +24,7 @@
 pub use crate::decision::directory::pace::ToldPace;
 use crate::decision::directory::target::ERROR_THRESHOLD;
 use crate::decision::directory::target::Target;
+use crate::domain::crash::Crash;
 use crate::domain::fleet::TargetEntry;
 use crate::domain::ids::WeightVersion;
 use crate::domain::leave::LeaveStatement;
@@ -55,6 +57,13 @@
 /// for which a leaving target serves.
 const CHOICE_VALIDITY: Duration = Duration::from_secs(1);
 
+/// Time for which other requests keep away from a target to which a suspect was sent. A target that
+/// crashes under a request does so early.
+const ISOLATION_TIME: Duration = Duration::from_secs(1);
+
+/// Pause of a target that crashed, unless its entry shows earlier that it has started anew.
+const CRASH_PAUSE: Duration = Duration::from_secs(1);
+
 /// Known targets by name.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -103,6 +112,16 @@
         true
     }
 
+    /// Pauses a target that crashed at a time, unless it has started anew.
+    pub fn record_crash(&mut self, now: Time, at: Time, crash: &Crash) {
+        if let Some(target) = self.targets.get_mut(&crash.target)
+            && target.entry.started_at <= crash.started_at
+            && now < at + CRASH_PAUSE
+        {
+            target.paused_until = target.paused_until.max(at + CRASH_PAUSE);
+        }
+    }
+
     /// Returns the statements of leaving targets of which other processes should be told.
     pub fn recent_leaves(&self, now: Time) -> Vec<LeaveStatement> {
         self.leaves.recent(now)
@@ -203,6 +222,9 @@
         let name = best.entry.name.clone();
         let target = self.targets.get_mut(&name)?;
         target.running += 1;
+        if need.suspect {
+            target.isolated_until = now + ISOLATION_TIME;
+        }
         let limited = self.limits.use_permit(&target.entry, need.deferrable);
         Some(Choice {
             name,
@@ -262,6 +284,9 @@
             return;
         };
         target.running = target.running.saturating_sub(1);
+        if target.running == 0 {
+            target.isolated_until = Time::default();
+        }
         match end {
             CallEnd::Answered => {
                 target.failures = 0;
--- a/crates/core/src/decision/directory/target.rs
+++ b/crates/core/src/decision/directory/target.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::decision::directory::Sharing;
 use crate::decision::directory::TargetNeeds;
 use crate::decision::directory::pace::AveragePace;
 use crate::domain::fleet::TargetEntry;
@@ -36,6 +37,8 @@
     pub(super) remote_running: u32,
     /// Time before which the target gets no requests.
     pub(super) paused_until: Time,
+    /// Time until which other requests keep away from the target, because it runs a suspect.
+    pub(super) isolated_until: Time,
     /// Number of failures since the last success, not counting those during a pause.
     pub(super) failures: u32,
     /// Number of error answers since the last success.
@@ -53,6 +56,7 @@
             running: 0,
             remote_running: 0,
             paused_until: Time::default(),
+            isolated_until: Time::default(),
             failures: 0,
             errors: 0,
             pace: None,
@@ -85,6 +89,7 @@
             && (need.allow_paused || self.errors < ERROR_THRESHOLD || self.running == 0)
             && (!need.free_slot || self.running + self.remote_running < self.entry.slots)
             && !need.excluded.contains(&self.entry.name)
+            && self.allows_sharing(now, need)
             && self.has_version(need)
             && need
                 .software
@@ -92,6 +97,13 @@
                 .is_none_or(|s| *s == self.entry.software)
     }
 
+    /// Returns `true` if the requests on the target and a new one may run together.
+    fn allows_sharing(&self, now: Time, need: &TargetNeeds) -> bool {
+        let isolated = now < self.isolated_until;
+        let idle = self.running + self.remote_running == 0;
+        need.sharing == Sharing::Any || (!isolated && (idle || !need.suspect))
+    }
+
     /// Returns `true` if the target has a permitted version of the requested model.
     fn has_version(&self, need: &TargetNeeds) -> bool {
         need.model
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::decision::batch::VersionLimits;
 use crate::decision::directory::CallEnd;
 use crate::decision::directory::Choice;
+use crate::decision::directory::Sharing;
 use crate::decision::directory::TargetNeeds;
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::jobs::Work;
@@ -238,6 +239,8 @@
             deferrable: true,
             free_slot: true,
             allow_paused: false,
+            suspect: false,
+            sharing: Sharing::Apart,
             seed: self.settings.seed,
         };
         let choice = self.choose_permitted(pool, &need);
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -1,6 +1,7 @@
 //! Messages to the control thread of a gateway, and the effects it asks of its adapters.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,12 +33,15 @@
 use crate::domain::batch::PartialText;
 use crate::domain::batch::Runner;
 use crate::domain::batch::Scorer;
+use crate::domain::crash::Crash;
 use crate::domain::event::Event;
+use crate::domain::fingerprint::RequestShape;
 use crate::domain::fleet::Peer;
 use crate::domain::ids::Incarnation;
 use crate::domain::leave::LeaveStatement;
 use crate::domain::limit::LimitStatement;
 use crate::domain::name::BatchId;
+use crate::domain::name::Fingerprint;
 use crate::domain::name::HostName;
 use crate::domain::name::ItemId;
 use crate::domain::name::PoolName;
@@ -65,6 +69,10 @@
     LimitStated(TargetName, LimitStatement),
     /// An answer of a target states that it is leaving.
     LeavingStated(LeaveStatement),
+    /// A target crashed while a request of this process ran on it.
+    TargetCrashed(Crash),
+    /// A target answered a request that may be a suspect.
+    RequestSurvived(Fingerprint),
     /// Another process answered a request for permits, or `None` if it did not.
     PermitsAnswered(PermitRequest, SocketAddr, Option<PermitGrant>),
     /// A request of a workspace started running and counts towards its usage.
@@ -112,6 +120,8 @@
     ChooseTarget {
         /// Pool that serves the request.
         pool: PoolName,
+        /// Fingerprint of the request if it may be a suspect, or `None` if it certainly is not.
+        request: Option<Fingerprint>,
         /// Targets that were already tried for this request.
         tried: Vec<TargetName>,
         /// Software version that the target must have, or `None` if any will do.
@@ -197,6 +207,8 @@
     NoTarget,
     /// The targets that are available have reached their request limits.
     LimitsReached,
+    /// Targets crash under the request, which must not be sent for this time.
+    Quarantined(Duration),
     /// The job is stored and will run.
     Accepted,
     /// The job is not accepted, and none of its items will run.
@@ -324,6 +336,8 @@
     Reply(CallId, Reply),
     /// Make the traffic threads use this routing table.
     Publish(Arc<RouteTable>),
+    /// Make the traffic threads ask about requests with these shapes.
+    PublishSuspects(Arc<BTreeSet<RequestShape>>),
     /// Report the process as not ready, and close connections after their running requests.
     StopAccepting,
     /// Receive watched objects from this source from now on.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -10,6 +10,7 @@
 //! - `dispatch`: items and scoring requests sent to targets
 //! - `plain`, `limit`: targets of plain requests, and permits for targets that limit their requests
 //! - `leaving`: targets that say in their answers that they are leaving
+//! - `suspects`: requests under which targets crash
 //! - `streams`: software versions that began the streams to callers
 //! - `duty`, `usage`: work of the lease holder (weight updates and usage reports)
 //! - `witness`: signs of life of a runner before its job is taken over
@@ -37,6 +38,7 @@
 pub mod stored;
 mod streams;
 mod submit;
+mod suspects;
 mod usage;
 mod watched;
 mod witness;
@@ -68,6 +70,7 @@
 use crate::decision::gateway::stored::StoreCall;
 use crate::decision::gateway::streams::Streams;
 use crate::decision::gateway::submit::Submission;
+use crate::decision::gateway::suspects::Suspects;
 use crate::decision::gateway::usage::Reports;
 use crate::decision::lease::Terms;
 use crate::decision::tally::Tally;
@@ -132,6 +135,7 @@
     retained: VecDeque<Draft>,
     peers: Peers,
     permits: Permits,
+    suspects: Suspects,
     streams: Streams,
     feed: Feed,
     duty: Duty,
@@ -173,6 +177,7 @@
             retained: VecDeque::new(),
             peers: Peers::default(),
             permits: Permits::default(),
+            suspects: Suspects::default(),
             streams: Streams::default(),
             feed: Feed::default(),
             duty: Duty::new(&settings, now),
@@ -207,6 +212,8 @@
             Message::LeavingStated(statement) => {
                 self.leaving_stated(&statement, LeaveSource::Answer)
             }
+            Message::TargetCrashed(crash) => self.target_crashed(crash),
+            Message::RequestSurvived(request) => self.request_survived(&request),
             Message::PermitsAnswered(request, granter, grant) => {
                 self.permits_answered(&request, granter, grant)
             }
@@ -256,6 +263,7 @@
         self.tick_jobs();
         self.tick_peers();
         self.tick_limits();
+        self.tick_suspects();
         self.tick_streams();
         self.tick_source();
         self.dispatch();
@@ -295,9 +303,10 @@
         match question {
             Question::ChooseTarget {
                 pool,
+                request,
                 tried,
                 software,
-            } => self.choose_plain_target(call, &pool, tried, software),
+            } => self.choose_plain_target(call, &pool, request.as_ref(), tried, software),
             Question::FindStream { pool, begun } => self.find_stream(call, pool, &begun),
             Question::RecordStream { pool, id, software } => {
                 self.record_stream(call, &pool, id, software);
--- a/crates/core/src/decision/gateway/plain.rs
+++ b/crates/core/src/decision/gateway/plain.rs
@@ -1,28 +1,43 @@
 //! Targets of plain requests.
 
+use crate::decision::directory::Sharing;
 use crate::decision::directory::TargetNeeds;
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Reply;
+use crate::decision::quarantine::Verdict;
+use crate::domain::name::Fingerprint;
 use crate::domain::name::PoolName;
 use crate::domain::name::SoftwareVersion;
 use crate::domain::name::TargetName;
 
 impl Gateway {
-    /// Replies with the target of a plain request.
+    /// Replies with the target of a plain request, unless the request is quarantined.
     pub(super) fn choose_plain_target(
         &mut self,
         call: CallId,
         pool: &PoolName,
+        request: Option<&Fingerprint>,
         tried: Vec<TargetName>,
         software: Option<SoftwareVersion>,
     ) {
-        let untried = TargetNeeds {
+        let quarantine = &self.suspects.quarantine;
+        let verdict = request.map_or(Verdict::Sound, |r| quarantine.verdict(self.now, r));
+        if let Verdict::Quarantined(left) = verdict {
+            self.reply(call, Reply::Quarantined(left));
+            return;
+        }
+        let apart = TargetNeeds {
             excluded: tried,
             software,
+            suspect: verdict == Verdict::Suspect,
             seed: self.settings.seed,
             ..TargetNeeds::default()
         };
+        let untried = TargetNeeds {
+            sharing: Sharing::Any,
+            ..apart.clone()
+        };
         // A target that was already tried is better than none, and so is a paused one.
         let any = TargetNeeds {
             excluded: Vec::new(),
@@ -33,7 +48,7 @@
             ..any.clone()
         };
         let mut choice = None;
-        for need in [&untried, &any, &paused] {
+        for need in [&apart, &untried, &any, &paused] {
             choice = choice.or_else(|| self.choose_permitted(pool, need));
         }
         let reply = match choice {
--- a/crates/core/src/decision/gateway/stored.rs
+++ b/crates/core/src/decision/gateway/stored.rs
@@ -11,6 +11,7 @@
 use crate::domain::batch::Drafts;
 use crate::domain::batch::Head;
 use crate::domain::batch::Page;
+use crate::domain::crash::Crash;
 use crate::domain::fleet::Peer;
 use crate::domain::fleet::TargetEntry;
 use crate::domain::ids::Revision;
@@ -24,6 +25,7 @@
 use crate::domain::name::StreamId;
 use crate::domain::name::TargetName;
 use crate::domain::table::RouteTable;
+use crate::domain::time::WallTime;
 
 /// Purpose of a call to the object API. It selects the handler of the answer.
 ///
@@ -81,6 +83,10 @@
     RecordStream(CallId, StreamId),
     /// Store the software version of the streams of a pool that have no record.
     Settle(PoolName),
+    /// Store the crash of a target under a request.
+    StoreCrash(Crash),
+    /// Delete a crash that no longer counts.
+    ForgetCrash(Crash),
 }
 
 /// Kind of an object, which determines its path.
@@ -114,6 +120,8 @@
     Software,
     /// Streams that began at another software version.
     Streams,
+    /// Crashes of targets under requests.
+    Crashes,
 }
 
 /// Content of a stored object.
@@ -137,6 +145,18 @@
     Limit(StoredLimit),
     /// Software version of a pool or of a stream.
     Software(SoftwareRecord),
+    /// Crash of a target under a request.
+    Crash(StoredCrash),
+}
+
+/// Crash of a target under a request as stored, so that all processes know it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredCrash {
+    /// Request and target.
+    #[serde(flatten)]
+    pub crash: Crash,
+    /// Time of the crash.
+    pub at: WallTime,
 }
 
 /// Software version of a pool or of a stream.
@@ -200,4 +220,8 @@
     Limit(TargetName, StoredLimit),
     /// Software version of the streams of a pool that have no record.
     Software(PoolName, Revision, SoftwareVersion),
+    /// Crash of a target under a request.
+    Crash(StoredCrash),
+    /// Crash that no longer counts.
+    CrashGone(Crash),
 }
--- a/crates/core/src/decision/gateway/watched.rs
+++ b/crates/core/src/decision/gateway/watched.rs
@@ -52,6 +52,7 @@
                     self.object_changed(view);
                 }
             }
+            Kind::Crashes => self.replace_crashes(views),
             _ => {
                 for view in views {
                     self.object_changed(view);
@@ -101,6 +102,8 @@
             WatchedObject::Software(pool, revision, software) => {
                 self.software_settled(pool, revision, software)
             }
+            WatchedObject::Crash(stored) => self.crash_watched(stored),
+            WatchedObject::CrashGone(crash) => self.crash_cleared(&crash),
         }
     }
 
@@ -175,6 +178,8 @@
             Purpose::FindStream(call, pool) => self.stream_found(call, &pool, answer),
             Purpose::RecordStream(call, id) => self.stream_recorded(call, id, &answer),
             Purpose::Settle(pool) => self.settle_answered(&pool),
+            Purpose::StoreCrash(crash) => self.crash_stored(&crash, &answer),
+            Purpose::ForgetCrash(crash) => self.crash_deleted(crash, &answer),
             Purpose::Leave | Purpose::Forget => {}
         }
     }
--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -18,6 +18,7 @@
 pub mod permit;
 pub mod prefix;
 pub mod process;
+pub mod quarantine;
 pub mod request;
 pub mod rollout;
 pub mod sample;
--- a/crates/core/src/domain/crash.rs
+++ b/crates/core/src/domain/crash.rs
@@ -16,3 +16,21 @@
     /// Start of the run that crashed, as in its entry.
     pub started_at: u64,
 }
+
+impl Crash {
+    /// Returns the name under which the crash is stored.
+    pub fn object_name(&self) -> String {
+        format!("{}.{}.{}", self.request, self.started_at, self.target)
+    }
+
+    /// Returns the crash that is stored under a name, or `None` if the name is malformed.
+    pub fn from_object_name(name: &str) -> Option<Self> {
+        let mut parts = name.splitn(3, '.');
+        let (request, started_at, target) = (parts.next()?, parts.next()?, parts.next()?);
+        Some(Self {
+            request: Fingerprint::from(request),
+            target: TargetName::from(target),
+            started_at: started_at.parse().ok()?,
+        })
+    }
+}
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -163,6 +163,8 @@
     SoftwareSettled = (617, Info, "software_settled", "the software version of unrecorded streams of a pool is stored"),
     /// A target said in an answer that it is leaving. Fields: `target`, `started_at`, `source`.
     TargetLeaving = (618, Info, "target_leaving", "a target said that it is leaving and gets no new requests"),
+    /// A target crashed under a request. Fields: `fingerprint`, `target`, `started_at`, `crashes`, `source`.
+    RequestSuspected = (619, Warn, "request_suspected", "a target crashed under a request, which is quarantined after several crashes in a row"),
     /// A trainer announced a version. Fields: `model`, `version`.
     VersionNamed = (620, Info, "version_named", "a trainer announced a version of the weights"),
     /// A target was ordered to load a version. Fields: `target`, `version`, `fence`.
@@ -214,6 +216,8 @@
     /// A target crashed while a request ran on it. Fields: `request`, `fingerprint`, `target`,
     /// `started_at`.
     CrashedUnderRequest = (655, Warn, "crashed_under_request", "a target crashed while a request ran on it"),
+    /// A target answered a request under which targets had crashed. Fields: `fingerprint`, `crashes`.
+    SuspectCleared = (656, Info, "suspect_cleared", "a target answered a request under which targets had crashed"),
     /// Log events were dropped. Fields: `count`.
     EventsLeftOut = (690, Warn, "events_left_out", "log events were dropped because there were too many"),
 }
--- a/crates/core/tests/gateway_support/effects.rs
+++ b/crates/core/tests/gateway_support/effects.rs
@@ -91,6 +91,7 @@
                 }
                 Effect::SetSource(source) => self.nodes[index].source = source,
                 Effect::Publish(_)
+                | Effect::PublishSuspects(_)
                 | Effect::StopAccepting
                 | Effect::Drained
                 | Effect::SetRelays(_)
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -1,6 +1,7 @@
 //! Simulation of gateways, a store and targets in virtual time, with faults.
 #![allow(dead_code, unused_imports)] // Each test crate uses only some of the names.
 
+mod crashing;
 mod duty;
 mod effects;
 mod fixtures;
@@ -37,6 +38,9 @@
 use sardinepath_core::domain::name::TargetName;
 use sardinepath_core::domain::time::Time;
 
+pub use crate::gateway_support::crashing::CONTACT_MS;
+use crate::gateway_support::crashing::Crashing;
+pub use crate::gateway_support::crashing::fingerprint;
 use crate::gateway_support::duty::DutyCall;
 pub use crate::gateway_support::fixtures::address;
 pub use crate::gateway_support::fixtures::batch;
@@ -119,6 +123,8 @@
     senders: Vec<usize>,
     /// Targets that say that they are leaving.
     pub leaving: Leaving,
+    /// Request that crashes each target that runs it.
+    pub crashing: Crashing,
     /// Interval in milliseconds at which each gateway gets a plain request, or `None`.
     pub plain_interval: Option<u64>,
     /// Number of plain requests that got a target.
@@ -178,6 +184,7 @@
             arrivals: Vec::new(),
             senders: Vec::new(),
             leaving: Leaving::default(),
+            crashing: Crashing::default(),
             plain_interval: None,
             plain_served: 0,
             plain_refused: 0,
@@ -238,6 +245,7 @@
         let peers = self.views(Kind::Peers);
         let limits = self.views(Kind::Limits);
         let software = self.views(Kind::Software);
+        let crashes = self.views(Kind::Crashes);
         for message in [
             Message::Changed(WatchedObject::Table(table())),
             Message::Listing(Kind::Targets, targets),
@@ -245,6 +253,7 @@
             Message::Listing(Kind::Peers, peers),
             Message::Listing(Kind::Limits, limits),
             Message::Listing(Kind::Software, software),
+            Message::Listing(Kind::Crashes, crashes),
         ] {
             self.send(index, STORE_LATENCY_MS, message);
         }
@@ -366,6 +375,7 @@
                 self.send_plain(index);
             }
             self.answer_permits();
+            self.step_crashing();
         }
     }
 
--- a/crates/core/tests/gateway_support/store.rs
+++ b/crates/core/tests/gateway_support/store.rs
@@ -8,6 +8,7 @@
 use sardinepath_core::decision::gateway::stored::Record;
 use sardinepath_core::decision::gateway::stored::StoreCall;
 use sardinepath_core::decision::gateway::stored::WatchedObject;
+use sardinepath_core::domain::crash::Crash;
 use sardinepath_core::domain::ids::Revision;
 use sardinepath_core::domain::name::BatchId;
 use sardinepath_core::domain::name::PoolName;
@@ -71,8 +72,12 @@
             }
             StoreCall::Delete(kind, name) => {
                 self.store.remove(&(kind, name.clone()));
-                if kind == Kind::Heads {
-                    let gone = WatchedObject::HeadGone(BatchId::from(name.as_ref()));
+                let gone = match kind {
+                    Kind::Heads => Some(WatchedObject::HeadGone(BatchId::from(name.as_ref()))),
+                    Kind::Crashes => Crash::from_object_name(&name).map(WatchedObject::CrashGone),
+                    _ => None,
+                };
+                if let Some(gone) = gone {
                     for index in 0..self.nodes.len() {
                         self.send(index, STORE_LATENCY_MS, Message::Changed(gone.clone()));
                     }
@@ -133,6 +138,7 @@
             let software = record.software.clone();
             Some(WatchedObject::Software(pool, Revision(revision), software))
         }
+        Record::Crash(stored) => Some(WatchedObject::Crash(stored.clone())),
         Record::Limit(limit) => Some(WatchedObject::Limit(TargetName::from(name), *limit)),
         _ => None,
     }
--- a/crates/core/tests/gateway_support/traffic.rs
+++ b/crates/core/tests/gateway_support/traffic.rs
@@ -108,6 +108,7 @@
     fn choose_plain(&mut self, index: usize, tries: u32) {
         let question = Question::ChooseTarget {
             pool: PoolName::from("engines"),
+            request: None,
             tried: Vec::new(),
             software: None,
         };
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -25,6 +25,7 @@
 
 use crate::generation::GENERATION_EVENTS;
 use crate::generation::event_data;
+use crate::target::CRASHING_PATH_END;
 use crate::target::MODEL;
 
 /// Host name of all routes.
@@ -36,6 +37,12 @@
 /// Workspace to which [`KEY`] belongs.
 pub const WORKSPACE: &str = "press";
 
+/// Start of the ids of requests that crash targets.
+pub const CRASHING_ID: &str = "crash-";
+
+/// Delay before such a request comes again.
+const CRASHING_INTERVAL: Duration = Duration::from_millis(300);
+
 /// Number of items in a batch job.
 const BATCH_ITEMS: usize = 12;
 
@@ -158,6 +165,27 @@
         }
     }
 
+    /// Sends a request that crashes each target which runs it to the gateways in turn until `until`.
+    pub async fn crashing(self, until: Instant) {
+        let pool = Pool::default();
+        for count in 0.. {
+            if Instant::now() >= until {
+                return;
+            }
+            let id = format!("{CRASHING_ID}{count}");
+            let request = Request::post(format!("/page{CRASHING_PATH_END}"))
+                .header(names::REQUEST_ID, &id)
+                .header(names::DEADLINE, "2500");
+            let answer = self
+                .call(&pool, count, request, Bytes::from_static(b"order"))
+                .await;
+            if let Ok((head, body)) = answer {
+                self.record_answer(id, head.status, &body);
+            }
+            sleep(CRASHING_INTERVAL).await;
+        }
+    }
+
     fn record_answer(&self, id: String, status: StatusCode, body: &Bytes) {
         let mut seen = self.observations();
         match status {
--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -2,12 +2,22 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
+use crate::callers::CRASHING_ID;
 use crate::callers::Callers;
 use crate::fleet::Reports;
 use crate::run::Run;
+use crate::target::TargetLog;
 use crate::target::TargetStandIn;
 
+/// Time within which gateways that reach the store must know of a crash.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Number of times that targets may get a request after it has crashed three of them.
+const MAX_LATE_RETRIES: usize = 3;
+
 impl Run {
     /// Compares the observations of the callers with the logs of the targets and the usage reports.
     pub(crate) fn check_guarantees(&mut self, callers: &Callers, reports: &Reports) {
@@ -54,6 +64,31 @@
         }
         self.faults.extend(faults);
     }
+
+    /// Checks that targets hardly get a request any more which has crashed three of them, once all
+    /// gateways had contact to the store for a while after the faults ended.
+    pub(crate) fn check_crashes(&mut self, healed: Instant) {
+        let logs: Vec<TargetLog> = self.targets.iter().map(|target| target.log()).collect();
+        let crashes = logs.iter().flat_map(|log| log.crashes.iter().copied());
+        let mut crashes: Vec<Instant> = crashes.collect();
+        crashes.sort();
+        let Some(third) = crashes.get(2) else {
+            return;
+        };
+        let known = healed.max(*third) + CONTACT_TIME;
+        let runs = logs.iter().flat_map(|log| &log.runs);
+        let crashing = runs.filter(|(id, _)| id.starts_with(CRASHING_ID));
+        let late = crashing
+            .flat_map(|(_, times)| times)
+            .filter(|at| **at > known);
+        let late = late.count();
+        if late > MAX_LATE_RETRIES {
+            let count = crashes.len();
+            self.faults.push(format!(
+                "a request that crashed {count} targets was sent {late} times more"
+            ));
+        }
+    }
 }
 
 /// Returns a fault for each request to an unsafe route that was executed more than once.
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -30,6 +30,9 @@
 /// Time after the last fault within which every accepted job must complete.
 const SETTLE_TIMEOUT: Duration = Duration::from_secs(25);
 
+/// Time after the last fault for which a request that crashes targets goes on coming.
+const CRASHING_TIME: Duration = Duration::from_secs(5);
+
 /// Number of model engines. The other targets are plain services.
 const ENGINE_COUNT: usize = 3;
 
@@ -105,10 +108,13 @@
         tokio::spawn(caller.plain(name, path, stop))
     });
     let plain: Vec<_> = plain.collect();
+    let crashing = tokio::spawn(callers.clone().crashing(stop + CRASHING_TIME));
     let trainer = tokio::spawn(train(callers.clone(), run.store.clone(), stop));
     run.inject_faults(stop).await;
     run.recover_all();
+    let healed = std::time::Instant::now();
     let steps = trainer.await?;
+    crashing.await?;
     for task in plain {
         task.await?;
     }
@@ -123,6 +129,7 @@
         .unwrap_or_else(PoisonError::into_inner)
         .clone();
     run.check_guarantees(&callers, &reports);
+    run.check_crashes(healed);
     let seen = callers.observations();
     let summary = format!(
         "{} answered, {} refused, {} jobs complete, {} refused, {} unclear, {} windows",
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -25,6 +25,7 @@
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::sleep;
 
 use crate::body;
@@ -39,6 +40,18 @@
 /// Time after which a process that was told that a target is leaving must not send to it.
 pub const DRAIN_TIME: Duration = Duration::from_secs(2);
 
+/// End of the paths of requests that crash each target which runs them.
+pub const CRASHING_PATH_END: &str = "/crash";
+
+/// Time after which a target crashes under such a request.
+const CRASH_DELAY: Duration = Duration::from_millis(40);
+
+/// Time after which a crashed target starts anew.
+const DOWN_TIME: Duration = Duration::from_millis(1_500);
+
+/// Delay before a target tries again to listen at its address.
+const REBIND_DELAY: Duration = Duration::from_millis(50);
+
 /// Time that a weight load takes.
 const LOAD_TIME: Duration = Duration::from_millis(300);
 
@@ -56,6 +69,8 @@
     /// Ids of requests that came over a connection on which the target had said longer than
     /// [`DRAIN_TIME`] ago that it is leaving.
     pub late_requests: Vec<String>,
+    /// Times at which the target crashed under a request.
+    pub crashes: Vec<Instant>,
 }
 
 /// Running target that is registered in the store.
@@ -92,6 +107,8 @@
     limit: Option<f64>,
     /// Number of events after which a stream that was not resumed breaks, or `None`.
     pub(crate) break_after: Option<u64>,
+    /// Ends the listener and all connections when it is dropped, or `None` while the target is down.
+    running: Option<watch::Sender<()>>,
 }
 
 impl TargetStandIn {
@@ -131,16 +148,69 @@
                 born: 1,
                 limit: None,
                 break_after: None,
+                running: None,
             }),
         });
         target.register(pool);
-        let (served, pool) = (target.clone(), pool.to_owned());
+        target.clone().listen(listener, pool);
+        Ok(target)
+    }
+
+    /// Serves connections until the target crashes.
+    fn listen(self: Arc<Self>, listener: TcpListener, pool: &str) {
+        let (running, ended) = watch::channel(());
+        self.lock().running = Some(running);
+        let pool = pool.to_owned();
         tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(handle_connection(served.clone(), stream, pool.clone()));
+            let mut crashed = ended.clone();
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    _ = crashed.changed() => return,
+                };
+                let Ok((stream, _)) = accepted else {
+                    return;
+                };
+                let served = handle_connection(self.clone(), stream, pool.clone());
+                let mut crashed = ended.clone();
+                tokio::spawn(async move {
+                    tokio::select! {
+                        () = served => {}
+                        _ = crashed.changed() => {}
+                    }
+                });
             }
         });
-        Ok(target)
+    }
+
+    /// Crashes the target: its connections end without an answer, and new ones are refused until it
+    /// has started anew.
+    fn crash(self: &Arc<Self>, pool: String) {
+        let running = self.lock().running.take();
+        if running.is_none() {
+            return;
+        }
+        self.lock().log.crashes.push(Instant::now());
+        drop(running);
+        let target = self.clone();
+        tokio::spawn(async move {
+            sleep(DOWN_TIME).await;
+            target.restart(&pool).await;
+        });
+    }
+
+    /// Starts the target anew at its address after a crash.
+    async fn restart(self: Arc<Self>, pool: &str) {
+        loop {
+            match TcpListener::bind(self.address).await {
+                Ok(listener) => {
+                    self.clone().listen(listener, pool);
+                    self.start_anew(pool);
+                    return;
+                }
+                Err(_) => sleep(REBIND_DELAY).await,
+            }
+        }
     }
 
     /// Returns the address on which the target listens.
@@ -356,6 +426,12 @@
         "/order" => target.order(&body, pool).await,
         _ => {
             let id = target.record_start(&head.headers);
+            if head.uri.path().ends_with(CRASHING_PATH_END) {
+                sleep(CRASH_DELAY).await;
+                target.crash(pool);
+                // The connection ends with the target.
+                return std::future::pending().await;
+            }
             let delay = target.lock().plain_delay;
             sleep(delay).await;
             let mut response = Response::new(Body::new(Bytes::from(format!("answer to {id}"))));
