Count late requests from the statement of the same run of a target

The soak reported a request as sent to a target that had said that it leaves, although it was not: the stand-in kept the time of a statement for a connection over a new start of the target, so the first request after the second leave of a target counted from the first one.

--- a/soak/src/check.rs
+++ b/soak/src/check.rs
@@ -44,7 +44,7 @@
             faults.extend(
                 log.late_requests
                     .iter()
-                    .map(|id| format!("{id}: sent to a target that had said that it leaves")),
+                    .map(|late| format!("sent to a target that had said that it leaves: {late:?}")),
             );
             for pair in log.orders.windows(2) {
                 let (first, second) = (&pair[0], &pair[1]);
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -17,9 +17,11 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use sardinepath_adapters::clock::HostClock;
 use sardinepath_adapters::web::Body;
 use sardinepath_adapters::web::ResponseBody;
 use sardinepath_adapters::web::whole_body;
+use sardinepath_core::port::clock::Clock;
 use sardinepath_platform::names;
 use serde_json::Value;
 use serde_json::json;
@@ -66,13 +68,32 @@
     pub leaked_keys: Vec<String>,
     /// Holder and fencing token of each accepted order, in order of arrival.
     pub orders: Vec<(String, u64)>,
-    /// Ids of requests that came over a connection on which the target had said longer than
-    /// [`DRAIN_TIME`] ago that it is leaving.
-    pub late_requests: Vec<String>,
+    /// Requests that came over a connection on which the target had said longer than [`DRAIN_TIME`]
+    /// ago that it is leaving.
+    pub late_requests: Vec<LateRequest>,
     /// Times at which the target crashed under a request.
     pub crashes: Vec<Instant>,
 }
 
+/// Request to a target that had said that it is leaving.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LateRequest {
+    /// Id of the request.
+    pub id: String,
+    /// Time since the target said so first on the connection.
+    pub told: Duration,
+    /// Start of the run of the target that said so and got the request.
+    pub run: u64,
+}
+
+/// First statement on a connection that the target is leaving.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    at: Instant,
+    /// Start of the run that made the statement.
+    run: u64,
+}
+
 /// Running target that is registered in the store.
 #[derive(Debug)]
 pub struct TargetStandIn {
@@ -145,7 +166,7 @@
                 plain_delay: Duration::from_millis(5),
                 leaving: false,
                 says_leaving: false,
-                born: 1,
+                born: wall_millis(),
                 limit: None,
                 break_after: None,
                 running: None,
@@ -244,7 +265,7 @@
             let mut state = self.lock();
             state.says_leaving = false;
             state.leaving = false;
-            state.born += 1;
+            state.born = wall_millis().max(state.born + 1);
         }
         self.register(pool);
     }
@@ -317,20 +338,32 @@
     }
 
     /// Logs a request on a connection on which the target has said for too long that it leaves.
-    fn check_told(&self, told: &Mutex<Option<Instant>>, request: &Request<Incoming>) {
+    fn check_told(&self, told: &Mutex<Option<Told>>, request: &Request<Incoming>) {
         let told = *told.lock().unwrap_or_else(PoisonError::into_inner);
         let mut state = self.lock();
-        if state.says_leaving && told.is_some_and(|told| told.elapsed() > DRAIN_TIME) {
-            let id = header(request.headers(), names::REQUEST_ID).unwrap_or_default();
-            state.log.late_requests.push(id);
+        // A later run of the target was not meant by the statement.
+        let told = told.filter(|told| told.run == state.born);
+        let Some(told) = told.filter(|told| told.at.elapsed() > DRAIN_TIME) else {
+            return;
+        };
+        if state.says_leaving {
+            let late = LateRequest {
+                id: header(request.headers(), names::REQUEST_ID).unwrap_or_default(),
+                told: told.at.elapsed(),
+                run: told.run,
+            };
+            state.log.late_requests.push(late);
         }
     }
 
     /// Notes that an answer on a connection says that the target is leaving.
-    fn note_told(&self, told: &Mutex<Option<Instant>>, headers: &HeaderMap) {
+    fn note_told(&self, told: &Mutex<Option<Told>>, headers: &HeaderMap) {
+        let run = self.lock().born;
         let mut told = told.lock().unwrap_or_else(PoisonError::into_inner);
         if headers.contains_key(names::LEAVING) {
-            told.get_or_insert_with(Instant::now);
+            let earlier = told.filter(|told| told.run == run);
+            let at = earlier.map_or_else(Instant::now, |told| told.at);
+            *told = Some(Told { at, run });
         } else {
             *told = None;
         }
@@ -391,7 +424,7 @@
         return;
     }
     // Time at which the target first said on this connection that it is leaving.
-    let told: Arc<Mutex<Option<Instant>>> = Arc::default();
+    let told: Arc<Mutex<Option<Told>>> = Arc::default();
     let service = service_fn(move |request| {
         target.check_told(&told, &request);
         let (target, told) = (target.clone(), told.clone());
@@ -451,6 +484,11 @@
     response.map(whole_body)
 }
 
+/// Returns the wall-clock time in milliseconds since the Unix epoch.
+fn wall_millis() -> u64 {
+    HostClock.wall_time().0
+}
+
 pub(crate) fn header(headers: &HeaderMap, name: &str) -> Option<String> {
     Some(headers.get(name)?.to_str().ok()?.to_owned())
 }
