Hold a target back whose entry names a run that may have said that it leaves

A target that starts anew under its name and says that it leaves before its entry names the new run got one more request from each gateway once the entry arrived: the statement was recorded for the run before, since the run is taken from the entry. The statement now carries the time of the answer, and a run that had started by then gets no requests for 60 s.

the_statement_of_a_run_without_an_entry_counts_for_that_run failed before: two of three gateways sent a request 3.1 s after they were told, with 2 s allowed. a_target_whose_clock_is_behind_serves_again_after_a_while bounds the cost of differing clocks. The tests that wrote starts of targets as 1 and 2 write them as times, as the platform does.

--- a/crates/core/src/decision/directory/leaves.rs
+++ b/crates/core/src/decision/directory/leaves.rs
@@ -7,6 +7,7 @@
 use crate::domain::leave::LeaveStatement;
 use crate::domain::name::TargetName;
 use crate::domain::time::Time;
+use crate::domain::time::WallTime;
 
 /// Time for which other processes are told of a statement. A target that leaves serves for some
 /// seconds more.
@@ -20,6 +21,10 @@
 /// an outage of the object API.
 const GONE_RETENTION: Duration = Duration::from_secs(600);
 
+/// Time for which a run that may have made a statement gets no requests. A target that leaves ends
+/// within it; one that stays seems to leave only if its clock differs from that of the gateways.
+const UNCLEAR_TIME: Duration = Duration::from_secs(60);
+
 /// Targets that said that they are leaving.
 #[derive(Debug, Default)]
 pub(super) struct Leaves {
@@ -31,6 +36,8 @@
 struct Known {
     /// Start of the run that leaves.
     started_at: u64,
+    /// Time of the answer.
+    stated_at: WallTime,
     /// Time at which this process learned of it.
     heard: Time,
 }
@@ -44,6 +51,7 @@
         }
         let known = Known {
             started_at: statement.started_at,
+            stated_at: statement.stated_at,
             heard: now,
         };
         self.known.insert(statement.target.clone(), known);
@@ -56,6 +64,17 @@
         known.is_some_and(|known| known.started_at >= entry.started_at)
     }
 
+    /// Returns the time until which the run that an entry describes gets no requests, because it may be
+    /// the one that made the statement: it started before the target answered, but later than the run
+    /// that the entry of that time described.
+    pub(super) fn withheld_until(&self, entry: &TargetEntry) -> Time {
+        let known = self.known.get(&entry.name);
+        let unclear = known.filter(|known| {
+            known.started_at < entry.started_at && entry.started_at <= known.stated_at.0
+        });
+        unclear.map_or(Time::default(), |known| known.heard + UNCLEAR_TIME)
+    }
+
     /// Returns the statements of which other processes should be told, the newest first.
     pub(super) fn recent(&self, now: Time) -> Vec<LeaveStatement> {
         let known = self.known.iter();
@@ -67,6 +86,7 @@
         let statement = |(target, known): (&TargetName, &Known)| LeaveStatement {
             target: target.clone(),
             started_at: known.started_at,
+            stated_at: known.stated_at,
         };
         recent.into_iter().map(statement).collect()
     }
--- a/crates/core/src/decision/directory/mod.rs
+++ b/crates/core/src/decision/directory/mod.rs
@@ -82,6 +82,7 @@
     pub fn insert(&mut self, mut entry: TargetEntry) {
         self.references.clear();
         entry.leaving |= self.leaves.cover(&entry);
+        let withheld_until = self.leaves.withheld_until(&entry);
         if let Some(known) = self.targets.get_mut(&entry.name) {
             if entry.started_at < known.entry.started_at {
                 return;
@@ -93,10 +94,12 @@
                 known.pace = None;
             }
             known.entry = entry;
+            known.withheld_until = withheld_until;
             known.missing_since = None;
             return;
         }
-        let target = Target::new(entry);
+        let mut target = Target::new(entry);
+        target.withheld_until = withheld_until;
         self.targets.insert(target.entry.name.clone(), target);
     }
 
@@ -108,6 +111,7 @@
         }
         if let Some(target) = self.targets.get_mut(&statement.target) {
             target.entry.leaving |= self.leaves.cover(&target.entry);
+            target.withheld_until = self.leaves.withheld_until(&target.entry);
         }
         true
     }
--- a/crates/core/src/decision/directory/target.rs
+++ b/crates/core/src/decision/directory/target.rs
@@ -37,6 +37,8 @@
     pub(super) remote_running: u32,
     /// Time before which the target gets no requests.
     pub(super) paused_until: Time,
+    /// Time before which the target gets no requests, because this run may have said that it is leaving.
+    pub(super) withheld_until: Time,
     /// Time until which other requests keep away from the target, because it runs a suspect.
     pub(super) isolated_until: Time,
     /// Number of failures since the last success, not counting those during a pause.
@@ -56,6 +58,7 @@
             running: 0,
             remote_running: 0,
             paused_until: Time::default(),
+            withheld_until: Time::default(),
             isolated_until: Time::default(),
             failures: 0,
             errors: 0,
@@ -85,6 +88,7 @@
     pub(super) fn fits(&self, now: Time, pool: &PoolName, need: &TargetNeeds) -> bool {
         self.entry.pool == *pool
             && !self.entry.leaving
+            && now >= self.withheld_until
             && (need.allow_paused || now >= self.paused_until)
             && (need.allow_paused || self.errors < ERROR_THRESHOLD || self.running == 0)
             && (!need.free_slot || self.running + self.remote_running < self.entry.slots)
--- a/crates/core/tests/gateway_leaving.rs
+++ b/crates/core/tests/gateway_leaving.rs
@@ -9,6 +9,7 @@
 use sardinepath_core::decision::gateway::message::Message;
 use sardinepath_core::domain::leave::LeaveStatement;
 use sardinepath_core::domain::name::TargetName;
+use sardinepath_core::domain::time::WallTime;
 
 /// Time within which a statement reaches a gateway that pings a runner, in milliseconds.
 const TELL_MS: u64 = 1_000;
@@ -79,7 +80,8 @@
     sim.say_leaving("t0");
     sim.run(3_000);
 
-    sim.register("t0", |entry| entry.started_at += 1);
+    let started_at = sim.wall_time();
+    sim.register("t0", |entry| entry.started_at = started_at);
     let since = sim.now;
     sim.run(2_000);
 
@@ -126,6 +128,7 @@
     let statement = LeaveStatement {
         target: TargetName::from("t0"),
         started_at: 1,
+        stated_at: WallTime(sim.wall_time()),
     };
     sim.message(told, Message::LeavingStated(statement));
     sim.run(2 * TELL_MS);
@@ -137,6 +140,39 @@
     assert_ne!(arrivals(&sim, "t1", since), 0);
 }
 
+/// Guards against a request to a target that started anew and said that it leaves before its entry named
+/// the new run, so that its words seem to be those of the run before.
+#[test]
+fn the_statement_of_a_run_without_an_entry_counts_for_that_run() {
+    let mut sim = loaded(3);
+    let started_at = sim.wall_time();
+    sim.run(200);
+    sim.say_leaving("t0");
+    sim.run(3_000);
+
+    sim.announce_run("t0", started_at);
+    sim.run(8_000);
+
+    assert_eq!(sim.leaving.late, []);
+}
+
+/// Guards against a target that gets no requests for good because its clock differs from that of the
+/// gateways, so that a statement of its earlier run seems to be one of the new run.
+#[test]
+fn a_target_whose_clock_is_behind_serves_again_after_a_while() {
+    let mut sim = loaded(3);
+    sim.say_leaving("t0");
+    sim.run(3_000);
+    let started_at = sim.wall_time() - 3_500;
+    sim.register("t0", |entry| entry.started_at = started_at);
+    sim.run(60_000);
+
+    let since = sim.now;
+    sim.run(2_000);
+
+    assert_ne!(arrivals(&sim, "t0", since), 0);
+}
+
 /// Fails if texts that run at a target when it says that it leaves are begun again or given up.
 #[test]
 fn texts_of_a_leaving_target_run_to_their_end() {
--- a/crates/core/tests/gateway_support/crashing.rs
+++ b/crates/core/tests/gateway_support/crashing.rs
@@ -164,7 +164,8 @@
         let down = &mut self.crashing.down;
         let due: Vec<_> = down.extract_if(.., |_, at| *at <= now).collect();
         for (target, _) in due {
-            self.register(target.as_str(), |entry| entry.started_at += 1);
+            let started_at = self.wall_time();
+            self.register(target.as_str(), |entry| entry.started_at = started_at);
         }
     }
 }
--- a/crates/core/tests/gateway_support/leaving.rs
+++ b/crates/core/tests/gateway_support/leaving.rs
@@ -16,6 +16,7 @@
 use sardinepath_core::domain::name::HostName;
 use sardinepath_core::domain::name::TargetName;
 use sardinepath_core::domain::time::Time;
+use sardinepath_core::domain::time::WallTime;
 
 use crate::gateway_support::STEP_MS;
 use crate::gateway_support::Simulation;
@@ -68,6 +69,7 @@
         let statement = LeaveStatement {
             target: choice.name.clone(),
             started_at: choice.started_at,
+            stated_at: WallTime(self.wall_time()),
         };
         self.send(index, STEP_MS, Message::LeavingStated(statement));
     }
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -59,6 +59,9 @@
 /// Virtual time between two steps in milliseconds.
 pub const STEP_MS: u64 = 20;
 
+/// Wall-clock time at the virtual time 0, in milliseconds since the Unix epoch.
+const EPOCH_MS: u64 = 1_000_000_000;
+
 /// Latency of a call to the store in milliseconds.
 const STORE_LATENCY_MS: u64 = 20;
 
@@ -213,7 +216,7 @@
                 cpu_percent: self.nodes[index].power,
             },
             centre: CentreName::from("c"),
-            epoch: 1_000_000_000,
+            epoch: EPOCH_MS,
             lease: Terms {
                 length: Duration::from_secs(3),
                 renewal: Duration::from_secs(1),
@@ -356,6 +359,11 @@
         kinds.filter(|kind| job_kinds.contains(kind)).count()
     }
 
+    /// Returns the wall-clock time in milliseconds since the Unix epoch.
+    pub fn wall_time(&self) -> u64 {
+        EPOCH_MS + self.now
+    }
+
     /// Advances the virtual time.
     pub fn run(&mut self, millis: u64) {
         let end = self.now + millis;
--- a/crates/core/tests/gateway_support/traffic.rs
+++ b/crates/core/tests/gateway_support/traffic.rs
@@ -253,6 +253,19 @@
             self.leaving.targets.remove(&name);
             self.forget_leaving(|_, target| *target == name);
         }
+        self.publish_entry(&entry);
+    }
+
+    /// Registers a run of a target that has served for some time already.
+    pub fn announce_run(&mut self, target: &str, started_at: u64) {
+        let mut targets = self.targets.iter_mut();
+        let entry = targets.find(|entry| entry.name.as_str() == target).unwrap();
+        entry.started_at = started_at;
+        let entry = entry.clone();
+        self.publish_entry(&entry);
+    }
+
+    fn publish_entry(&mut self, entry: &TargetEntry) {
         for index in 0..self.nodes.len() {
             let changed = Message::Changed(WatchedObject::Target(entry.clone()));
             self.send(index, STORE_LATENCY_MS, changed);
