Quarantine scoring requests and space items under which targets crash

A scoring request under which a target crashed was sent again after 20 ms, without end, since its item is owed; an item likewise. One of them takes all targets down for as long as its job lasts.

Scoring requests now go through the quarantine of plain ones; items, which are never at fault by contract, wait 0.5 to 2 s from the second crash on. a_scoring_request_that_crashes_targets_is_quarantined fails without it (32 requests in 20 s, at most 3 allowed); an_item_under_which_targets_crash_is_spaced_but_still_owed shows the waits.

--- a/crates/core/src/decision/batch/mod.rs
+++ b/crates/core/src/decision/batch/mod.rs
@@ -52,6 +52,8 @@
     Moved,
     /// The connection broke or timed out, or the stream was malformed.
     Broken(String),
+    /// The target crashed while it ran the item.
+    Crashed(String),
     /// The weight version of the target is too old, or differs from the one of the text so far.
     WrongVersion,
 }
@@ -69,6 +71,8 @@
     Misdirected,
     /// There was no complete answer, for this reason.
     Lost(String),
+    /// The target crashed while it ran the request.
+    Crashed(String),
 }
 
 /// Weight versions from which a text may come.
--- a/crates/core/src/decision/batch/run.rs
+++ b/crates/core/src/decision/batch/run.rs
@@ -23,6 +23,8 @@
     pub failures: u32,
     /// Number of moves from a slow target to another one.
     pub moves: u32,
+    /// Number of targets that crashed while they generated the item.
+    pub crashes: u32,
     /// Data of the current state.
     pub state: S,
 }
@@ -86,6 +88,7 @@
             item: self.item,
             failures: self.failures,
             moves: self.moves,
+            crashes: self.crashes,
             state,
         }
     }
@@ -109,6 +112,7 @@
             item,
             failures: 0,
             moves: 0,
+            crashes: 0,
             state: Waiting {
                 partial,
                 ..Waiting::default()
@@ -166,6 +170,17 @@
         self.with(state)
     }
 
+    /// Returns the item to waiting after its target crashed.
+    pub fn retry_after_crash(
+        mut self,
+        now: Time,
+        pause: Duration,
+        partial: PartialText,
+    ) -> Run<Waiting> {
+        self.crashes += 1;
+        self.retry(now, pause, partial, false)
+    }
+
     /// Ends the generation with the complete text.
     pub fn finish(self, now: Time, partial: PartialText) -> Run<Generated> {
         self.with(Generated {
@@ -190,6 +205,7 @@
             item,
             failures: self.failures,
             moves: self.moves,
+            crashes: self.crashes,
             state,
         }
     }
@@ -218,6 +234,7 @@
             item: self.item,
             failures: self.failures,
             moves: self.moves,
+            crashes: self.crashes,
             state,
         }
     }
--- a/crates/core/src/decision/batch/runner.rs
+++ b/crates/core/src/decision/batch/runner.rs
@@ -37,6 +37,13 @@
 /// Delay after a target refused an item without running it. The target itself is paused for longer.
 const REFUSAL_DELAY: Duration = Duration::from_millis(20);
 
+/// Delay before an item is sent again after a second crash of a target under it. It doubles with each
+/// further one. An item is still owed, but must not take one target after the other down.
+const CRASH_DELAY: Duration = Duration::from_millis(500);
+
+/// Maximum delay after a crash. An item may not wait much longer while targets are free.
+const MAX_CRASH_DELAY: Duration = Duration::from_secs(2);
+
 /// Maximum number of moves of one item away from slow targets.
 const MAX_MOVES: u32 = 3;
 
@@ -308,6 +315,11 @@
                 let run = run.retry(now, RETRY_DELAY, partial, false);
                 (Slot::Waiting(run), CallEnd::Failed)
             }
+            RunEnd::Crashed(_) => {
+                let delay = crash_delay(run.crashes);
+                let run = run.retry_after_crash(now, delay, partial);
+                (Slot::Waiting(run), CallEnd::Failed)
+            }
             // The text cannot continue with another version, so it starts from the beginning.
             RunEnd::WrongVersion => {
                 let run = run.retry(now, REFUSAL_DELAY, PartialText::default(), false);
@@ -349,7 +361,7 @@
                 Slot::Generated(run.retry(now, RETRY_DELAY, false)),
                 CallEnd::Misdirected,
             ),
-            ScoreEnd::Lost(_) => (
+            ScoreEnd::Lost(_) | ScoreEnd::Crashed(_) => (
                 Slot::Generated(run.retry(now, RETRY_DELAY, false)),
                 CallEnd::Failed,
             ),
@@ -393,8 +405,26 @@
         }
     }
 
+    /// Returns the scoring request of an attempt, or `None` if it is none.
+    pub fn scorer(&self, id: RunId) -> Option<&Scorer> {
+        match self.slots.get(*self.runs.get(&id)?)? {
+            Slot::Scoring(run) => run.item.scorer.as_ref(),
+            _ => None,
+        }
+    }
+
     /// Returns `true` if an attempt belongs to this job.
     pub fn has_run(&self, id: RunId) -> bool {
         self.runs.contains_key(&id)
     }
 }
+
+/// Returns the delay before an item is sent again after a crash, by the number of crashes before it.
+fn crash_delay(earlier: u32) -> Duration {
+    match earlier.checked_sub(1) {
+        Some(doublings) => {
+            (CRASH_DELAY * 2_u32.saturating_pow(doublings.min(8))).min(MAX_CRASH_DELAY)
+        }
+        None => RETRY_DELAY,
+    }
+}
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/dispatch.rs
@@ -20,6 +20,7 @@
 use crate::decision::gateway::jobs::find_route;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::RunRequest;
+use crate::decision::quarantine::Verdict;
 use crate::domain::batch::Head;
 use crate::domain::batch::PartialText;
 use crate::domain::batch::Scorer;
@@ -274,8 +275,13 @@
         let random = self.next_random();
         let table = self.table.clone()?;
         let route = table.route(&scorer.host, &scorer.path)?;
+        let verdict = self.scoring_verdict(scorer);
+        if let Verdict::Quarantined(_) = verdict {
+            return None;
+        }
         let need = TargetNeeds {
             deferrable: true,
+            suspect: verdict == Verdict::Suspect,
             seed: self.settings.seed,
             ..TargetNeeds::default()
         };
@@ -387,6 +393,7 @@
 
     pub(super) fn scoring_ended(&mut self, run: RunId, end: &ScoreEnd) {
         let now = self.now;
+        let scorer = self.runner_of(run).and_then(|r| r.scorer(run).cloned());
         let runner = self.runner_of(run);
         let scored = runner.and_then(|runner| runner.end_scoring(now, run, end));
         let batch = self.runs.remove(&run);
@@ -394,6 +401,9 @@
             return;
         };
         self.directory.release(now, &target, call);
+        if let Some(scorer) = scorer {
+            self.scoring_seen(&scorer, &target, end);
+        }
         if !matches!(end, ScoreEnd::Scored(_)) {
             self.log(
                 Event::ScoringFailed,
--- a/crates/core/src/decision/gateway/suspects.rs
+++ b/crates/core/src/decision/gateway/suspects.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decision::batch::ScoreEnd;
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::stored::Answer;
@@ -17,9 +18,13 @@
 use crate::decision::gateway::stored::StoredCrash;
 use crate::decision::gateway::stored::WatchedObject;
 use crate::decision::quarantine::Quarantine;
+use crate::decision::quarantine::Verdict;
+use crate::domain::batch::Scorer;
 use crate::domain::crash::Crash;
 use crate::domain::event::Event;
+use crate::domain::fingerprint::RequestParts;
 use crate::domain::name::Fingerprint;
+use crate::domain::name::TargetName;
 use crate::domain::time::Time;
 use crate::domain::time::WallTime;
 use crate::port::object::ObjectError;
@@ -88,6 +93,35 @@
         self.publish_suspects();
     }
 
+    /// Decides whether a scoring request may be sent now.
+    pub(super) fn scoring_verdict(&self, scorer: &Scorer) -> Verdict {
+        let parts = scoring_parts(scorer);
+        let quarantine = &self.suspects.quarantine;
+        match quarantine.has_shape(parts.shape()) {
+            true => quarantine.verdict(self.now, &parts.fingerprint()),
+            false => Verdict::Sound,
+        }
+    }
+
+    /// Handles what the end of a scoring request at a target says about the request.
+    pub(super) fn scoring_seen(&mut self, scorer: &Scorer, target: &TargetName, end: &ScoreEnd) {
+        let parts = scoring_parts(scorer);
+        match end {
+            ScoreEnd::Crashed(_) => {
+                let started_at = self.directory.get(target).map_or(0, |e| e.started_at);
+                self.target_crashed(Crash {
+                    request: parts.fingerprint(),
+                    target: target.clone(),
+                    started_at,
+                });
+            }
+            ScoreEnd::Scored(_) if self.suspects.quarantine.has_shape(parts.shape()) => {
+                self.request_survived(&parts.fingerprint());
+            }
+            _ => {}
+        }
+    }
+
     /// Handles a crash that another process stored.
     pub(super) fn crash_watched(&mut self, stored: StoredCrash) {
         let age = self.wall_time().0.saturating_sub(stored.at.0);
@@ -203,3 +237,14 @@
         self.effects.push(Effect::PublishSuspects(shapes));
     }
 }
+
+/// Returns the parts by which a scoring request is recognized when it comes again.
+fn scoring_parts(scorer: &Scorer) -> RequestParts<'_> {
+    RequestParts {
+        workspace: None,
+        host: &scorer.host,
+        method: "POST",
+        path: &scorer.path,
+        body: &scorer.body,
+    }
+}
--- a/crates/core/src/decision/quarantine.rs
+++ b/crates/core/src/decision/quarantine.rs
@@ -84,6 +84,12 @@
         }
     }
 
+    /// Returns `true` if a suspect has this shape.
+    pub fn has_shape(&self, shape: RequestShape) -> bool {
+        let mut shapes = self.suspects.keys().filter_map(Fingerprint::shape);
+        shapes.any(|known| known == shape)
+    }
+
     /// Returns the number of crashes under a request since its last answer.
     pub fn crashes(&self, request: &Fingerprint) -> usize {
         self.suspects.get(request).map_or(0, |s| s.crashes.len())
--- a/crates/core/tests/gateway_crashes.rs
+++ b/crates/core/tests/gateway_crashes.rs
@@ -215,3 +215,16 @@
     assert_ne!(sound, suspect);
     assert!(!others.contains(&suspect), "{suspect} {others:?}");
 }
+
+/// Guards against a scoring request that crashes one target after the other, since its item is owed.
+#[test]
+fn a_scoring_request_that_crashes_targets_is_quarantined() {
+    let mut sim = Simulation::new(3);
+    sim.crashing.scores = true;
+    sim.submit(0, 1);
+
+    sim.run(20_000);
+
+    let sent = sim.crashing.scored.len();
+    assert!((2..=3).contains(&sent), "{sent} requests");
+}
--- a/crates/core/tests/gateway_support/crashing.rs
+++ b/crates/core/tests/gateway_support/crashing.rs
@@ -50,6 +50,10 @@
     pub crashes: Vec<u64>,
     /// Number of attempts that were refused because of the quarantine.
     pub quarantined: usize,
+    /// Whether each target crashes under each scoring request.
+    pub scores: bool,
+    /// Time at which each scoring request was sent.
+    pub scored: Vec<u64>,
     attempts: Vec<Attempt>,
     /// Runs of targets that will crash, with the time of the crash and the attempt.
     running: Vec<(u64, Choice, Attempt)>,
--- a/crates/core/tests/gateway_support/effects.rs
+++ b/crates/core/tests/gateway_support/effects.rs
@@ -60,7 +60,11 @@
                 Effect::Score(run, choice, _) => {
                     self.arrive(index, &choice);
                     self.nodes[index].runs.insert(run, choice.name);
-                    let end = ScoreEnd::Scored(Arc::from("digest"));
+                    let end = match self.crashing.scores {
+                        true => ScoreEnd::Crashed("the target crashed".to_owned()),
+                        false => ScoreEnd::Scored(Arc::from("digest")),
+                    };
+                    self.crashing.scored.push(self.now);
                     self.send(index, STEP_MS, Message::ScoringEnded(run, end));
                 }
                 Effect::MoveRun(run) => self.move_run(index, run),
--- a/crates/core/tests/runner.rs
+++ b/crates/core/tests/runner.rs
@@ -211,3 +211,26 @@
     assert_eq!(continued(&mut runner, 0), 5);
     assert_eq!(continued(&mut runner, 1), 0);
 }
+
+/// Guards against an item under which targets crash that takes one target after the other down at once,
+/// and against one that is given up or waits too long.
+#[test]
+fn an_item_under_which_targets_crash_is_spaced_but_still_owed() {
+    let mut runner = runner(&[100]);
+    let mut now = START;
+    let mut waits = Vec::new();
+
+    for index in 0..8 {
+        let crashed = RunEnd::Crashed("the target crashed".to_owned());
+        let target = TargetName::from(format!("t{index}"));
+        runner.generate(now, 0, RunId(index), target).unwrap();
+        runner.end_run(now, RunId(index), &crashed, PartialText::default());
+        let since = now;
+        while runner.tasks(now).is_empty() {
+            now = now + Duration::from_millis(10);
+        }
+        waits.push(now.since(since).as_millis());
+    }
+
+    assert_eq!(waits, [20, 500, 1_000, 2_000, 2_000, 2_000, 2_000, 2_000]);
+}
