Count the crash of a run whose entry is not known yet

A crash is recorded for the run that the entry of the target names. Crashes of one run that lie a second apart, which no crash takes to end its requests, are told apart by an ordinal now. It is the class of the leaving targets: an identity from a slower source than the event. A crash is also stored with its own time instead of that of the write.

--- a/crates/core/src/decision/gateway/suspects.rs
+++ b/crates/core/src/decision/gateway/suspects.rs
@@ -3,7 +3,7 @@
 //! The gateway that saw a crash creates an object for it, so that a gateway that has just started or
 //! woken up knows it too. Crashes that could not be stored are stored once the object API answers.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -36,8 +36,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Suspects {
     pub(super) quarantine: Quarantine,
-    /// Crashes that are not stored yet.
-    unstored: BTreeSet<Crash>,
+    /// Crashes that are not stored yet, each with its time.
+    unstored: BTreeMap<Crash, WallTime>,
     /// Earliest time of the next attempt to store them.
     next_write: Time,
 }
@@ -68,11 +68,14 @@
         if entry.is_some_and(|entry| entry.leaving) {
             return;
         }
-        if self.record_crash(self.now, crash.clone(), CrashSource::Request) {
-            self.suspects.unstored.insert(crash);
-            self.suspects.next_write = self.now;
-            self.write_crashes();
-        }
+        let Some(crash) = self.suspects.quarantine.number(self.now, crash) else {
+            return;
+        };
+        let at = self.wall_time();
+        self.record_crash(self.now, crash.clone(), CrashSource::Request);
+        self.suspects.unstored.insert(crash, at);
+        self.suspects.next_write = self.now;
+        self.write_crashes();
     }
 
     /// Handles the answer of a target that ran a suspect and stays up.
@@ -113,6 +116,7 @@
                     request: parts.fingerprint(),
                     target: target.clone(),
                     started_at,
+                    ordinal: 0,
                 });
             }
             ScoreEnd::Scored(_) if self.suspects.quarantine.has_shape(parts.shape()) => {
@@ -145,7 +149,7 @@
         let listed: Vec<StoredCrash> = crashes.collect();
         for crash in self.suspects.quarantine.all() {
             let is_listed = listed.iter().any(|stored| stored.crash == crash);
-            if !is_listed && !self.suspects.unstored.contains(&crash) {
+            if !is_listed && !self.suspects.unstored.contains_key(&crash) {
                 self.suspects.quarantine.forget(&crash);
             }
         }
@@ -188,10 +192,10 @@
         }
     }
 
-    /// Records a crash and pauses its target. Returns `false` if the crash is known.
-    fn record_crash(&mut self, at: Time, crash: Crash, source: CrashSource) -> bool {
+    /// Records a crash, if it is not known, and pauses its target.
+    fn record_crash(&mut self, at: Time, crash: Crash, source: CrashSource) {
         if !self.suspects.quarantine.record(at, crash.clone()) {
-            return false;
+            return;
         }
         let crashes = self.suspects.quarantine.crashes(&crash.request);
         let fields = vec![
@@ -204,7 +208,6 @@
         self.log(Event::RequestSuspected, fields);
         self.directory.record_crash(self.now, at, &crash);
         self.publish_suspects();
-        true
     }
 
     fn write_crashes(&mut self) {
@@ -214,12 +217,11 @@
             return;
         }
         self.suspects.next_write = now + WRITE_INTERVAL;
-        let at = self.wall_time();
-        for crash in self.suspects.unstored.clone() {
+        for (crash, at) in self.suspects.unstored.clone() {
             let name = Arc::from(crash.object_name());
             let record = Record::Crash(StoredCrash {
                 crash: crash.clone(),
-                at: WallTime(at.0),
+                at,
             });
             let create = StoreCall::Create(Kind::Crashes, name, record);
             self.call_store(Purpose::StoreCrash(crash), create);
--- a/crates/core/src/decision/quarantine.rs
+++ b/crates/core/src/decision/quarantine.rs
@@ -29,6 +29,10 @@
 /// Time for which a request stays a suspect after its last crash or the end of its quarantine.
 const SUSPECT_RETENTION: Duration = Duration::from_secs(600);
 
+/// Time within which all requests that a crash broke off end. A later crash for which the entry names the
+/// same run is that of a run whose entry is not known yet.
+const CRASH_SPAN: Duration = Duration::from_secs(1);
+
 /// Maximum number of suspects, so that callers who crash targets on purpose use little memory.
 const MAX_SUSPECTS: usize = 512;
 
@@ -59,6 +63,23 @@
 }
 
 impl Quarantine {
+    /// Returns a crash at this time with its ordinal, or `None` if it is the same as a known one.
+    pub fn number(&self, now: Time, crash: Crash) -> Option<Crash> {
+        let suspect = self.suspects.get(&crash.request);
+        let known = suspect.into_iter().flat_map(|s| &s.crashes);
+        let same_run = known.filter(|(known, _)| {
+            known.target == crash.target && known.started_at == crash.started_at
+        });
+        match same_run.max_by_key(|(known, _)| known.ordinal) {
+            Some((_, at)) if now < *at + CRASH_SPAN => None,
+            Some((known, _)) => Some(Crash {
+                ordinal: known.ordinal + 1,
+                ..crash
+            }),
+            None => Some(crash),
+        }
+    }
+
     /// Records a crash. Returns `false` if it is known.
     pub fn record(&mut self, at: Time, crash: Crash) -> bool {
         let suspect = self.suspects.entry(crash.request.clone()).or_default();
--- a/crates/core/tests/gateway_support/crashing.rs
+++ b/crates/core/tests/gateway_support/crashing.rs
@@ -155,6 +155,7 @@
                 request: fingerprint("crashing"),
                 target: choice.name.clone(),
                 started_at: choice.started_at,
+                ordinal: 0,
             };
             self.send(attempt.gateway, 0, Message::TargetCrashed(crash));
             let ended = Message::RequestEnded(choice.name, CallEnd::Failed);
