Try a quarantined request again sooner after its second crash

A frequent sound request may run at two targets that another request crashes in a row, with no answer in between where the pool has only two; it was refused at all gateways for 60 s. The first quarantine lasts 10 s now and each further crash makes it six times as long, so a request that really crashes targets ends a third one after 10 s and a fourth one a minute later. Until then no target gets it, which the rule for the third crash asks.

--- a/crates/core/src/decision/quarantine.rs
+++ b/crates/core/src/decision/quarantine.rs
@@ -17,11 +17,12 @@
 /// Number of crashes in a row after which a request is quarantined.
 const QUARANTINE_CRASHES: usize = 2;
 
-/// Length of the first quarantine.
-const BASE_QUARANTINE: Duration = Duration::from_secs(60);
+/// Length of the first quarantine. It is short because a frequent sound request may run at two targets
+/// that another request crashes.
+const BASE_QUARANTINE: Duration = Duration::from_secs(10);
 
 /// Factor by which each further crash lengthens the quarantine.
-const QUARANTINE_FACTOR: u32 = 4;
+const QUARANTINE_FACTOR: u32 = 6;
 
 /// Maximum length of a quarantine.
 const MAX_QUARANTINE: Duration = Duration::from_secs(3_600);
--- a/crates/core/tests/gateway_crashes.rs
+++ b/crates/core/tests/gateway_crashes.rs
@@ -159,6 +159,28 @@
     assert!(sim.late_sends(|_| true) <= MAX_LATE_SENDS);
 }
 
+/// Guards against a frequent sound request that is refused for long because two targets crashed under it
+/// without an answer in between.
+#[test]
+fn a_sound_request_leaves_the_quarantine_soon() {
+    let mut sim = Simulation::new(3);
+    for target in ["t0", "t1"] {
+        crash_under(&mut sim, 0, "sound", target);
+    }
+    let refused = choose(&mut sim, 1, "sound");
+    sim.run(10_000);
+
+    let tried = choose(&mut sim, 1, "sound");
+    sim.message(1, Message::RequestSurvived(fingerprint("sound")));
+    sim.run(200);
+    let cleared = [0, 2].map(|gateway| choose(&mut sim, gateway, "sound"));
+
+    assert!(matches!(refused, Reply::Quarantined(_)), "{refused:?}");
+    for reply in [tried].into_iter().chain(cleared) {
+        assert!(matches!(reply, Reply::Target(_)), "{reply:?}");
+    }
+}
+
 /// Guards against a sound request that is refused because a target happened to crash under it.
 #[test]
 fn a_request_under_which_one_target_crashed_is_sent_again() {
