--- a/crates/core/src/decision/batch/mod.rs
+++ b/crates/core/src/decision/batch/mod.rs
@@ -10,8 +10,10 @@
 mod order;
 mod pace;
 mod results;
+mod retry;
 mod run;
 mod runner;
+mod task;
 
 pub use crate::decision::batch::drafts::WrittenDrafts;
 pub use crate::decision::batch::journal::Journal;
@@ -22,11 +24,11 @@
 pub use crate::decision::batch::run::Run;
 pub use crate::decision::batch::run::Scoring;
 pub use crate::decision::batch::run::Waiting;
-pub use crate::decision::batch::runner::EndedRun;
-pub use crate::decision::batch::runner::Generation;
 pub use crate::decision::batch::runner::Runner;
-pub use crate::decision::batch::runner::RunnerLimits;
-pub use crate::decision::batch::runner::Task;
+pub use crate::decision::batch::task::EndedRun;
+pub use crate::decision::batch::task::Generation;
+pub use crate::decision::batch::task::RunnerLimits;
+pub use crate::decision::batch::task::Task;
 
 use crate::domain::batch::PartialText;
 use crate::domain::ids::WeightVersion;
--- a/crates/core/src/decision/batch/runner.rs
+++ b/crates/core/src/decision/batch/runner.rs
@@ -5,19 +5,25 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decision::batch::EndedRun;
 use crate::decision::batch::Generated;
 use crate::decision::batch::Generating;
+use crate::decision::batch::Generation;
 use crate::decision::batch::Journal;
 use crate::decision::batch::Pace;
 use crate::decision::batch::Run;
 use crate::decision::batch::RunEnd;
 use crate::decision::batch::RunId;
+use crate::decision::batch::RunnerLimits;
 use crate::decision::batch::ScoreEnd;
 use crate::decision::batch::Scoring;
-use crate::decision::batch::VersionLimits;
+use crate::decision::batch::Task;
 use crate::decision::batch::Waiting;
 use crate::decision::batch::order::dispatch_order;
 use crate::decision::batch::pace::pace;
+use crate::decision::batch::retry::REFUSAL_DELAY;
+use crate::decision::batch::retry::RETRY_DELAY;
+use crate::decision::batch::retry::crash_delay;
 use crate::decision::directory::CallEnd;
 use crate::domain::batch::Batch;
 use crate::domain::batch::Draft;
@@ -27,86 +33,12 @@
 use crate::domain::batch::Scorer;
 use crate::domain::name::GroupName;
 use crate::domain::name::ItemId;
-use crate::domain::name::SoftwareVersion;
 use crate::domain::name::TargetName;
 use crate::domain::time::Time;
 
-/// Delay before an item is sent to another target after a failed attempt.
-const RETRY_DELAY: Duration = Duration::from_millis(20);
-
-/// Delay after a target refused an item without running it. The target itself is paused for longer.
-const REFUSAL_DELAY: Duration = Duration::from_millis(20);
-
-/// Delay before an item is sent again after a second crash of a target under it. It doubles with each
-/// further one. An item is still owed, but must not take one target after the other down.
-const CRASH_DELAY: Duration = Duration::from_millis(500);
-
-/// Maximum delay after a crash. An item may not wait much longer while targets are free.
-const MAX_CRASH_DELAY: Duration = Duration::from_secs(2);
-
 /// Maximum number of moves of one item away from slow targets.
 const MAX_MOVES: u32 = 3;
 
-/// Limits for the items of a job.
-#[derive(Clone, Copy, Debug)]
-pub struct RunnerLimits {
-    /// Number of failed attempts after which an item is given up.
-    pub attempts: u32,
-    /// Time at which all unfinished items are given up.
-    pub deadline: Time,
-    /// Weight versions from which a text may come.
-    pub versions: VersionLimits,
-}
-
-/// Next request that an item needs.
-#[derive(Clone, Debug)]
-pub enum Task {
-    /// Generate the text of the item.
-    Generate(Generation),
-    /// Score the text of the item.
-    Score {
-        /// Position of the item in the job.
-        index: usize,
-        /// Scoring request of the item.
-        scorer: Scorer,
-    },
-}
-
-/// Generation that an item needs next.
-#[derive(Clone, Debug)]
-pub struct Generation {
-    /// Position of the item in the job.
-    pub index: usize,
-    /// Time since which the generation may start.
-    pub due: Time,
-    /// Targets of the last failed attempts, which should not get the item again.
-    pub avoid: Vec<TargetName>,
-    /// Group of items that share a prompt.
-    pub group: Option<GroupName>,
-    /// Software version that began the text and has to go on with it, or `None` if there is no text
-    /// yet.
-    pub software: Option<SoftwareVersion>,
-}
-
-/// Summary of a generation that ended.
-#[derive(Clone, Debug, PartialEq)]
-pub struct EndedRun {
-    /// Generated item.
-    pub item: ItemId,
-    /// Target of the attempt.
-    pub target: TargetName,
-    /// Outcome of the call from the point of view of the target.
-    pub call: CallEnd,
-    /// Number of earlier moves of the item to other targets.
-    pub moves: u32,
-    /// Number of earlier attempts at which a target failed.
-    pub failures: u32,
-    /// Time since the item was sent to this target.
-    pub spent: Duration,
-    /// Pace of the events since the last progress message, or `None` if it is not known.
-    pub pace: Option<Pace>,
-}
-
 /// Items of a job that this process runs.
 #[derive(Debug)]
 pub struct Runner {
@@ -418,13 +350,3 @@
         self.runs.contains_key(&id)
     }
 }
-
-/// Returns the delay before an item is sent again after a crash, by the number of crashes before it.
-fn crash_delay(earlier: u32) -> Duration {
-    match earlier.checked_sub(1) {
-        Some(doublings) => {
-            (CRASH_DELAY * 2_u32.saturating_pow(doublings.min(8))).min(MAX_CRASH_DELAY)
-        }
-        None => RETRY_DELAY,
-    }
-}
--- a/crates/core/src/decision/gateway/health.rs
+++ b/crates/core/src/decision/gateway/health.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+use crate::decision::gateway::Gateway;
+use crate::decision::gateway::stored::Kind;
+use crate::domain::event::Event;
 use crate::domain::time::Time;
 
 /// Availability of the object API as this process observes it.
@@ -45,3 +48,24 @@
         }
     }
 }
+
+impl Gateway {
+    /// Handles the loss or return of contact by the watch of a kind.
+    pub(super) fn contact_changed(&mut self, kind: Kind, up: bool) {
+        self.store.record(self.now, up);
+        if up {
+            self.objects_received();
+        } else {
+            self.store_probed(false);
+        }
+        if kind == Kind::Targets {
+            self.watch_start = up.then_some(self.watch_start.unwrap_or(self.now));
+        }
+        let event = if up {
+            Event::WatchRegained
+        } else {
+            Event::WatchLost
+        };
+        self.log(event, vec![("kind", format!("{kind:?}"))]);
+    }
+}
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -7,7 +7,7 @@
 //! - `jobs`, `head`, `load`, `pages`, `ending`, `removal`: life cycle of a batch job
 //! - `submit`, `read`, `place`: submissions, reads, and the choice of the runner
 //! - `draft`: texts that are reused by another process or a later job
-//! - `dispatch`: items and scoring requests sent to targets
+//! - `dispatch`, `scoring`: items and scoring requests sent to targets
 //! - `plain`, `limit`: targets of plain requests, and permits for targets that limit their requests
 //! - `leaving`: targets that say in their answers that they are leaving
 //! - `suspects`: requests under which targets crash
@@ -34,6 +34,7 @@
 mod plain;
 mod read;
 mod removal;
+mod scoring;
 mod source;
 pub mod stored;
 mod streams;
@@ -347,24 +348,6 @@
         }
     }
 
-    fn contact_changed(&mut self, kind: Kind, up: bool) {
-        self.store.record(self.now, up);
-        if up {
-            self.objects_received();
-        } else {
-            self.store_probed(false);
-        }
-        if kind == Kind::Targets {
-            self.watch_start = up.then_some(self.watch_start.unwrap_or(self.now));
-        }
-        let event = if up {
-            Event::WatchRegained
-        } else {
-            Event::WatchLost
-        };
-        self.log(event, vec![("kind", format!("{kind:?}"))]);
-    }
-
     fn drain(&mut self) {
         if self.draining {
             return;
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,6 +7,7 @@
 mod body;
 pub mod callers;
 mod check;
+mod crash;
 pub mod fleet;
 pub mod generation;
 mod inject;
@@ -14,3 +15,4 @@
 pub mod run;
 pub mod store;
 pub mod target;
+pub mod told;
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -35,6 +35,8 @@
 use crate::generation::serve_stream;
 use crate::store::StoreStandIn;
 use crate::store::json_response;
+use crate::told::LateRequest;
+use crate::told::Told;
 
 /// Name of the only model of a fleet.
 pub const MODEL: &str = "m0";
@@ -48,12 +50,6 @@
 /// Time after which a target crashes under such a request.
 const CRASH_DELAY: Duration = Duration::from_millis(40);
 
-/// Time after which a crashed target starts anew.
-const DOWN_TIME: Duration = Duration::from_millis(1_500);
-
-/// Delay before a target tries again to listen at its address.
-const REBIND_DELAY: Duration = Duration::from_millis(50);
-
 /// Time that a weight load takes.
 const LOAD_TIME: Duration = Duration::from_millis(300);
 
@@ -75,25 +71,6 @@
     pub crashes: Vec<Instant>,
 }
 
-/// Request to a target that had said that it is leaving.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LateRequest {
-    /// Id of the request.
-    pub id: String,
-    /// Time since the target said so first on the connection.
-    pub told: Duration,
-    /// Start of the run of the target that said so and got the request.
-    pub run: u64,
-}
-
-/// First statement on a connection that the target is leaving.
-#[derive(Clone, Copy, Debug)]
-struct Told {
-    at: Instant,
-    /// Start of the run that made the statement.
-    run: u64,
-}
-
 /// Running target that is registered in the store.
 #[derive(Debug)]
 pub struct TargetStandIn {
@@ -107,7 +84,7 @@
 /// State of a target that its requests and its owner share.
 #[derive(Debug)]
 pub(crate) struct State {
-    log: TargetLog,
+    pub(crate) log: TargetLog,
     pub(crate) version: u64,
     /// Number of accepted orders, which later orders name as their precondition.
     accepted: u64,
@@ -121,15 +98,15 @@
     plain_delay: Duration,
     leaving: bool,
     /// Whether each answer states that the target is leaving.
-    says_leaving: bool,
+    pub(crate) says_leaving: bool,
     /// Start of this run, as the entry states it.
-    born: u64,
+    pub(crate) born: u64,
     /// Request limit that each answer states, in requests a second.
     limit: Option<f64>,
     /// Number of events after which a stream that was not resumed breaks, or `None`.
     pub(crate) break_after: Option<u64>,
     /// Ends the listener and all connections when it is dropped, or `None` while the target is down.
-    running: Option<watch::Sender<()>>,
+    pub(crate) running: Option<watch::Sender<()>>,
 }
 
 impl TargetStandIn {
@@ -177,63 +154,6 @@
         Ok(target)
     }
 
-    /// Serves connections until the target crashes.
-    fn listen(self: Arc<Self>, listener: TcpListener, pool: &str) {
-        let (running, ended) = watch::channel(());
-        self.lock().running = Some(running);
-        let pool = pool.to_owned();
-        tokio::spawn(async move {
-            let mut crashed = ended.clone();
-            loop {
-                let accepted = tokio::select! {
-                    accepted = listener.accept() => accepted,
-                    _ = crashed.changed() => return,
-                };
-                let Ok((stream, _)) = accepted else {
-                    return;
-                };
-                let served = handle_connection(self.clone(), stream, pool.clone());
-                let mut crashed = ended.clone();
-                tokio::spawn(async move {
-                    tokio::select! {
-                        () = served => {}
-                        _ = crashed.changed() => {}
-                    }
-                });
-            }
-        });
-    }
-
-    /// Crashes the target: its connections end without an answer, and new ones are refused until it
-    /// has started anew.
-    fn crash(self: &Arc<Self>, pool: String) {
-        let running = self.lock().running.take();
-        if running.is_none() {
-            return;
-        }
-        self.lock().log.crashes.push(Instant::now());
-        drop(running);
-        let target = self.clone();
-        tokio::spawn(async move {
-            sleep(DOWN_TIME).await;
-            target.restart(&pool).await;
-        });
-    }
-
-    /// Starts the target anew at its address after a crash.
-    async fn restart(self: Arc<Self>, pool: &str) {
-        loop {
-            match TcpListener::bind(self.address).await {
-                Ok(listener) => {
-                    self.clone().listen(listener, pool);
-                    self.start_anew(pool);
-                    return;
-                }
-                Err(_) => sleep(REBIND_DELAY).await,
-            }
-        }
-    }
-
     /// Returns the address on which the target listens.
     pub fn address(&self) -> SocketAddr {
         self.address
@@ -337,38 +257,6 @@
         id
     }
 
-    /// Logs a request on a connection on which the target has said for too long that it leaves.
-    fn check_told(&self, told: &Mutex<Option<Told>>, request: &Request<Incoming>) {
-        let told = *told.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut state = self.lock();
-        // A later run of the target was not meant by the statement.
-        let told = told.filter(|told| told.run == state.born);
-        let Some(told) = told.filter(|told| told.at.elapsed() > DRAIN_TIME) else {
-            return;
-        };
-        if state.says_leaving {
-            let late = LateRequest {
-                id: header(request.headers(), names::REQUEST_ID).unwrap_or_default(),
-                told: told.at.elapsed(),
-                run: told.run,
-            };
-            state.log.late_requests.push(late);
-        }
-    }
-
-    /// Notes that an answer on a connection says that the target is leaving.
-    fn note_told(&self, told: &Mutex<Option<Told>>, headers: &HeaderMap) {
-        let run = self.lock().born;
-        let mut told = told.lock().unwrap_or_else(PoisonError::into_inner);
-        if headers.contains_key(names::LEAVING) {
-            let earlier = told.filter(|told| told.run == run);
-            let at = earlier.map_or_else(Instant::now, |told| told.at);
-            *told = Some(Told { at, run });
-        } else {
-            *told = None;
-        }
-    }
-
     async fn order(self: Arc<Self>, body: &Value, pool: String) -> Response<Body> {
         let fence = body["fencingToken"].as_u64().unwrap_or(0);
         let version = body["version"].as_u64().unwrap_or(0);
@@ -414,7 +302,7 @@
 
 /// Serves a connection. Generations are streams and are written to the socket directly; `hyper`
 /// serves everything else.
-async fn handle_connection(target: Arc<TargetStandIn>, stream: TcpStream, pool: String) {
+pub(crate) async fn handle_connection(target: Arc<TargetStandIn>, stream: TcpStream, pool: String) {
     let mut peeked = [0; 16];
     let Ok(read) = stream.peek(&mut peeked).await else {
         return;
