Take the end of a target without an entry for a planned one

Some targets leave without a word: their entry is removed, and they end some seconds later. A request that runs there then would have become a suspect. A target that crashes keeps its entry for some heartbeats, so crashes still count. the_end_of_a_leaving_target_is_no_crash has the case.

--- a/crates/core/src/decision/gateway/suspects.rs
+++ b/crates/core/src/decision/gateway/suspects.rs
@@ -62,10 +62,10 @@
 
 impl Gateway {
     /// Handles the crash of a target under a request of this process. The end of a target that was
-    /// leaving is no crash.
+    /// leaving, or whose entry was removed before, is no crash.
     pub(super) fn target_crashed(&mut self, crash: Crash) {
         let entry = self.directory.get(&crash.target);
-        if entry.is_some_and(|entry| entry.leaving) {
+        if entry.is_none_or(|entry| entry.leaving) {
             return;
         }
         let Some(crash) = self.suspects.quarantine.number(self.now, crash) else {
