--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Plays the case. Exits with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
+# TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/release/sardinepath-review ] || { echo "run review/build.sh first" >&2; exit 2; }
+exec target/release/sardinepath-review memory review/5/record.txt
