--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/sardinepath-review ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec target/release/sardinepath-review silent-channels review/3/record.txt
+exec target/release/sardinepath-review item-headers review/3/record.txt
--- a/review/harness/src/path.rs
+++ b/review/harness/src/path.rs
@@ -14,6 +14,13 @@
 /// Start of the call that lists the configuration.
 const CONFIG_LISTING: &[u8] = b"GET /objects/config";
 
+/// Text that stands in the store for a byte that is no character. The store's stand-in keeps decoded text
+/// and cannot hold such bytes, so they are put in on the way to the gateway.
+pub const UNREADABLE: &str = "@bytes";
+
+/// The byte 0xff as encoders write it into JSON that has only ASCII: an escape without its pair.
+const ESCAPED_BYTE: &[u8] = br"\udcff";
+
 /// Proxy in front of the store. Clones share their state.
 #[derive(Clone, Debug)]
 pub struct Path {
@@ -104,6 +111,7 @@
             let Ok(read) = from_server.read(&mut buffer).await else {
                 return;
             };
+            spoil(&mut buffer[..read]);
             if read == 0 || to_caller.write_all(&buffer[..read]).await.is_err() {
                 return;
             }
@@ -123,3 +131,16 @@
     let waited = silences.wait_for(|count| *count > before).await;
     drop(waited);
 }
+
+/// Puts the escaped byte, which has the same length, in the place of the text that stands for it.
+fn spoil(bytes: &mut [u8]) {
+    let length = ESCAPED_BYTE.len();
+    let mut at = 0;
+    while let Some(found) = bytes[at..]
+        .windows(length)
+        .position(|window| window == UNREADABLE.as_bytes())
+    {
+        bytes[at + found..at + found + length].copy_from_slice(ESCAPED_BYTE);
+        at += found + length;
+    }
+}
