--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,13 @@
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/sardinepath-review ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec target/release/sardinepath-review item-headers review/3/record.txt
+# The program and the gateways that it starts are a process group of their own, which ends with this
+# script even if that is interrupted.
+set -m
+target/release/sardinepath-review item-headers review/3/record.txt &
+program=$!
+trap 'kill -KILL -- "-$program" 2>/dev/null; rm -rf "${TMPDIR:-/tmp}/sardinepath-review-$program"; exit 2' TERM INT HUP
+wait "$program"
+result=$?
+kill -KILL -- "-$program" 2>/dev/null
+exit "$result"
