Read a submission that cannot be decoded every 5 s only

Cause: the parts of a stored submission were read again at the next tick after they could not be decoded. Change: such a job waits 5 s before it reads them again.

--- a/crates/core/src/decision/gateway/load.rs
+++ b/crates/core/src/decision/gateway/load.rs
@@ -1,6 +1,7 @@
 //! Loading of the submission, results and drafts of a job from the object API.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::STORE_RETRY_DELAY;
@@ -18,6 +19,9 @@
 use crate::domain::name::BatchId;
 use crate::port::object::ObjectError;
 
+/// Delay before a submission is read again that could not be decoded. It is likely to be the same.
+const UNDECODABLE_DELAY: Duration = Duration::from_secs(5);
+
 impl Gateway {
     /// Requests the objects of a job that are needed and not loaded yet: the submission to run the
     /// job or to return an item body, results to run the job or to answer a reader.
@@ -92,6 +96,9 @@
             return;
         };
         job.loading_part = false;
+        if batch.is_none() {
+            job.next_load = self.now + UNDECODABLE_DELAY;
+        }
         job.batch = batch;
         self.advance_load(id);
         self.answer_bodies(id);
--- a/crates/core/tests/gateway_reads.rs
+++ b/crates/core/tests/gateway_reads.rs
@@ -60,3 +60,23 @@
         local: true,
     }
 }
+
+/// Guards against a store that is read again and again for a submission which cannot be decoded.
+#[test]
+fn a_submission_that_cannot_be_decoded_is_read_rarely() {
+    let mut sim = Simulation::new(1);
+    sim.submit(0, 8);
+    sim.run(200);
+    sim.kill(0);
+    sim.undecodable = true;
+    sim.start(0);
+    sim.run(10_000);
+    let tries = sim.decodes;
+    sim.undecodable = false;
+    sim.run(10_000);
+
+    let outcomes = sim.read_all(0);
+
+    assert!((1..=3).contains(&tries), "{tries} tries");
+    assert_eq!(outcomes.len(), 8);
+}
--- a/crates/core/tests/gateway_support/effects.rs
+++ b/crates/core/tests/gateway_support/effects.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
+use sardinepath_core::decision::batch::RunId;
 use sardinepath_core::decision::batch::ScoreEnd;
+use sardinepath_core::decision::directory::Choice;
 use sardinepath_core::decision::gateway::message::Effect;
 use sardinepath_core::decision::gateway::message::Message;
 use sardinepath_core::decision::gateway::message::PingRequest;
@@ -53,23 +55,12 @@
                     self.send(index, STORE_LATENCY_MS, Message::Stored(purpose, answer));
                 }
                 Effect::Decode(id, source) => {
-                    let decoded = batch(source.parse().unwrap());
-                    self.send(index, 0, Message::Decoded(id, Some(decoded)));
+                    self.decodes += 1;
+                    let decoded = (!self.undecodable).then(|| batch(source.parse().unwrap()));
+                    self.send(index, 0, Message::Decoded(id, decoded));
                 }
                 Effect::StartRun(run) => self.generate(index, &run),
-                Effect::Score(run, choice, _) => {
-                    self.arrive(index, &choice);
-                    self.nodes[index].runs.insert(run, choice.name);
-                    let end = if self.crashing.scores {
-                        ScoreEnd::Crashed("the target crashed".to_owned())
-                    } else if self.failing_scores {
-                        ScoreEnd::Failed
-                    } else {
-                        ScoreEnd::Scored(Arc::from("digest"))
-                    };
-                    self.crashing.scored.push(self.now);
-                    self.send(index, STEP_MS, Message::ScoringEnded(run, end));
-                }
+                Effect::Score(run, choice, _) => self.score(index, run, choice),
                 Effect::MoveRun(run) => self.move_run(index, run),
                 Effect::StopRun(run) => drop(self.nodes[index].runs.remove(&run)),
                 Effect::Ping(runner, ping) => {
@@ -106,4 +97,19 @@
             }
         }
     }
+
+    /// Runs a scoring request.
+    fn score(&mut self, index: usize, run: RunId, choice: Choice) {
+        self.arrive(index, &choice);
+        self.nodes[index].runs.insert(run, choice.name);
+        let end = if self.crashing.scores {
+            ScoreEnd::Crashed("the target crashed".to_owned())
+        } else if self.failing_scores {
+            ScoreEnd::Failed
+        } else {
+            ScoreEnd::Scored(Arc::from("digest"))
+        };
+        self.crashing.scored.push(self.now);
+        self.send(index, STEP_MS, Message::ScoringEnded(run, end));
+    }
 }
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -152,6 +152,10 @@
     pub break_after: Option<u64>,
     /// Whether targets answer each generation with an error.
     pub failing: bool,
+    /// Whether stored submissions cannot be decoded.
+    pub undecodable: bool,
+    /// Number of stored submissions that were to be decoded.
+    pub decodes: usize,
     /// Whether targets answer each scoring request with an error.
     pub failing_scores: bool,
 }
@@ -207,6 +211,8 @@
             generations: BTreeMap::new(),
             break_after: None,
             failing: false,
+            undecodable: false,
+            decodes: 0,
             failing_scores: false,
         };
         for index in 0..powers.len() {
