Continue a retained text only for what it was made for

Cause: texts of ended jobs were kept under the id of the item alone, which callers choose.

Why it works: a text is found only by the digest of everything that decides it.

--- a/crates/core/src/decision/gateway/draft.rs
+++ b/crates/core/src/decision/gateway/draft.rs
@@ -20,6 +20,8 @@
 use crate::decision::gateway::stored::StoreCall;
 use crate::domain::batch::Draft;
 use crate::domain::batch::Drafts;
+use crate::domain::batch::Head;
+use crate::domain::batch::Item;
 use crate::domain::batch::Outcome;
 use crate::domain::ids::Revision;
 use crate::domain::name::BatchId;
@@ -33,9 +35,6 @@
 /// Minimum number of new events since the last write for another write.
 const MIN_NEW_EVENTS: u64 = 24;
 
-/// Maximum number of texts retained for later jobs.
-const MAX_RETAINED_DRAFTS: usize = 256;
-
 /// Stored drafts of a job, as far as they have been read.
 #[derive(Debug, Default)]
 pub(super) enum LoadedDrafts {
@@ -143,14 +142,12 @@
         self.advance_load(id);
     }
 
-    /// Retains texts for later jobs and evicts the oldest ones above the limit.
-    pub(super) fn retain_drafts(&mut self, drafts: Vec<Draft>) {
+    /// Retains the texts of an ended job for later ones.
+    pub(super) fn retain_drafts(&mut self, head: &Head, items: &[Arc<Item>], drafts: Vec<Draft>) {
         for draft in drafts {
-            self.retained.retain(|known| known.id != draft.id);
-            self.retained.push_back(draft);
-        }
-        while self.retained.len() > MAX_RETAINED_DRAFTS {
-            self.retained.pop_front();
+            if let Some(item) = items.iter().find(|item| item.id == draft.id) {
+                self.retained.insert(head, item, draft);
+            }
         }
     }
 }
--- a/crates/core/src/decision/gateway/jobs.rs
+++ b/crates/core/src/decision/gateway/jobs.rs
@@ -202,17 +202,17 @@
         job.complete_at = None;
         job.sole_runner = false;
         let running = active.runner.running();
-        let ended = job.head.ended;
-        if ended {
+        let head = job.head.clone();
+        if head.ended {
             let mut drafts = active.runner.drafts();
             drafts.extend(open_group_drafts(&active.runner, &job.journal));
-            self.retain_drafts(drafts);
+            self.retain_drafts(&head, &active.runner.batch.items, drafts);
         }
         self.log(
             Event::BatchStopped,
             vec![
                 ("batch", id.to_string()),
-                ("ended", ended.to_string()),
+                ("ended", head.ended.to_string()),
                 ("running", running.len().to_string()),
             ],
         );
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -48,10 +48,10 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::decision::batch::RetainedTexts;
 use crate::decision::batch::RunId;
 use crate::decision::directory::Directory;
 use crate::decision::gateway::duty::Duty;
@@ -78,7 +78,6 @@
 use crate::decision::lease::Terms;
 use crate::decision::tally::Tally;
 use crate::decision::weights::Weights;
-use crate::domain::batch::Draft;
 use crate::domain::event::Event;
 use crate::domain::fleet::Peer;
 use crate::domain::name::BatchId;
@@ -134,8 +133,8 @@
     runs: HashMap<RunId, BatchId>,
     submissions: BTreeMap<BatchId, Submission>,
     lookups: BTreeMap<BatchId, Vec<JobLookup>>,
-    /// Texts that ended jobs did not need. A later job may contain the same items.
-    retained: VecDeque<Draft>,
+    /// Texts that ended jobs did not need.
+    retained: RetainedTexts,
     peers: Peers,
     permits: Permits,
     suspects: Suspects,
@@ -177,7 +176,7 @@
             runs: HashMap::new(),
             submissions: BTreeMap::new(),
             lookups: BTreeMap::new(),
-            retained: VecDeque::new(),
+            retained: RetainedTexts::default(),
             peers: Peers::default(),
             permits: Permits::default(),
             suspects: Suspects::default(),
--- a/crates/core/src/decision/gateway/routes.rs
+++ b/crates/core/src/decision/gateway/routes.rs
@@ -79,9 +79,8 @@
             LoadedDrafts::Known(drafts) => drafts,
             LoadedDrafts::Unknown | LoadedDrafts::Requested => Vec::new(),
         };
-        let items = &batch.items;
-        let is_repeated = |d: &&Draft| items.iter().any(|item| item.id == d.id);
-        drafts.extend(self.retained.iter().filter(is_repeated).cloned());
+        let items = batch.items.iter();
+        drafts.extend(items.filter_map(|item| self.retained.find(&job.head, item)));
         job.batch = Some(batch.clone());
         job.work = Work::AwaitingRoute(LoadedJob::new(batch, drafts));
         if !self.apply_route(id) {
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -114,6 +114,8 @@
     next_call: u64,
     /// Start times of the generations of each item.
     pub starts: BTreeMap<ItemId, Vec<u64>>,
+    /// Number of events with which the last generation of each item began.
+    pub begun: BTreeMap<ItemId, u64>,
     /// Host, fencing token and counts of the reports of each window.
     pub reports: BTreeMap<u64, Vec<(usize, u64, Counts)>>,
     /// Host, fencing token and time of each order.
@@ -192,6 +194,7 @@
             delayed: Vec::new(),
             next_call: 0,
             starts: BTreeMap::new(),
+            begun: BTreeMap::new(),
             reports: BTreeMap::new(),
             orders: Vec::new(),
             report_times: Vec::new(),
--- a/crates/core/tests/gateway_support/traffic.rs
+++ b/crates/core/tests/gateway_support/traffic.rs
@@ -171,6 +171,7 @@
     pub(super) fn generate(&mut self, index: usize, run: &RunRequest) {
         let starts = self.starts.entry(run.item.id.clone()).or_default();
         starts.push(self.now);
+        self.begun.insert(run.item.id.clone(), run.partial.events);
         self.arrive(index, &run.target);
         let target = run.target.name.clone();
         self.nodes[index].runs.insert(run.id, target);
