--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -15,6 +15,7 @@
 //! - `streams`: software versions that began the streams to callers
 //! - `duty`, `usage`: work of the lease holder (weight updates and usage reports)
 //! - `witness`: signs of life of a runner before its job is taken over
+//! - `settings`: identity and settings of the process
 //! - `peers`, `health`, `source`, `watched`: other processes, watch sources, and watched objects
 
 mod dispatch;
@@ -37,6 +38,7 @@
 mod removal;
 mod routes;
 mod scoring;
+mod settings;
 mod source;
 pub mod stored;
 mod streams;
@@ -67,6 +69,7 @@
 use crate::decision::gateway::peers::Peers;
 use crate::decision::gateway::read::JobLookup;
 use crate::decision::gateway::removal::Removal;
+pub use crate::decision::gateway::settings::GatewaySettings;
 use crate::decision::gateway::source::Feed;
 use crate::decision::gateway::stored::Kind;
 use crate::decision::gateway::stored::Purpose;
@@ -75,13 +78,10 @@
 use crate::decision::gateway::submit::Submission;
 use crate::decision::gateway::suspects::Suspects;
 use crate::decision::gateway::usage::Reports;
-use crate::decision::lease::Terms;
 use crate::decision::tally::Tally;
 use crate::decision::weights::Weights;
 use crate::domain::event::Event;
-use crate::domain::fleet::Peer;
 use crate::domain::name::BatchId;
-use crate::domain::name::CentreName;
 use crate::domain::table::RouteTable;
 use crate::domain::time::Time;
 use crate::domain::time::WallTime;
@@ -99,29 +99,6 @@
 /// Time without a tick or message after which this process counts as paused.
 const MAX_TICK_DELAY: Duration = Duration::from_millis(400);
 
-/// Identity and settings of a gateway process.
-#[derive(Clone, Debug)]
-pub struct GatewaySettings {
-    /// Host, address and incarnation of this process.
-    pub peer: Peer,
-    /// Data centre of this process. Targets in it are preferred.
-    pub centre: CentreName,
-    /// Wall-clock time at `Time(0)`, in milliseconds since the Unix epoch.
-    pub epoch: u64,
-    /// Durations of the duty lease.
-    pub lease: Terms,
-    /// Whether the platform and the targets reject calls with an old fencing token.
-    pub fence_checked: bool,
-    /// Length of a usage window, or `None` if usage is not reported.
-    pub usage_window: Option<Duration>,
-    /// Time after acceptance during which an ended job can still be read.
-    pub job_retention: Duration,
-    /// Time after the end of a usage window within which it must be reported.
-    pub report_deadline: Duration,
-    /// Seed of the random numbers that distribute requests.
-    pub seed: u64,
-}
-
 /// Control state of a gateway process.
 #[derive(Debug)]
 pub struct Gateway {
--- /dev/null
+++ b/crates/core/src/decision/gateway/settings.rs
@@ -0,0 +1,30 @@
+//! Identity and settings of a gateway process.
+
+use std::time::Duration;
+
+use crate::decision::lease::Terms;
+use crate::domain::fleet::Peer;
+use crate::domain::name::CentreName;
+
+/// Identity and settings of a gateway process.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// Host, address and incarnation of this process.
+    pub peer: Peer,
+    /// Data centre of this process. Targets in it are preferred.
+    pub centre: CentreName,
+    /// Wall-clock time at `Time(0)`, in milliseconds since the Unix epoch.
+    pub epoch: u64,
+    /// Durations of the duty lease.
+    pub lease: Terms,
+    /// Whether the platform and the targets reject calls with an old fencing token.
+    pub fence_checked: bool,
+    /// Length of a usage window, or `None` if usage is not reported.
+    pub usage_window: Option<Duration>,
+    /// Time after acceptance during which an ended job can still be read.
+    pub job_retention: Duration,
+    /// Time after the end of a usage window within which it must be reported.
+    pub report_deadline: Duration,
+    /// Seed of the random numbers that distribute requests.
+    pub seed: u64,
+}
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -4,7 +4,6 @@
 mod gateway_support;
 
 use std::collections::BTreeSet;
-use std::time::Duration;
 
 use proptest::prelude::Just;
 use proptest::prelude::ProptestConfig;
@@ -18,11 +17,9 @@
 use sardinepath_core::decision::gateway::stored::Kind;
 use sardinepath_core::domain::name::ItemId;
 
-use crate::gateway_support::HOST_POWER;
 use crate::gateway_support::STEP_MS;
 use crate::gateway_support::Simulation;
 use crate::gateway_support::StoreFault;
-use crate::gateway_support::address;
 use crate::gateway_support::batch_id;
 use crate::gateway_support::workspace;
 
@@ -285,56 +282,6 @@
     assert!(starts(&sim) > before, "the job is not taken over");
 }
 
-/// Fails if results or their positions differ between gateways.
-#[test]
-fn every_gateway_reads_the_same_results() {
-    let mut sim = Simulation::new(3);
-    sim.submit(0, 12);
-    sim.run(FAULT_FREE_MS);
-
-    let results: Vec<_> = (0..3).map(|node| sim.read_all(node)).collect();
-
-    assert_eq!(results[0].len(), 12);
-    assert!(results.iter().all(|outcomes| *outcomes == results[0]));
-}
-
-/// Fails if a caller of another workspace can end a job.
-#[test]
-fn a_job_is_absent_for_another_workspace() {
-    let mut sim = Simulation::new(1);
-    sim.submit(0, 4);
-    sim.run(FAULT_FREE_MS);
-
-    let call = sim.ask(
-        0,
-        Question::EndJob {
-            id: batch_id(),
-            workspace: None,
-        },
-    );
-    sim.run(200);
-
-    assert_eq!(sim.reply(0, call), Some(&Reply::NotFound));
-}
-
-/// Fails if a job is reported as absent while the store is unavailable.
-#[test]
-fn an_unknown_job_is_not_absent_while_the_store_is_away() {
-    let mut sim = Simulation::new(1);
-    sim.nodes[0].fault = StoreFault::Unavailable;
-
-    let call = sim.ask(
-        0,
-        Question::EndJob {
-            id: batch_id(),
-            workspace: workspace(),
-        },
-    );
-    sim.run(4_000);
-
-    assert_eq!(sim.reply(0, call), Some(&Reply::Unsure));
-}
-
 /// Fails if items of an ended job start after its end was confirmed.
 #[test]
 fn an_ended_job_starts_no_items() {
@@ -357,35 +304,6 @@
     assert!(sim.starts.values().flatten().all(|start| *start <= ended));
 }
 
-/// Fails if a gateway that knows all results of an ended job calls the store for more. Each call is
-/// priced, and an unavailable store would not answer it.
-#[test]
-fn a_read_past_the_last_result_needs_no_store() {
-    let mut sim = Simulation::new(1);
-    sim.submit(0, 4);
-    sim.run(FAULT_FREE_MS);
-    let end = Question::EndJob {
-        id: batch_id(),
-        workspace: workspace(),
-    };
-    sim.ask(0, end);
-    sim.run(400);
-    sim.nodes[0].fault = StoreFault::Unavailable;
-
-    let read = Question::Read {
-        id: batch_id(),
-        workspace: workspace(),
-        after: 4,
-        wait: Duration::ZERO,
-        local: true,
-    };
-    let call = sim.ask(0, read);
-    sim.run(200);
-
-    let nothing = Reply::Results(4, 4, Vec::new());
-    assert_eq!(sim.reply(0, call), Some(&nothing));
-}
-
 /// Fails if a draining gateway retries the creation of a head until its drain ends, so that the
 /// caller gets no answer. Seed 443 of the soak showed this.
 #[test]
@@ -420,66 +338,6 @@
     assert_complete(&sim, 60);
 }
 
-/// Fails if gateways place the jobs of a route at different processes, which cannot share their
-/// connections and retained texts.
-#[test]
-fn gateways_agree_on_the_runner_of_a_route() {
-    let mut sim = Simulation::new(5);
-
-    let places: BTreeSet<usize> = (0..5).map(|node| sim.place(node)).collect();
-
-    assert_eq!(places.len(), 1, "{places:?}");
-}
-
-/// Fails if jobs are placed at a host with a small CPU allowance while another host has a large
-/// one.
-#[test]
-fn weak_hosts_run_no_jobs_beside_strong_ones() {
-    for strong in 0..4 {
-        let mut powers = [9; 4];
-        powers[strong] = HOST_POWER;
-        let mut sim = Simulation::with_power(&powers);
-
-        let place = sim.place((strong + 1) % 4);
-
-        assert_eq!(place, strong);
-    }
-}
-
-/// Fails if a process that did not accept a submission gets the next one, or is excluded for good.
-#[test]
-fn a_process_that_takes_no_submission_gets_none_for_a_while() {
-    let mut sim = Simulation::new(4);
-    let first = sim.place(0);
-    let asked = (first + 1) % 4;
-
-    sim.message(asked, Message::SubmissionNotTaken(address(first)));
-    let meanwhile = sim.place(asked);
-    sim.run(3_500);
-    let later = sim.place(asked);
-
-    assert_ne!(meanwhile, first);
-    assert_eq!(later, first);
-}
-
-/// Fails if new jobs of a route are not placed at the process that took over its last job.
-#[test]
-fn new_jobs_follow_a_job_that_was_taken_over() {
-    let mut sim = Simulation::new(4);
-    let first = sim.place(0);
-    sim.submit(first, 400);
-    sim.run(600);
-    sim.kill(first);
-    sim.run(4_000);
-    sim.start(first);
-    sim.run(600);
-
-    let places: BTreeSet<usize> = (0..4).map(|node| sim.place(node)).collect();
-
-    assert_eq!(places.len(), 1, "{places:?}");
-    assert!(!places.contains(&first), "{places:?}");
-}
-
 /// Fails if the objects of an ended job are not removed, are removed too early, or remain when the
 /// holder of the duty is killed during the removal.
 #[test]
--- a/crates/core/tests/gateway_reads.rs
+++ b/crates/core/tests/gateway_reads.rs
@@ -1,4 +1,4 @@
-//! Reads of results while the runner of a job changes, in virtual time.
+//! Reads of results and submissions, in virtual time.
 #![allow(clippy::unwrap_used, missing_docs)]
 
 mod gateway_support;
@@ -9,9 +9,13 @@
 use sardinepath_core::decision::gateway::message::Reply;
 
 use crate::gateway_support::Simulation;
+use crate::gateway_support::StoreFault;
 use crate::gateway_support::batch_id;
 use crate::gateway_support::workspace;
 
+/// Time in which any job of these tests completes without faults, in milliseconds.
+const FAULT_FREE_MS: u64 = 6_000;
+
 /// Fails if a gateway that took over a job from a frozen one says that there is no result at a
 /// position that the other one listed as it woke.
 #[test]
@@ -80,3 +84,82 @@
     assert!((1..=3).contains(&tries), "{tries} tries");
     assert_eq!(outcomes.len(), 8);
 }
+
+/// Fails if results or their positions differ between gateways.
+#[test]
+fn every_gateway_reads_the_same_results() {
+    let mut sim = Simulation::new(3);
+    sim.submit(0, 12);
+    sim.run(FAULT_FREE_MS);
+
+    let results: Vec<_> = (0..3).map(|node| sim.read_all(node)).collect();
+
+    assert_eq!(results[0].len(), 12);
+    assert!(results.iter().all(|outcomes| *outcomes == results[0]));
+}
+
+/// Fails if a caller of another workspace can end a job.
+#[test]
+fn a_job_is_absent_for_another_workspace() {
+    let mut sim = Simulation::new(1);
+    sim.submit(0, 4);
+    sim.run(FAULT_FREE_MS);
+
+    let call = sim.ask(
+        0,
+        Question::EndJob {
+            id: batch_id(),
+            workspace: None,
+        },
+    );
+    sim.run(200);
+
+    assert_eq!(sim.reply(0, call), Some(&Reply::NotFound));
+}
+
+/// Fails if a job is reported as absent while the store is unavailable.
+#[test]
+fn an_unknown_job_is_not_absent_while_the_store_is_away() {
+    let mut sim = Simulation::new(1);
+    sim.nodes[0].fault = StoreFault::Unavailable;
+
+    let call = sim.ask(
+        0,
+        Question::EndJob {
+            id: batch_id(),
+            workspace: workspace(),
+        },
+    );
+    sim.run(4_000);
+
+    assert_eq!(sim.reply(0, call), Some(&Reply::Unsure));
+}
+
+/// Fails if a gateway that knows all results of an ended job calls the store for more. Each call is
+/// priced, and an unavailable store would not answer it.
+#[test]
+fn a_read_past_the_last_result_needs_no_store() {
+    let mut sim = Simulation::new(1);
+    sim.submit(0, 4);
+    sim.run(FAULT_FREE_MS);
+    let end = Question::EndJob {
+        id: batch_id(),
+        workspace: workspace(),
+    };
+    sim.ask(0, end);
+    sim.run(400);
+    sim.nodes[0].fault = StoreFault::Unavailable;
+
+    let read = Question::Read {
+        id: batch_id(),
+        workspace: workspace(),
+        after: 4,
+        wait: Duration::ZERO,
+        local: true,
+    };
+    let call = sim.ask(0, read);
+    sim.run(200);
+
+    let nothing = Reply::Results(4, 4, Vec::new());
+    assert_eq!(sim.reply(0, call), Some(&nothing));
+}
