--- a/crates/core/src/decision/gateway/duty.rs
+++ b/crates/core/src/decision/gateway/duties/duty.rs
@@ -7,8 +7,8 @@
 
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::GatewaySettings;
+use crate::decision::gateway::jobs::routes::JobRoute;
 use crate::decision::gateway::message::Effect;
-use crate::decision::gateway::routes::JobRoute;
 use crate::decision::gateway::stored::Answer;
 use crate::decision::gateway::stored::Kind;
 use crate::decision::gateway::stored::Purpose;
@@ -41,7 +41,7 @@
 const DUTY_NAME: &str = "fleet";
 
 /// Minimum remaining lease time for sending an order or report, so that it arrives in time.
-pub(super) const MIN_LEASE_REMAINDER: Duration = Duration::from_millis(300);
+pub(in crate::decision::gateway) const MIN_LEASE_REMAINDER: Duration = Duration::from_millis(300);
 
 /// Part of the length of a lease, in percent, after its start and after each tenure for which a process
 /// does not claim the duty where old fencing tokens are not rejected. No host then acts again within a
@@ -50,7 +50,7 @@
 
 /// State of the duty lease at this process.
 #[derive(Debug)]
-pub(super) struct Duty {
+pub(in crate::decision::gateway) struct Duty {
     lease: Option<State>,
     /// Call to the object API whose answer is outstanding.
     pending: Call,
@@ -74,7 +74,7 @@
 }
 
 impl Duty {
-    pub(super) fn new(settings: &GatewaySettings, now: Time) -> Self {
+    pub(in crate::decision::gateway) fn new(settings: &GatewaySettings, now: Time) -> Self {
         let duty = DutyName::from(DUTY_NAME);
         let lease = Lease::challenge_with_terms(duty, settings.peer.incarnation, settings.lease);
         Self {
@@ -86,13 +86,13 @@
     }
 
     /// Records that a run of a process has certainly ended, so its lease can be claimed early.
-    pub(super) fn record_ended(&mut self, incarnation: Incarnation) {
+    pub(in crate::decision::gateway) fn record_ended(&mut self, incarnation: Incarnation) {
         if let Some(State::Vacant(lease)) = &mut self.lease {
             lease.record_ended(incarnation);
         }
     }
 
-    pub(super) fn is_vacant(&self) -> bool {
+    pub(in crate::decision::gateway) fn is_vacant(&self) -> bool {
         !matches!(self.lease, Some(State::Held(_)))
     }
 
@@ -106,14 +106,14 @@
 
 impl Gateway {
     /// Returns the permit to act for the duty if it remains valid long enough for a call.
-    pub(super) fn permit(&self) -> Option<Permit> {
+    pub(in crate::decision::gateway) fn permit(&self) -> Option<Permit> {
         let permit = self.duty.permit()?;
         permit
             .allows(self.now + MIN_LEASE_REMAINDER)
             .then_some(permit)
     }
 
-    pub(super) fn tick_duty(&mut self) {
+    pub(in crate::decision::gateway) fn tick_duty(&mut self) {
         self.step_lease();
         self.tick_weights();
         self.tick_reports();
@@ -184,7 +184,10 @@
     }
 
     /// Handles the answer to a read or write of the lease.
-    pub(super) fn lease_answered(&mut self, answer: Result<Answer, ObjectError>) {
+    pub(in crate::decision::gateway) fn lease_answered(
+        &mut self,
+        answer: Result<Answer, ObjectError>,
+    ) {
         let now = self.now;
         let pending = std::mem::replace(&mut self.duty.pending, Call::Nothing);
         let state = match (self.duty.lease.take(), pending) {
@@ -235,12 +238,12 @@
     }
 
     /// Records that a newer holder was observed. The tenure ends with the next tick.
-    pub(super) fn record_fenced(&mut self) {
+    pub(in crate::decision::gateway) fn record_fenced(&mut self) {
         self.duty.fenced = matches!(self.duty.lease, Some(State::Held(_)));
     }
 
     /// Orders targets to load the newest weights, if this process holds the duty.
-    pub(super) fn tick_weights(&mut self) {
+    pub(in crate::decision::gateway) fn tick_weights(&mut self) {
         let Some(permit) = self.permit() else {
             return;
         };
@@ -288,7 +291,7 @@
         models.collect()
     }
 
-    pub(super) fn order_ended(&mut self, target: &TargetName, end: OrderEnd) {
+    pub(in crate::decision::gateway) fn order_ended(&mut self, target: &TargetName, end: OrderEnd) {
         self.weights.order_ended(self.now, target, end);
         if end == OrderEnd::Fenced {
             self.record_fenced();
--- a/crates/core/src/decision/gateway/usage.rs
+++ b/crates/core/src/decision/gateway/duties/usage.rs
@@ -34,7 +34,7 @@
 
 /// Progress of the usage reports at the holder of the duty.
 #[derive(Debug)]
-pub(super) struct Reports {
+pub(in crate::decision::gateway) struct Reports {
     /// Next window to open, or `None` after this process gained the duty.
     next: Option<u64>,
     open: BTreeMap<u64, OpenWindow>,
@@ -63,7 +63,7 @@
 }
 
 impl Reports {
-    pub(super) fn new(start: Time) -> Self {
+    pub(in crate::decision::gateway) fn new(start: Time) -> Self {
         Self {
             next: None,
             open: BTreeMap::new(),
@@ -74,12 +74,12 @@
 
 impl Gateway {
     /// Drops all progress, because another process may have reported windows since.
-    pub(super) fn reset_reports(&mut self) {
+    pub(in crate::decision::gateway) fn reset_reports(&mut self) {
         self.reports.next = None;
         self.reports.open.clear();
     }
 
-    pub(super) fn tick_reports(&mut self) {
+    pub(in crate::decision::gateway) fn tick_reports(&mut self) {
         if self.settings.usage_window.is_none() || self.permit().is_none() {
             return;
         }
@@ -163,7 +163,12 @@
         self.effects.extend(effects);
     }
 
-    pub(super) fn counts_collected(&mut self, window: u64, host: HostName, counts: Option<Counts>) {
+    pub(in crate::decision::gateway) fn counts_collected(
+        &mut self,
+        window: u64,
+        host: HostName,
+        counts: Option<Counts>,
+    ) {
         if let Some(open) = self.reports.open.get_mut(&window)
             && let WindowState::Collecting(known, _) = &mut open.state
             && let Some(counts) = counts
@@ -174,7 +179,11 @@
     }
 
     /// Handles the answer to the write of the sums.
-    pub(super) fn window_stored(&mut self, window: u64, answer: &Result<Answer, ObjectError>) {
+    pub(in crate::decision::gateway) fn window_stored(
+        &mut self,
+        window: u64,
+        answer: &Result<Answer, ObjectError>,
+    ) {
         let now = self.now;
         let Some(open) = self.reports.open.get_mut(&window) else {
             return;
@@ -193,7 +202,11 @@
     }
 
     /// Handles the answer to the read of the stored sums.
-    pub(super) fn window_loaded(&mut self, window: u64, answer: Result<Answer, ObjectError>) {
+    pub(in crate::decision::gateway) fn window_loaded(
+        &mut self,
+        window: u64,
+        answer: Result<Answer, ObjectError>,
+    ) {
         let now = self.now;
         let Some(open) = self.reports.open.get_mut(&window) else {
             return;
@@ -218,7 +231,7 @@
         }
     }
 
-    pub(super) fn report_ended(&mut self, window: u64, end: ReportEnd) {
+    pub(in crate::decision::gateway) fn report_ended(&mut self, window: u64, end: ReportEnd) {
         let now = self.now;
         let Some(open) = self.reports.open.get_mut(&window) else {
             return;
--- a/crates/core/src/decision/gateway/dispatch.rs
+++ b/crates/core/src/decision/gateway/jobs/dispatch.rs
@@ -14,9 +14,9 @@
 use crate::decision::directory::TargetNeeds;
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::jobs::Work;
+use crate::decision::gateway::jobs::routes::JobRoute;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::RunRequest;
-use crate::decision::gateway::routes::JobRoute;
 use crate::domain::batch::Head;
 use crate::domain::batch::PartialText;
 use crate::domain::batch::Scorer;
@@ -46,7 +46,7 @@
 
 impl Gateway {
     /// Dispatches all tasks for which targets have free slots, ordered by rank and age of the job.
-    pub(super) fn dispatch(&mut self) {
+    pub(in crate::decision::gateway) fn dispatch(&mut self) {
         let mut active: Vec<(u32, u64, BatchId)> = Vec::new();
         for (id, job) in &self.jobs {
             if matches!(job.work, Work::Running(_)) {
@@ -277,7 +277,7 @@
     }
 
     /// Returns the runner of the job that owns an attempt, if the job runs here.
-    pub(super) fn runner_of(&mut self, run: RunId) -> Option<&mut Runner> {
+    pub(in crate::decision::gateway) fn runner_of(&mut self, run: RunId) -> Option<&mut Runner> {
         let batch = self.runs.get(&run)?;
         match &mut self.jobs.get_mut(batch)?.work {
             Work::Running(active) => Some(&mut active.runner),
@@ -285,7 +285,7 @@
         }
     }
 
-    pub(super) fn run_advanced(&mut self, run: RunId, partial: PartialText) {
+    pub(in crate::decision::gateway) fn run_advanced(&mut self, run: RunId, partial: PartialText) {
         let now = self.now;
         let runner = self.runner_of(run);
         let pace = runner.and_then(|runner| runner.update_run(now, run, partial));
@@ -303,7 +303,12 @@
         }
     }
 
-    pub(super) fn run_ended(&mut self, run: RunId, end: &RunEnd, partial: PartialText) {
+    pub(in crate::decision::gateway) fn run_ended(
+        &mut self,
+        run: RunId,
+        end: &RunEnd,
+        partial: PartialText,
+    ) {
         let now = self.now;
         let events = partial.events;
         let runner = self.runner_of(run);
--- a/crates/core/src/decision/gateway/draft.rs
+++ b/crates/core/src/decision/gateway/jobs/draft.rs
@@ -37,7 +37,7 @@
 
 /// Stored drafts of a job, as far as they have been read.
 #[derive(Debug, Default)]
-pub(super) enum LoadedDrafts {
+pub(in crate::decision::gateway) enum LoadedDrafts {
     #[default]
     Unknown,
     Requested,
@@ -46,7 +46,7 @@
 
 /// State of the writes of a job's drafts.
 #[derive(Debug)]
-pub(super) struct DraftWrites {
+pub(in crate::decision::gateway) struct DraftWrites {
     next: Time,
     writing: bool,
     /// Revision of the stored object, or `None` if it is not known to exist.
@@ -56,7 +56,7 @@
 }
 
 impl DraftWrites {
-    pub(super) fn new(now: Time) -> Self {
+    pub(in crate::decision::gateway) fn new(now: Time) -> Self {
         Self {
             next: now + DRAFT_INTERVAL,
             writing: false,
@@ -68,7 +68,7 @@
 
 impl Gateway {
     /// Writes the drafts of running jobs that have grown enough since the last write.
-    pub(super) fn write_drafts(&mut self) {
+    pub(in crate::decision::gateway) fn write_drafts(&mut self) {
         let now = self.now;
         let mut calls = Vec::new();
         for (id, job) in &mut self.jobs {
@@ -100,7 +100,7 @@
     }
 
     /// Writes the drafts of all running jobs before they are handed over.
-    pub(super) fn write_all_drafts(&mut self) {
+    pub(in crate::decision::gateway) fn write_all_drafts(&mut self) {
         let now = self.now;
         for job in self.jobs.values_mut() {
             if let Work::Running(active) = &mut job.work {
@@ -113,7 +113,11 @@
 
     /// Handles the answer to a write of drafts. A failed write is not repeated, since the next one
     /// has newer texts.
-    pub(super) fn drafts_stored(&mut self, id: &BatchId, answer: &Result<Answer, ObjectError>) {
+    pub(in crate::decision::gateway) fn drafts_stored(
+        &mut self,
+        id: &BatchId,
+        answer: &Result<Answer, ObjectError>,
+    ) {
         let Some(Work::Running(active)) = self.jobs.get_mut(id).map(|job| &mut job.work) else {
             return;
         };
@@ -130,7 +134,11 @@
 
     /// Handles the answer to a read of drafts. If it failed, the items are generated from the
     /// start.
-    pub(super) fn drafts_loaded(&mut self, id: &BatchId, answer: Result<Answer, ObjectError>) {
+    pub(in crate::decision::gateway) fn drafts_loaded(
+        &mut self,
+        id: &BatchId,
+        answer: Result<Answer, ObjectError>,
+    ) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -143,7 +151,12 @@
     }
 
     /// Retains the texts of an ended job for later ones.
-    pub(super) fn retain_drafts(&mut self, head: &Head, items: &[Arc<Item>], drafts: Vec<Draft>) {
+    pub(in crate::decision::gateway) fn retain_drafts(
+        &mut self,
+        head: &Head,
+        items: &[Arc<Item>],
+        drafts: Vec<Draft>,
+    ) {
         for draft in drafts {
             if let Some(item) = items.iter().find(|item| item.id == draft.id) {
                 self.retained.insert(head, item, draft);
@@ -153,7 +166,10 @@
 }
 
 /// Returns the texts of the listed items whose groups still have unlisted items.
-pub(super) fn open_group_drafts(runner: &Runner, journal: &Journal) -> Vec<Draft> {
+pub(in crate::decision::gateway) fn open_group_drafts(
+    runner: &Runner,
+    journal: &Journal,
+) -> Vec<Draft> {
     let items = &runner.batch.items;
     let missing = items.iter().filter(|item| !journal.contains(&item.id));
     let groups: HashSet<&GroupName> = missing.filter_map(|item| item.group.as_ref()).collect();
--- a/crates/core/src/decision/gateway/ending.rs
+++ b/crates/core/src/decision/gateway/jobs/ending.rs
@@ -4,9 +4,9 @@
 
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::jobs::Ending;
+use crate::decision::gateway::jobs::read::JobQuestion;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Reply;
-use crate::decision::gateway::read::JobQuestion;
 use crate::decision::gateway::stored::Answer;
 use crate::decision::gateway::stored::Purpose;
 use crate::domain::batch::Head;
@@ -20,7 +20,12 @@
 
 impl Gateway {
     /// Ends a job. The caller is answered once the end is stored.
-    pub(super) fn end_job(&mut self, call: CallId, id: BatchId, workspace: Option<WorkspaceName>) {
+    pub(in crate::decision::gateway) fn end_job(
+        &mut self,
+        call: CallId,
+        id: BatchId,
+        workspace: Option<WorkspaceName>,
+    ) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(&id) else {
             self.find(call, id, JobQuestion::EndJob(workspace));
@@ -47,7 +52,7 @@
         }
     }
 
-    pub(super) fn write_end(&mut self, id: &BatchId) {
+    pub(in crate::decision::gateway) fn write_end(&mut self, id: &BatchId) {
         let Some(job) = self.jobs.get(id) else {
             return;
         };
@@ -60,7 +65,11 @@
     }
 
     /// Handles the answer to the write that ends a job.
-    pub(super) fn end_stored(&mut self, id: &BatchId, answer: &Result<Answer, ObjectError>) {
+    pub(in crate::decision::gateway) fn end_stored(
+        &mut self,
+        id: &BatchId,
+        answer: &Result<Answer, ObjectError>,
+    ) {
         match answer {
             Ok(Answer::Written(revision)) => {
                 let Some(job) = self.jobs.get(id) else {
@@ -77,7 +86,7 @@
     }
 
     /// Answers callers that wait for the end of a job after it has been stored.
-    pub(super) fn confirm_end(&mut self, id: &BatchId) {
+    pub(in crate::decision::gateway) fn confirm_end(&mut self, id: &BatchId) {
         let ending = self.jobs.get_mut(id).and_then(|job| job.ending.take());
         for call in ending.map(|e| e.calls).unwrap_or_default() {
             self.log(Event::BatchEnded, vec![("batch", id.to_string())]);
@@ -85,7 +94,7 @@
         }
     }
 
-    pub(super) fn expire_end(&mut self, id: &BatchId) {
+    pub(in crate::decision::gateway) fn expire_end(&mut self, id: &BatchId) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(id) else {
             return;
--- a/crates/core/src/decision/gateway/head.rs
+++ b/crates/core/src/decision/gateway/jobs/head.rs
@@ -17,7 +17,12 @@
 
 impl Gateway {
     /// Applies a stored head, unless a newer revision is known.
-    pub(super) fn apply_head(&mut self, id: &BatchId, revision: Revision, head: Head) {
+    pub(in crate::decision::gateway) fn apply_head(
+        &mut self,
+        id: &BatchId,
+        revision: Revision,
+        head: Head,
+    ) {
         let now = self.now;
         if let Some(job) = self.jobs.get_mut(id) {
             if revision <= job.revision {
@@ -33,7 +38,7 @@
         self.check_runner(id);
     }
 
-    pub(super) fn update_head(
+    pub(in crate::decision::gateway) fn update_head(
         &mut self,
         purpose: Purpose,
         id: &BatchId,
@@ -46,7 +51,7 @@
     }
 
     /// Reads the stored head of a job after a call with an unknown outcome.
-    pub(super) fn refresh(&mut self, id: &BatchId) {
+    pub(in crate::decision::gateway) fn refresh(&mut self, id: &BatchId) {
         let call = StoreCall::Get(Kind::Heads, Arc::from(id.as_str()));
         self.call_store(Purpose::Refresh(id.clone()), call);
     }
@@ -58,7 +63,11 @@
     }
 
     /// Handles the answer to the read of a head by `refresh`.
-    pub(super) fn head_refreshed(&mut self, id: &BatchId, answer: Result<Answer, ObjectError>) {
+    pub(in crate::decision::gateway) fn head_refreshed(
+        &mut self,
+        id: &BatchId,
+        answer: Result<Answer, ObjectError>,
+    ) {
         match answer {
             Ok(Answer::Found(Some((revision, Record::Head(head))))) => {
                 self.apply_head(id, revision, head);
@@ -83,7 +92,7 @@
     }
 
     /// Clears the runner of all jobs of this process, so that other processes take them over.
-    pub(super) fn hand_over(&mut self) {
+    pub(in crate::decision::gateway) fn hand_over(&mut self) {
         let mine: Vec<BatchId> = self
             .jobs
             .iter()
@@ -106,7 +115,7 @@
     }
 
     /// Handles the answer to a change of the runner.
-    pub(super) fn runner_changed(
+    pub(in crate::decision::gateway) fn runner_changed(
         &mut self,
         id: &BatchId,
         runner: Option<RunnerName>,
--- a/crates/core/src/decision/gateway/load.rs
+++ b/crates/core/src/decision/gateway/jobs/load.rs
@@ -5,8 +5,8 @@
 
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::STORE_RETRY_DELAY;
-use crate::decision::gateway::draft::LoadedDrafts;
 use crate::decision::gateway::jobs::Work;
+use crate::decision::gateway::jobs::draft::LoadedDrafts;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::stored::Answer;
 use crate::decision::gateway::stored::Kind;
@@ -25,7 +25,7 @@
 impl Gateway {
     /// Requests the objects of a job that are needed and not loaded yet: the submission to run the
     /// job or to return an item body, results to run the job or to answer a reader.
-    pub(super) fn load_more(&mut self, id: &BatchId) {
+    pub(in crate::decision::gateway) fn load_more(&mut self, id: &BatchId) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(id) else {
             return;
@@ -63,7 +63,7 @@
     }
 
     /// Handles the answer to the read of a part of a submission.
-    pub(super) fn part_loaded(
+    pub(in crate::decision::gateway) fn part_loaded(
         &mut self,
         id: &BatchId,
         part: usize,
@@ -91,7 +91,11 @@
     }
 
     /// Handles a decoded submission.
-    pub(super) fn decoded(&mut self, id: &BatchId, batch: Option<Arc<Batch>>) {
+    pub(in crate::decision::gateway) fn decoded(
+        &mut self,
+        id: &BatchId,
+        batch: Option<Arc<Batch>>,
+    ) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -105,7 +109,7 @@
     }
 
     /// Handles the answer to the read of a page. A missing page means that the journal is complete.
-    pub(super) fn page_loaded(
+    pub(in crate::decision::gateway) fn page_loaded(
         &mut self,
         id: &BatchId,
         start: usize,
@@ -139,7 +143,7 @@
     }
 
     /// Starts the runner once the submission, results and drafts are loaded.
-    pub(super) fn advance_load(&mut self, id: &BatchId) {
+    pub(in crate::decision::gateway) fn advance_load(&mut self, id: &BatchId) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
--- a/crates/core/src/decision/gateway/jobs.rs
+++ b/crates/core/src/decision/gateway/jobs/mod.rs
@@ -1,4 +1,24 @@
 //! Life cycle of a batch job at one process: known, loading, awaiting its route, running, ended.
+//!
+//! - `submit`, `place`: submissions, and the choice of the runner
+//! - `head`, `ending`, `removal`: stored heads, and the ends of jobs
+//! - `load`, `routes`: what a job needs before it runs here
+//! - `dispatch`, `scoring`: items and scoring requests sent to targets
+//! - `pages`, `read`: results, and their readers
+//! - `draft`: texts that are reused by another process or a later job
+
+pub(super) mod dispatch;
+pub(super) mod draft;
+pub(super) mod ending;
+pub(super) mod head;
+pub(super) mod load;
+pub(super) mod pages;
+pub(super) mod place;
+pub(super) mod read;
+pub(super) mod removal;
+pub(super) mod routes;
+pub(super) mod scoring;
+pub(super) mod submit;
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -8,14 +28,14 @@
 use crate::decision::batch::Runner;
 use crate::decision::directory::CallEnd;
 use crate::decision::gateway::Gateway;
-use crate::decision::gateway::draft::DraftWrites;
-use crate::decision::gateway::draft::LoadedDrafts;
-use crate::decision::gateway::draft::open_group_drafts;
+use crate::decision::gateway::jobs::draft::DraftWrites;
+use crate::decision::gateway::jobs::draft::LoadedDrafts;
+use crate::decision::gateway::jobs::draft::open_group_drafts;
+use crate::decision::gateway::jobs::read::Reader;
+use crate::decision::gateway::membership::witness::Witness;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::Reply;
-use crate::decision::gateway::read::Reader;
-use crate::decision::gateway::witness::Witness;
 use crate::domain::batch::Batch;
 use crate::domain::batch::Head;
 use crate::domain::batch::Page;
--- a/crates/core/src/decision/gateway/pages.rs
+++ b/crates/core/src/decision/gateway/jobs/pages.rs
@@ -34,7 +34,7 @@
 
 impl Gateway {
     /// Writes the next page of each running job whose results are due.
-    pub(super) fn write_pages(&mut self) {
+    pub(in crate::decision::gateway) fn write_pages(&mut self) {
         let now = self.now;
         let mut calls = Vec::new();
         for (id, job) in &mut self.jobs {
@@ -73,14 +73,14 @@
         }
     }
 
-    pub(super) fn append(&mut self, id: BatchId, start: usize, page: Page) {
+    pub(in crate::decision::gateway) fn append(&mut self, id: BatchId, start: usize, page: Page) {
         let name = Arc::from(page_name(&id, start));
         let call = StoreCall::Create(Kind::Pages, name, Record::Page(page));
         self.call_store(Purpose::Append(id, start), call);
     }
 
     /// Handles the answer to the write of a page, or to the read after a conflict.
-    pub(super) fn page_appended(
+    pub(in crate::decision::gateway) fn page_appended(
         &mut self,
         id: &BatchId,
         start: usize,
@@ -127,7 +127,12 @@
     }
 
     /// Adds a stored page to the journal, stops runs of its items and answers readers.
-    pub(super) fn apply_page(&mut self, id: &BatchId, start: usize, page: &Page) {
+    pub(in crate::decision::gateway) fn apply_page(
+        &mut self,
+        id: &BatchId,
+        start: usize,
+        page: &Page,
+    ) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(id) else {
             return;
--- a/crates/core/src/decision/gateway/place.rs
+++ b/crates/core/src/decision/gateway/jobs/place.rs
@@ -9,9 +9,11 @@
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Reply;
-use crate::decision::gateway::peers::hash_rank;
 use crate::domain::fleet::Peer;
+use crate::domain::hash::OFFSET_BASIS;
+use crate::domain::hash::fnv1a;
 use crate::domain::name::BatchId;
+use crate::domain::name::HostName;
 use crate::domain::name::RouteName;
 
 /// Time for which a process that did not accept a submission gets no other one.
@@ -19,7 +21,12 @@
 
 impl Gateway {
     /// Replies with the process that should accept a submission.
-    pub(super) fn choose_runner(&mut self, call: CallId, id: &BatchId, route: &RouteName) {
+    pub(in crate::decision::gateway) fn choose_runner(
+        &mut self,
+        call: CallId,
+        id: &BatchId,
+        route: &RouteName,
+    ) {
         let known = self.jobs.contains_key(id) || self.submissions.contains_key(id);
         let runner = if known { None } else { self.runner_for(route) };
         let remote = runner.filter(|peer| peer.host != self.settings.peer.host);
@@ -56,14 +63,14 @@
     }
 
     /// Excludes a process that did not accept a submission.
-    pub(super) fn exclude_peer(&mut self, address: SocketAddr) {
+    pub(in crate::decision::gateway) fn exclude_peer(&mut self, address: SocketAddr) {
         self.peers.excluded.retain(|_, until| self.now < *until);
         let until = self.now + EXCLUSION_TIME;
         self.peers.excluded.insert(address, until);
     }
 
     /// Returns the largest CPU allowance of all processes, in percent of a core.
-    pub(super) fn max_power(&self) -> u32 {
+    pub(in crate::decision::gateway) fn max_power(&self) -> u32 {
         self.all_peers()
             .map(|peer| peer.cpu_percent)
             .max()
@@ -73,9 +80,22 @@
 
 /// Returns the sort key of a process for a subject; the lowest comes first. Processes with less
 /// than half of the largest CPU allowance come last.
-pub(super) fn placement_rank(subject: &str, peer: &Peer, max_power: u32) -> (bool, u64) {
+pub(in crate::decision::gateway) fn placement_rank(
+    subject: &str,
+    peer: &Peer,
+    max_power: u32,
+) -> (bool, u64) {
     (
         peer.cpu_percent * 2 < max_power,
         hash_rank(subject, &peer.host),
     )
 }
+
+/// Returns a hash that orders hosts for a subject, equal at all processes.
+pub(in crate::decision::gateway) fn hash_rank(subject: &str, host: &HostName) -> u64 {
+    let hash = fnv1a(
+        fnv1a(OFFSET_BASIS, subject.as_bytes()),
+        host.as_str().as_bytes(),
+    );
+    hash ^ (hash >> 29)
+}
--- a/crates/core/src/decision/gateway/read.rs
+++ b/crates/core/src/decision/gateway/jobs/read.rs
@@ -30,8 +30,8 @@
 
 /// Caller that waits for results.
 #[derive(Debug)]
-pub(super) struct Reader {
-    pub(super) call: CallId,
+pub(in crate::decision::gateway) struct Reader {
+    pub(in crate::decision::gateway) call: CallId,
     after: usize,
     since: Time,
     /// Time at which the caller gets an empty answer if there is certainly no result.
@@ -42,7 +42,7 @@
 
 /// Question about a job that this process does not know yet.
 #[derive(Debug)]
-pub(super) struct JobLookup {
+pub(in crate::decision::gateway) struct JobLookup {
     call: CallId,
     question: JobQuestion,
     deadline: Time,
@@ -50,7 +50,7 @@
 
 /// Question to repeat once the job is known.
 #[derive(Debug)]
-pub(super) enum JobQuestion {
+pub(in crate::decision::gateway) enum JobQuestion {
     /// Read results. Holds the workspace, first position, wait time and `local` of the question.
     Read(Option<WorkspaceName>, usize, Duration, bool),
     /// Read the body of an item.
@@ -60,7 +60,7 @@
 }
 
 impl Gateway {
-    pub(super) fn read(
+    pub(in crate::decision::gateway) fn read(
         &mut self,
         call: CallId,
         id: BatchId,
@@ -102,7 +102,7 @@
     }
 
     /// Answers readers that have results or whose wait time has passed.
-    pub(super) fn answer_readers(&mut self, id: &BatchId) {
+    pub(in crate::decision::gateway) fn answer_readers(&mut self, id: &BatchId) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(id) else {
             return;
@@ -138,7 +138,7 @@
         }
     }
 
-    pub(super) fn body(
+    pub(in crate::decision::gateway) fn body(
         &mut self,
         call: CallId,
         id: BatchId,
@@ -161,7 +161,7 @@
     }
 
     /// Answers callers that wait for item bodies once the submission is loaded.
-    pub(super) fn answer_bodies(&mut self, id: &BatchId) {
+    pub(in crate::decision::gateway) fn answer_bodies(&mut self, id: &BatchId) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(id) else {
             return;
@@ -187,7 +187,12 @@
     }
 
     /// Looks up an unknown job in the object API before the question is answered.
-    pub(super) fn find(&mut self, call: CallId, id: BatchId, question: JobQuestion) {
+    pub(in crate::decision::gateway) fn find(
+        &mut self,
+        call: CallId,
+        id: BatchId,
+        question: JobQuestion,
+    ) {
         let deadline = self.now + FIND_TIMEOUT;
         let lookups = self.lookups.entry(id.clone()).or_default();
         lookups.push(JobLookup {
@@ -206,7 +211,11 @@
     }
 
     /// Handles the answer to the lookup of an unknown job.
-    pub(super) fn head_found(&mut self, id: &BatchId, answer: Result<Answer, ObjectError>) {
+    pub(in crate::decision::gateway) fn head_found(
+        &mut self,
+        id: &BatchId,
+        answer: Result<Answer, ObjectError>,
+    ) {
         let now = self.now;
         match answer {
             Ok(Answer::Found(Some((revision, Record::Head(head))))) => {
--- a/crates/core/src/decision/gateway/removal.rs
+++ b/crates/core/src/decision/gateway/jobs/removal.rs
@@ -31,7 +31,7 @@
 
 /// Removal of one job in progress.
 #[derive(Debug)]
-pub(super) struct Removal {
+pub(in crate::decision::gateway) struct Removal {
     id: BatchId,
     step: Step,
 }
@@ -46,7 +46,7 @@
 
 impl Gateway {
     /// Starts to remove the oldest job whose retention time has passed.
-    pub(super) fn tick_removal(&mut self) {
+    pub(in crate::decision::gateway) fn tick_removal(&mut self) {
         if self.removal.is_some() || self.now < self.next_removal || self.permit().is_none() {
             return;
         }
@@ -93,7 +93,11 @@
     }
 
     /// Handles the answer to a call of the removal.
-    pub(super) fn removal_answered(&mut self, id: &BatchId, answer: &Result<Answer, ObjectError>) {
+    pub(in crate::decision::gateway) fn removal_answered(
+        &mut self,
+        id: &BatchId,
+        answer: &Result<Answer, ObjectError>,
+    ) {
         let parts = self.jobs.get(id).map_or(0, |job| job.head.parts);
         let Some(removal) = self.removal.as_mut().filter(|r| r.id == *id) else {
             return;
@@ -131,14 +135,14 @@
     }
 
     /// Deletes the counts of the window that is `RETAINED_WINDOWS` older than a reported one.
-    pub(super) fn remove_window(&mut self, reported: u64) {
+    pub(in crate::decision::gateway) fn remove_window(&mut self, reported: u64) {
         let old = reported.saturating_sub(RETAINED_WINDOWS);
         let name = Arc::from(old.to_string());
         self.call_store(Purpose::Forget, StoreCall::Delete(Kind::Windows, name));
     }
 
     /// Cancels the removal in progress after this process gained the duty.
-    pub(super) fn reset_removal(&mut self) {
+    pub(in crate::decision::gateway) fn reset_removal(&mut self) {
         self.removal = None;
         self.next_removal = self.now + REMOVAL_INTERVAL;
     }
--- a/crates/core/src/decision/gateway/routes.rs
+++ b/crates/core/src/decision/gateway/jobs/routes.rs
@@ -10,10 +10,10 @@
 use crate::decision::batch::RunnerLimits;
 use crate::decision::batch::VersionLimits;
 use crate::decision::gateway::Gateway;
-use crate::decision::gateway::draft::DraftWrites;
-use crate::decision::gateway::draft::LoadedDrafts;
 use crate::decision::gateway::jobs::ActiveJob;
 use crate::decision::gateway::jobs::Work;
+use crate::decision::gateway::jobs::draft::DraftWrites;
+use crate::decision::gateway::jobs::draft::LoadedDrafts;
 use crate::domain::batch::Batch;
 use crate::domain::batch::Draft;
 use crate::domain::batch::Head;
@@ -26,15 +26,15 @@
 
 /// Route of a batch job, with its settings for batch jobs.
 #[derive(Clone, Debug)]
-pub(super) struct JobRoute {
-    pub(super) route: Arc<Route>,
-    pub(super) settings: BatchSettings,
+pub(in crate::decision::gateway) struct JobRoute {
+    pub(in crate::decision::gateway) route: Arc<Route>,
+    pub(in crate::decision::gateway) settings: BatchSettings,
 }
 
 impl JobRoute {
     /// Returns the route of a job, or `None` if the configuration contains no such route for batch
     /// jobs.
-    pub(super) fn find(table: &RouteTable, head: &Head) -> Option<Self> {
+    pub(in crate::decision::gateway) fn find(table: &RouteTable, head: &Head) -> Option<Self> {
         let routes = table.hosts.get(&head.host)?;
         let route = routes.iter().find(|route| route.name == head.route)?;
         let settings = route.batch_settings()?;
@@ -45,7 +45,7 @@
     }
 
     /// Returns the weight versions from which the texts of a job may come.
-    pub(super) fn versions(&self, head: &Head) -> VersionLimits {
+    pub(in crate::decision::gateway) fn versions(&self, head: &Head) -> VersionLimits {
         VersionLimits {
             min_version: head.min_version,
             single: self.settings.single,
@@ -66,12 +66,12 @@
 impl Gateway {
     /// Returns the route of a job, or `None` if no configuration is known or the known one does not
     /// contain it.
-    pub(super) fn job_route(&self, head: &Head) -> Option<JobRoute> {
+    pub(in crate::decision::gateway) fn job_route(&self, head: &Head) -> Option<JobRoute> {
         JobRoute::find(self.table.as_ref()?, head)
     }
 
     /// Starts a job whose submission, results and drafts are loaded, as soon as its route is known.
-    pub(super) fn start_loaded(&mut self, id: &BatchId, batch: Arc<Batch>) {
+    pub(in crate::decision::gateway) fn start_loaded(&mut self, id: &BatchId, batch: Arc<Batch>) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
@@ -89,7 +89,7 @@
     }
 
     /// Applies a new configuration to the jobs that run here or wait for their route.
-    pub(super) fn apply_routes(&mut self, before: Option<&RouteTable>) {
+    pub(in crate::decision::gateway) fn apply_routes(&mut self, before: Option<&RouteTable>) {
         let ids: Vec<BatchId> = self.jobs.keys().cloned().collect();
         for id in ids {
             let had_route = self.jobs.get(&id).is_some_and(|job| {
--- a/crates/core/src/decision/gateway/scoring.rs
+++ b/crates/core/src/decision/gateway/jobs/scoring.rs
@@ -15,7 +15,12 @@
 
 impl Gateway {
     /// Sends the scoring request of a generated text.
-    pub(super) fn score(&mut self, id: &BatchId, index: usize, scorer: Scorer) {
+    pub(in crate::decision::gateway) fn score(
+        &mut self,
+        id: &BatchId,
+        index: usize,
+        scorer: Scorer,
+    ) {
         let now = self.now;
         let Some(target) = self.scoring_target(&scorer) else {
             return;
@@ -51,7 +56,7 @@
         self.choose_permitted(pool, &need)
     }
 
-    pub(super) fn scoring_ended(&mut self, run: RunId, end: &ScoreEnd) {
+    pub(in crate::decision::gateway) fn scoring_ended(&mut self, run: RunId, end: &ScoreEnd) {
         let now = self.now;
         let scorer = self.runner_of(run).and_then(|r| r.scorer(run).cloned());
         let runner = self.runner_of(run);
--- a/crates/core/src/decision/gateway/submit.rs
+++ b/crates/core/src/decision/gateway/jobs/submit.rs
@@ -38,7 +38,7 @@
 
 /// Submission whose parts or head are being stored.
 #[derive(Debug)]
-pub(super) struct Submission {
+pub(in crate::decision::gateway) struct Submission {
     calls: Vec<CallId>,
     batch: Arc<Batch>,
     head: Head,
@@ -50,7 +50,7 @@
 }
 
 impl Gateway {
-    pub(super) fn submit(
+    pub(in crate::decision::gateway) fn submit(
         &mut self,
         call: CallId,
         id: BatchId,
@@ -106,7 +106,11 @@
 
     /// Handles the answer to the write of a part. An existing part comes from an earlier attempt of
     /// the same submission.
-    pub(super) fn part_stored(&mut self, id: &BatchId, answer: &Result<Answer, ObjectError>) {
+    pub(in crate::decision::gateway) fn part_stored(
+        &mut self,
+        id: &BatchId,
+        answer: &Result<Answer, ObjectError>,
+    ) {
         let Some(submission) = self.submissions.get_mut(id) else {
             return;
         };
@@ -131,7 +135,11 @@
     }
 
     /// Handles the answer to the creation of the head.
-    pub(super) fn head_created(&mut self, id: &BatchId, answer: &Result<Answer, ObjectError>) {
+    pub(in crate::decision::gateway) fn head_created(
+        &mut self,
+        id: &BatchId,
+        answer: &Result<Answer, ObjectError>,
+    ) {
         let now = self.now;
         let Some(submission) = self.submissions.get_mut(id) else {
             return;
@@ -195,7 +203,7 @@
     }
 
     /// Shortens the deadlines of pending submissions when the process starts to drain.
-    pub(super) fn shorten_submissions(&mut self) {
+    pub(in crate::decision::gateway) fn shorten_submissions(&mut self) {
         let latest = self.now + self.accept_timeout();
         for submission in self.submissions.values_mut() {
             submission.deadline = submission.deadline.min(latest);
--- a/crates/core/src/decision/gateway/limit.rs
+++ b/crates/core/src/decision/gateway/limits/limit.rs
@@ -12,9 +12,9 @@
 use crate::decision::directory::Statement;
 use crate::decision::directory::TargetNeeds;
 use crate::decision::gateway::Gateway;
-use crate::decision::gateway::limit_store::LimitWrite;
+use crate::decision::gateway::jobs::place::hash_rank;
+use crate::decision::gateway::limits::limit_store::LimitWrite;
 use crate::decision::gateway::message::Effect;
-use crate::decision::gateway::peers::hash_rank;
 use crate::decision::gateway::stored::StoredLimit;
 use crate::decision::permit::AgedStatement;
 use crate::decision::permit::Bucket;
@@ -47,21 +47,21 @@
 
 /// State of the permits that this process gives, requests and stores.
 #[derive(Debug, Default)]
-pub(super) struct Permits {
+pub(in crate::decision::gateway) struct Permits {
     /// Permits that this process can give.
-    pub(super) buckets: BTreeMap<TargetName, Bucket>,
+    pub(in crate::decision::gateway) buckets: BTreeMap<TargetName, Bucket>,
     /// Requests for permits, for requests that can wait (`true`) and for others apart, since items
     /// get none while there is still one for a caller.
-    pub(super) requests: BTreeMap<(TargetName, bool), Request>,
+    pub(in crate::decision::gateway) requests: BTreeMap<(TargetName, bool), Request>,
     /// Granters that did not answer, with the end of the exclusion.
-    pub(super) silent: BTreeMap<SocketAddr, Time>,
+    pub(in crate::decision::gateway) silent: BTreeMap<SocketAddr, Time>,
     /// Limits that this process has to store or delete.
-    pub(super) writes: BTreeMap<TargetName, LimitWrite>,
+    pub(in crate::decision::gateway) writes: BTreeMap<TargetName, LimitWrite>,
 }
 
 /// Request for permits of a target, or the pause after it.
 #[derive(Clone, Copy, Debug)]
-pub(super) enum Request {
+pub(in crate::decision::gateway) enum Request {
     Sent,
     Paused(Time),
 }
@@ -89,7 +89,7 @@
 
 impl Gateway {
     /// Chooses a target, and requests permits if only limited targets remain.
-    pub(super) fn choose_permitted(
+    pub(in crate::decision::gateway) fn choose_permitted(
         &mut self,
         pool: &PoolName,
         need: &TargetNeeds,
@@ -113,7 +113,11 @@
     }
 
     /// Returns `true` if a target could serve a request if this process had a permit.
-    pub(super) fn needs_permit(&mut self, pool: &PoolName, need: &TargetNeeds) -> bool {
+    pub(in crate::decision::gateway) fn needs_permit(
+        &mut self,
+        pool: &PoolName,
+        need: &TargetNeeds,
+    ) -> bool {
         let centre = self.settings.centre.clone();
         let limited = self.directory.without_permit(self.now, pool, need, &centre);
         !limited.is_empty()
@@ -186,7 +190,7 @@
     }
 
     /// Returns `true` if this process is the granter of a target.
-    pub(super) fn is_granter(&self, target: &TargetName) -> bool {
+    pub(in crate::decision::gateway) fn is_granter(&self, target: &TargetName) -> bool {
         matches!(self.granter(target), Granter::Local(0))
     }
 
@@ -202,7 +206,10 @@
     }
 
     /// Gives permits for a target, as far as the share of this process allows.
-    pub(super) fn grant_permits(&mut self, request: &PermitRequest) -> PermitGrant {
+    pub(in crate::decision::gateway) fn grant_permits(
+        &mut self,
+        request: &PermitRequest,
+    ) -> PermitGrant {
         let now = self.now;
         let target = &request.target;
         self.learn_limit(target, request.known, "process");
@@ -246,7 +253,7 @@
     }
 
     /// Handles the answer of another process to a request for permits.
-    pub(super) fn permits_answered(
+    pub(in crate::decision::gateway) fn permits_answered(
         &mut self,
         request: &PermitRequest,
         granter: SocketAddr,
@@ -289,7 +296,11 @@
     }
 
     /// Records what an answer of a target says about its request limit.
-    pub(super) fn limit_stated(&mut self, target: &TargetName, statement: LimitStatement) {
+    pub(in crate::decision::gateway) fn limit_stated(
+        &mut self,
+        target: &TargetName,
+        statement: LimitStatement,
+    ) {
         let limit = match statement {
             LimitStatement::Limited(limit) => Some(limit),
             LimitStatement::Unlimited => None,
@@ -325,7 +336,11 @@
     /// Handles the stored limit of a target. Its age is unknown, so a statement of the last second
     /// counts as newer. A deletion lifts no limit, since it may take effect after a newer limit was
     /// stored; the next answer of the target tells.
-    pub(super) fn limit_watched(&mut self, target: &TargetName, stored: StoredLimit) {
+    pub(in crate::decision::gateway) fn limit_watched(
+        &mut self,
+        target: &TargetName,
+        stored: StoredLimit,
+    ) {
         let watched = AgedStatement {
             limit: Some(stored.limit),
             started_at: stored.started_at,
--- a/crates/core/src/decision/gateway/limit_store.rs
+++ b/crates/core/src/decision/gateway/limits/limit_store.rs
@@ -25,7 +25,7 @@
 
 /// Write of a limit that this process has to store or delete.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct LimitWrite {
+pub(in crate::decision::gateway) struct LimitWrite {
     state: WriteState,
     /// Revision of the stored object, or `None` if it is not known to exist.
     revision: Option<Revision>,
@@ -72,7 +72,7 @@
 
 impl Gateway {
     /// Schedules a write of the limit of a target.
-    pub(super) fn schedule_write(&mut self, target: &TargetName) {
+    pub(in crate::decision::gateway) fn schedule_write(&mut self, target: &TargetName) {
         let now = self.now;
         let writes = &mut self.permits.writes;
         let write = writes.entry(target.clone());
@@ -80,7 +80,7 @@
     }
 
     /// Writes the limits that are due, and drops those of targets that are gone.
-    pub(super) fn tick_limits(&mut self) {
+    pub(in crate::decision::gateway) fn tick_limits(&mut self) {
         let now = self.now;
         self.permits.silent.retain(|_, until| now < *until);
         self.drop_gone_limits();
@@ -118,7 +118,7 @@
     }
 
     /// Handles the answer to a write of a limit.
-    pub(super) fn limit_stored(
+    pub(in crate::decision::gateway) fn limit_stored(
         &mut self,
         target: &TargetName,
         answer: &Result<Answer, ObjectError>,
--- a/crates/core/src/decision/gateway/health.rs
+++ b/crates/core/src/decision/gateway/membership/health.rs
@@ -9,16 +9,16 @@
 
 /// Availability of the object API as this process observes it.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct StoreHealth {
+pub(in crate::decision::gateway) struct StoreHealth {
     /// Start of the current outage.
-    pub(super) outage_start: Option<Time>,
+    pub(in crate::decision::gateway) outage_start: Option<Time>,
     /// End of the last outage, initially the start of the process.
     restored_at: Time,
 }
 
 impl StoreHealth {
     /// Creates the state of a process that starts now.
-    pub(super) fn new(now: Time) -> Self {
+    pub(in crate::decision::gateway) fn new(now: Time) -> Self {
         Self {
             outage_start: None,
             restored_at: now,
@@ -26,7 +26,7 @@
     }
 
     /// Records that the object API answered or did not.
-    pub(super) fn record(&mut self, now: Time, up: bool) {
+    pub(in crate::decision::gateway) fn record(&mut self, now: Time, up: bool) {
         if !up {
             self.outage_start.get_or_insert(now);
         } else if self.outage_start.take().is_some() {
@@ -35,13 +35,13 @@
     }
 
     /// Returns the length of the current outage, or zero.
-    pub(super) fn outage_time(&self, now: Time) -> Duration {
+    pub(in crate::decision::gateway) fn outage_time(&self, now: Time) -> Duration {
         self.outage_start
             .map_or(Duration::ZERO, |start| now.since(start))
     }
 
     /// Returns the time since the last outage ended, or zero during an outage.
-    pub(super) fn uptime(&self, now: Time) -> Duration {
+    pub(in crate::decision::gateway) fn uptime(&self, now: Time) -> Duration {
         match self.outage_start {
             Some(_) => Duration::ZERO,
             None => now.since(self.restored_at),
@@ -51,7 +51,7 @@
 
 impl Gateway {
     /// Handles the loss or return of contact by the watch of a kind.
-    pub(super) fn contact_changed(&mut self, kind: Kind, up: bool) {
+    pub(in crate::decision::gateway) fn contact_changed(&mut self, kind: Kind, up: bool) {
         self.store.record(self.now, up);
         if up {
             self.objects_received();
--- /dev/null
+++ b/crates/core/src/decision/gateway/membership/mod.rs
@@ -0,0 +1,7 @@
+//! Other gateways, the sources of watched objects, and the health of the store.
+
+pub(super) mod health;
+pub(super) mod peers;
+pub(super) mod source;
+pub(super) mod watched;
+pub(super) mod witness;
--- a/crates/core/src/decision/gateway/peers.rs
+++ b/crates/core/src/decision/gateway/membership/peers.rs
@@ -6,25 +6,23 @@
 use std::time::Duration;
 
 use crate::decision::gateway::Gateway;
+use crate::decision::gateway::jobs::place::placement_rank;
+use crate::decision::gateway::membership::witness::Witness;
+use crate::decision::gateway::membership::witness::WitnessStep;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::PingRequest;
 use crate::decision::gateway::message::Pong;
 use crate::decision::gateway::message::Reply;
-use crate::decision::gateway::place::placement_rank;
 use crate::decision::gateway::stored::Answer;
 use crate::decision::gateway::stored::Kind;
 use crate::decision::gateway::stored::Purpose;
 use crate::decision::gateway::stored::Record;
 use crate::decision::gateway::stored::StoreCall;
-use crate::decision::gateway::witness::Witness;
-use crate::decision::gateway::witness::WitnessStep;
 use crate::domain::batch::Head;
 use crate::domain::batch::Runner;
 use crate::domain::event::Event;
 use crate::domain::fleet::Peer;
-use crate::domain::hash::OFFSET_BASIS;
-use crate::domain::hash::fnv1a;
 use crate::domain::name::BatchId;
 use crate::domain::name::HostName;
 use crate::domain::name::TargetName;
@@ -62,14 +60,14 @@
 
 /// Known processes and the health of those that run jobs.
 #[derive(Debug, Default)]
-pub(super) struct Peers {
+pub(in crate::decision::gateway) struct Peers {
     known: BTreeMap<HostName, Peer>,
     health: BTreeMap<HostName, Health>,
     announced: bool,
     listed: bool,
     next_announce: Time,
     /// Processes that get no submissions, with the end of the exclusion.
-    pub(super) excluded: BTreeMap<SocketAddr, Time>,
+    pub(in crate::decision::gateway) excluded: BTreeMap<SocketAddr, Time>,
 }
 
 /// Health of a process that runs a job.
@@ -88,7 +86,7 @@
 
 impl Gateway {
     /// Stores the address of this process, so that others can reach it.
-    pub(super) fn announce(&mut self) {
+    pub(in crate::decision::gateway) fn announce(&mut self) {
         let host: Arc<str> = Arc::from(self.settings.peer.host.as_str());
         let record = Record::Peer(self.settings.peer.clone());
         self.peers.next_announce = self.now + SILENCE_LIMIT;
@@ -99,7 +97,10 @@
     }
 
     /// Handles the answer to the announcement. The entry of an earlier run is replaced.
-    pub(super) fn announcement_answered(&mut self, answer: Result<Answer, ObjectError>) {
+    pub(in crate::decision::gateway) fn announcement_answered(
+        &mut self,
+        answer: Result<Answer, ObjectError>,
+    ) {
         let host: Arc<str> = Arc::from(self.settings.peer.host.as_str());
         match answer {
             Ok(Answer::Written(_)) => self.peers.announced = true,
@@ -121,7 +122,7 @@
         }
     }
 
-    pub(super) fn replace_peers(&mut self, peers: Vec<Peer>) {
+    pub(in crate::decision::gateway) fn replace_peers(&mut self, peers: Vec<Peer>) {
         self.peers.listed = true;
         let listed = |host: &HostName| peers.iter().any(|p| p.host == *host);
         self.peers.known.retain(|host, _| listed(host));
@@ -130,7 +131,7 @@
         }
     }
 
-    pub(super) fn insert_peer(&mut self, peer: Peer) {
+    pub(in crate::decision::gateway) fn insert_peer(&mut self, peer: Peer) {
         let incarnation = peer.incarnation;
         let before = self.peers.known.insert(peer.host.clone(), peer);
         // A host runs one process of this role, so the earlier run has ended.
@@ -139,33 +140,33 @@
         }
     }
 
-    pub(super) fn remove_peer(&mut self, host: &HostName) {
+    pub(in crate::decision::gateway) fn remove_peer(&mut self, host: &HostName) {
         self.peers.known.remove(host);
     }
 
     /// Returns `true` once the processes were listed.
-    pub(super) fn peers_listed(&self) -> bool {
+    pub(in crate::decision::gateway) fn peers_listed(&self) -> bool {
         self.peers.listed
     }
 
     /// Returns all known processes, including this one.
-    pub(super) fn all_peers(&self) -> impl Iterator<Item = &Peer> {
+    pub(in crate::decision::gateway) fn all_peers(&self) -> impl Iterator<Item = &Peer> {
         self.peers.known.values()
     }
 
     /// Returns the process on a host, if it is known.
-    pub(super) fn peer(&self, host: &HostName) -> Option<&Peer> {
+    pub(in crate::decision::gateway) fn peer(&self, host: &HostName) -> Option<&Peer> {
         self.peers.known.get(host)
     }
 
     /// Returns all other processes.
-    pub(super) fn others(&self) -> Vec<Peer> {
+    pub(in crate::decision::gateway) fn others(&self) -> Vec<Peer> {
         let me = &self.settings.peer.host;
         let others = self.peers.known.values().filter(|p| p.host != *me);
         others.cloned().collect()
     }
 
-    pub(super) fn tick_peers(&mut self) {
+    pub(in crate::decision::gateway) fn tick_peers(&mut self) {
         let now = self.now;
         if !self.peers.announced && !self.draining && now >= self.peers.next_announce {
             self.announce();
@@ -208,7 +209,7 @@
     }
 
     /// Answers the ping of another process with the state of this one.
-    pub(super) fn answer_ping(&mut self, call: CallId, ping: &PingRequest) {
+    pub(in crate::decision::gateway) fn answer_ping(&mut self, call: CallId, ping: &PingRequest) {
         let now = self.now;
         self.leaves_told(&ping.leaving);
         let paces = match ping.paces {
@@ -226,7 +227,7 @@
         self.reply(call, Reply::Pong(pong));
     }
 
-    pub(super) fn ping_ended(&mut self, host: HostName, pong: Option<Pong>) {
+    pub(in crate::decision::gateway) fn ping_ended(&mut self, host: HostName, pong: Option<Pong>) {
         let now = self.now;
         let Some(health) = self.peers.health.get_mut(&host) else {
             return;
@@ -266,7 +267,7 @@
     }
 
     /// Takes over a job if its runner is gone and the delay of this candidate has passed.
-    pub(super) fn check_runner(&mut self, id: &BatchId) {
+    pub(in crate::decision::gateway) fn check_runner(&mut self, id: &BatchId) {
         let now = self.now;
         if self.draining || !self.peers.listed || self.store.outage_start.is_some() {
             return;
@@ -383,12 +384,3 @@
         base + CANDIDATE_DELAY.saturating_mul(ahead)
     }
 }
-
-/// Returns a hash that orders hosts for a subject, equal at all processes.
-pub(super) fn hash_rank(subject: &str, host: &HostName) -> u64 {
-    let hash = fnv1a(
-        fnv1a(OFFSET_BASIS, subject.as_bytes()),
-        host.as_str().as_bytes(),
-    );
-    hash ^ (hash >> 29)
-}
--- a/crates/core/src/decision/gateway/source.rs
+++ b/crates/core/src/decision/gateway/membership/source.rs
@@ -12,10 +12,10 @@
 use std::time::Duration;
 
 use crate::decision::gateway::Gateway;
+use crate::decision::gateway::jobs::place::hash_rank;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::FeedEnd;
 use crate::decision::gateway::message::Source;
-use crate::decision::gateway::peers::hash_rank;
 use crate::domain::event::Event;
 use crate::domain::fleet::Peer;
 use crate::domain::time::Time;
@@ -50,7 +50,7 @@
 
 /// Chosen source of watched objects and the failures of other sources.
 #[derive(Debug)]
-pub(super) struct Feed {
+pub(in crate::decision::gateway) struct Feed {
     source: Source,
     /// Processes that did not forward objects.
     failed_peers: BTreeMap<SocketAddr, FailedPeer>,
@@ -91,11 +91,11 @@
 impl Gateway {
     /// Returns `true` if this process may claim the duty. Followers leave it to the watchers, which
     /// limits the number of lease reads.
-    pub(super) fn may_hold_duty(&self) -> bool {
+    pub(in crate::decision::gateway) fn may_hold_duty(&self) -> bool {
         self.feed.source == Source::Store
     }
 
-    pub(super) fn feed_lost(&mut self, address: SocketAddr, end: FeedEnd) {
+    pub(in crate::decision::gateway) fn feed_lost(&mut self, address: SocketAddr, end: FeedEnd) {
         let now = self.now;
         let tries = 1 + self
             .feed
@@ -117,12 +117,12 @@
     }
 
     /// Records that objects arrive, which ends the search.
-    pub(super) fn objects_received(&mut self) {
+    pub(in crate::decision::gateway) fn objects_received(&mut self) {
         self.feed.search_start = None;
     }
 
     /// Handles the result of a direct probe of the object API.
-    pub(super) fn store_probed(&mut self, up: bool) {
+    pub(in crate::decision::gateway) fn store_probed(&mut self, up: bool) {
         if up {
             self.feed.outage_start = None;
         } else {
@@ -132,7 +132,7 @@
     }
 
     /// Updates the source and the relays.
-    pub(super) fn tick_source(&mut self) {
+    pub(in crate::decision::gateway) fn tick_source(&mut self) {
         let now = self.now;
         self.feed
             .failed_peers
--- a/crates/core/src/decision/gateway/watched.rs
+++ b/crates/core/src/decision/gateway/membership/watched.rs
@@ -16,7 +16,11 @@
 
 impl Gateway {
     /// Handles a listing of all objects of one kind.
-    pub(super) fn objects_listed(&mut self, kind: Kind, views: Vec<WatchedObject>) {
+    pub(in crate::decision::gateway) fn objects_listed(
+        &mut self,
+        kind: Kind,
+        views: Vec<WatchedObject>,
+    ) {
         self.store.record(self.now, true);
         match kind {
             Kind::Targets => self.targets_listed(views),
@@ -59,7 +63,7 @@
     }
 
     /// Handles the change or deletion of one object.
-    pub(super) fn object_changed(&mut self, view: WatchedObject) {
+    pub(in crate::decision::gateway) fn object_changed(&mut self, view: WatchedObject) {
         self.store.record(self.now, true);
         match view {
             WatchedObject::Table(table) => self.apply_table(table),
@@ -158,14 +162,18 @@
     }
 
     /// Returns `true` if target entries may be missing because the watch was lost recently.
-    pub(super) fn is_unsettled(&self) -> bool {
+    pub(in crate::decision::gateway) fn is_unsettled(&self) -> bool {
         const SETTLE_TIME: std::time::Duration = std::time::Duration::from_millis(2_000);
         self.watch_start
             .is_none_or(|since| self.now.since(since) < SETTLE_TIME)
     }
 
     /// Dispatches an answer of the object API to its handler.
-    pub(super) fn stored(&mut self, purpose: Purpose, answer: Result<Answer, ObjectError>) {
+    pub(in crate::decision::gateway) fn stored(
+        &mut self,
+        purpose: Purpose,
+        answer: Result<Answer, ObjectError>,
+    ) {
         match purpose {
             Purpose::Lease => self.lease_answered(answer),
             Purpose::Part(id, _) => self.part_stored(&id, &answer),
--- a/crates/core/src/decision/gateway/witness.rs
+++ b/crates/core/src/decision/gateway/membership/witness.rs
@@ -22,7 +22,7 @@
 
 /// What is known of the drafts of a runner that answers no pings.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub(super) enum Witness {
+pub(in crate::decision::gateway) enum Witness {
     /// Nothing was read.
     #[default]
     Unknown,
@@ -38,7 +38,7 @@
 
 /// What a candidate for the takeover of a job does next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum WitnessStep {
+pub(in crate::decision::gateway) enum WitnessStep {
     /// Read the drafts.
     Read,
     /// Wait for an answer or the time of the next read.
@@ -49,7 +49,7 @@
 
 impl Witness {
     /// Returns the next step of a candidate that may take the job over from `due` on.
-    pub(super) fn next(&mut self, now: Time, due: Time) -> WitnessStep {
+    pub(in crate::decision::gateway) fn next(&mut self, now: Time, due: Time) -> WitnessStep {
         match *self {
             Witness::Unknown if now + READ_INTERVAL >= due => {
                 *self = Witness::Asking;
@@ -89,14 +89,18 @@
 
 impl Gateway {
     /// Reads the drafts of a job whose runner answers no pings.
-    pub(super) fn read_witness(&mut self, id: &BatchId) {
+    pub(in crate::decision::gateway) fn read_witness(&mut self, id: &BatchId) {
         let name = Arc::from(id.as_str());
         let call = StoreCall::Get(Kind::Drafts, name);
         self.call_store(Purpose::Witness(id.clone()), call);
     }
 
     /// Handles the answer to a read of the drafts. A runner that writes is no longer suspected.
-    pub(super) fn witness_answered(&mut self, id: &BatchId, answer: &Result<Answer, ObjectError>) {
+    pub(in crate::decision::gateway) fn witness_answered(
+        &mut self,
+        id: &BatchId,
+        answer: &Result<Answer, ObjectError>,
+    ) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(id) else {
             return;
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -16,6 +16,7 @@
 use crate::decision::directory::CallEnd;
 use crate::decision::directory::Choice;
 use crate::decision::directory::ToldPace;
+pub use crate::decision::gateway::call::CallId;
 use crate::decision::gateway::stored::Answer;
 use crate::decision::gateway::stored::Kind;
 use crate::decision::gateway::stored::Purpose;
@@ -54,10 +55,6 @@
 use crate::domain::table::RouteTable;
 use crate::port::object::ObjectError;
 
-/// Identifies a question of a traffic thread. The reply carries the same ID.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct CallId(pub u64);
-
 /// Message to the control thread of a gateway.
 #[derive(Debug)]
 pub enum Message {
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -4,49 +4,23 @@
 //! control thread of the role owns the gateway. Adapters carry out the effects and send the results
 //! back as messages.
 //!
-//! - `jobs`, `head`, `load`, `pages`, `ending`, `removal`: life cycle of a batch job
-//! - `submit`, `read`, `place`: submissions, reads, and the choice of the runner
-//! - `routes`: routes of batch jobs, and the limits that they set
-//! - `draft`: texts that are reused by another process or a later job
-//! - `dispatch`, `scoring`: items and scoring requests sent to targets
-//! - `plain`, `limit`: targets of plain requests, and permits for targets that limit their requests
-//! - `leaving`: targets that say in their answers that they are leaving
-//! - `suspects`: requests under which targets crash
-//! - `streams`: software versions that began the streams to callers
-//! - `duty`, `usage`: work of the lease holder (weight updates and usage reports)
-//! - `witness`: signs of life of a runner before its job is taken over
+//! - `jobs`: batch jobs, from their submission to their removal
+//! - `requests`: plain requests and streams, and what answers say about targets and requests
+//! - `limits`: request limits of targets, and permits that gateways give each other
+//! - `duties`: work of the lease holder (weight updates and usage reports)
+//! - `membership`: other processes, sources of watched objects, and the health of the store
+//! - `message`, `stored`, `call`: messages of the control thread, and records of the object API
 //! - `settings`: identity and settings of the process
-//! - `peers`, `health`, `source`, `watched`: other processes, watch sources, and watched objects
 
-mod dispatch;
-mod draft;
-mod duty;
-mod ending;
-mod head;
-mod health;
+mod call;
+mod duties;
 mod jobs;
-mod leaving;
-mod limit;
-mod limit_store;
-mod load;
+mod limits;
+mod membership;
 pub mod message;
-mod pages;
-mod peers;
-mod place;
-mod plain;
-mod read;
-mod removal;
-mod routes;
-mod scoring;
+mod requests;
 mod settings;
-mod source;
 pub mod stored;
-mod streams;
-mod submit;
-mod suspects;
-mod usage;
-mod watched;
-mod witness;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -56,28 +30,28 @@
 use crate::decision::batch::RetainedTexts;
 use crate::decision::batch::RunId;
 use crate::decision::directory::Directory;
-use crate::decision::gateway::duty::Duty;
-use crate::decision::gateway::health::StoreHealth;
+use crate::decision::gateway::duties::duty::Duty;
+use crate::decision::gateway::duties::usage::Reports;
 use crate::decision::gateway::jobs::Job;
-use crate::decision::gateway::leaving::LeaveSource;
-use crate::decision::gateway::limit::Permits;
+use crate::decision::gateway::jobs::read::JobLookup;
+use crate::decision::gateway::jobs::removal::Removal;
+use crate::decision::gateway::jobs::submit::Submission;
+use crate::decision::gateway::limits::limit::Permits;
+use crate::decision::gateway::membership::health::StoreHealth;
+use crate::decision::gateway::membership::peers::Peers;
+use crate::decision::gateway::membership::source::Feed;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::Message;
 use crate::decision::gateway::message::Question;
 use crate::decision::gateway::message::Reply;
-use crate::decision::gateway::peers::Peers;
-use crate::decision::gateway::read::JobLookup;
-use crate::decision::gateway::removal::Removal;
+use crate::decision::gateway::requests::leaving::LeaveSource;
+use crate::decision::gateway::requests::streams::Streams;
+use crate::decision::gateway::requests::suspects::Suspects;
 pub use crate::decision::gateway::settings::GatewaySettings;
-use crate::decision::gateway::source::Feed;
 use crate::decision::gateway::stored::Kind;
 use crate::decision::gateway::stored::Purpose;
 use crate::decision::gateway::stored::StoreCall;
-use crate::decision::gateway::streams::Streams;
-use crate::decision::gateway::submit::Submission;
-use crate::decision::gateway::suspects::Suspects;
-use crate::decision::gateway::usage::Reports;
 use crate::decision::tally::Tally;
 use crate::decision::weights::Weights;
 use crate::domain::event::Event;
--- a/crates/core/src/decision/gateway/leaving.rs
+++ b/crates/core/src/decision/gateway/requests/leaving.rs
@@ -9,7 +9,7 @@
 
 /// Where a process learned that a target is leaving.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum LeaveSource {
+pub(in crate::decision::gateway) enum LeaveSource {
     /// An answer of the target.
     Answer,
     /// Another process.
@@ -27,7 +27,11 @@
 
 impl Gateway {
     /// Handles the statement of a target that it is leaving. Its running requests may end.
-    pub(super) fn leaving_stated(&mut self, statement: &LeaveStatement, source: LeaveSource) {
+    pub(in crate::decision::gateway) fn leaving_stated(
+        &mut self,
+        statement: &LeaveStatement,
+        source: LeaveSource,
+    ) {
         if !self.directory.record_leaving(self.now, statement) {
             return;
         }
@@ -40,7 +44,7 @@
     }
 
     /// Handles the statements that another process passed on.
-    pub(super) fn leaves_told(&mut self, statements: &[LeaveStatement]) {
+    pub(in crate::decision::gateway) fn leaves_told(&mut self, statements: &[LeaveStatement]) {
         for statement in statements {
             self.leaving_stated(statement, LeaveSource::Process);
         }
--- a/crates/core/src/decision/gateway/plain.rs
+++ b/crates/core/src/decision/gateway/requests/plain.rs
@@ -13,7 +13,7 @@
 
 impl Gateway {
     /// Replies with the target of a plain request, unless the request is quarantined.
-    pub(super) fn choose_plain_target(
+    pub(in crate::decision::gateway) fn choose_plain_target(
         &mut self,
         call: CallId,
         pool: &PoolName,
--- a/crates/core/src/decision/gateway/streams.rs
+++ b/crates/core/src/decision/gateway/requests/streams.rs
@@ -34,7 +34,7 @@
 
 /// Software versions of streams.
 #[derive(Debug, Default)]
-pub(super) struct Streams {
+pub(in crate::decision::gateway) struct Streams {
     settled: BTreeMap<PoolName, Settled>,
     /// Version that is the only one of a pool, with the time since which it is.
     single: BTreeMap<PoolName, (SoftwareVersion, Time)>,
@@ -53,14 +53,19 @@
 
 impl Gateway {
     /// Looks up the software version that began a stream.
-    pub(super) fn find_stream(&mut self, call: CallId, pool: PoolName, begun: &StreamId) {
+    pub(in crate::decision::gateway) fn find_stream(
+        &mut self,
+        call: CallId,
+        pool: PoolName,
+        begun: &StreamId,
+    ) {
         let read = StoreCall::Get(Kind::Streams, Arc::from(begun.as_str()));
         self.call_store(Purpose::FindStream(call, pool), read);
     }
 
     /// Handles the answer to the lookup of a stream. A stream without a record began at the settled
     /// version of its pool.
-    pub(super) fn stream_found(
+    pub(in crate::decision::gateway) fn stream_found(
         &mut self,
         call: CallId,
         pool: &PoolName,
@@ -75,7 +80,7 @@
     }
 
     /// Records the software version that begins a stream, unless it is the settled one.
-    pub(super) fn record_stream(
+    pub(in crate::decision::gateway) fn record_stream(
         &mut self,
         call: CallId,
         pool: &PoolName,
@@ -93,7 +98,7 @@
     }
 
     /// Handles the answer to the write of a record.
-    pub(super) fn stream_recorded(
+    pub(in crate::decision::gateway) fn stream_recorded(
         &mut self,
         call: CallId,
         id: StreamId,
@@ -106,7 +111,7 @@
     }
 
     /// Records the settled version of a pool.
-    pub(super) fn software_settled(
+    pub(in crate::decision::gateway) fn software_settled(
         &mut self,
         pool: PoolName,
         revision: Revision,
@@ -129,7 +134,7 @@
     }
 
     /// Deletes old records, and settles the versions of pools if this process holds the duty.
-    pub(super) fn tick_streams(&mut self) {
+    pub(in crate::decision::gateway) fn tick_streams(&mut self) {
         let now = self.now;
         while let Some((_, id)) = self.streams.records.pop_front_if(|(at, _)| now >= *at) {
             let name = Arc::from(id.as_str());
@@ -190,7 +195,7 @@
 
     /// Handles the answer to the write of a settled version. The watch delivers the stored one; a
     /// failed write is repeated with the next tick.
-    pub(super) fn settle_answered(&mut self, pool: &PoolName) {
+    pub(in crate::decision::gateway) fn settle_answered(&mut self, pool: &PoolName) {
         self.streams.writing.remove(pool);
     }
 
--- a/crates/core/src/decision/gateway/suspects.rs
+++ b/crates/core/src/decision/gateway/requests/suspects.rs
@@ -34,8 +34,8 @@
 
 /// Suspects, and the crashes that this process has to store.
 #[derive(Debug, Default)]
-pub(super) struct Suspects {
-    pub(super) quarantine: Quarantine,
+pub(in crate::decision::gateway) struct Suspects {
+    pub(in crate::decision::gateway) quarantine: Quarantine,
     /// Crashes that are not stored yet, each with its time.
     unstored: BTreeMap<Crash, WallTime>,
     /// Earliest time of the next attempt to store them.
@@ -63,7 +63,7 @@
 impl Gateway {
     /// Handles the crash of a target under a request of this process. The end of a target that was
     /// leaving, or whose entry was removed before, is no crash.
-    pub(super) fn target_crashed(&mut self, crash: Crash) {
+    pub(in crate::decision::gateway) fn target_crashed(&mut self, crash: Crash) {
         let entry = self.directory.get(&crash.target);
         if entry.is_none_or(|entry| entry.leaving) {
             return;
@@ -79,7 +79,7 @@
     }
 
     /// Handles the answer of a target that ran a suspect and stays up.
-    pub(super) fn request_survived(&mut self, request: &Fingerprint) {
+    pub(in crate::decision::gateway) fn request_survived(&mut self, request: &Fingerprint) {
         let cleared = self.suspects.quarantine.clear(request);
         if cleared.is_empty() {
             return;
@@ -97,7 +97,7 @@
     }
 
     /// Decides whether a scoring request may be sent now.
-    pub(super) fn scoring_verdict(&self, scorer: &Scorer) -> Verdict {
+    pub(in crate::decision::gateway) fn scoring_verdict(&self, scorer: &Scorer) -> Verdict {
         let parts = scoring_parts(scorer);
         let quarantine = &self.suspects.quarantine;
         match quarantine.has_shape(parts.shape()) {
@@ -107,7 +107,12 @@
     }
 
     /// Handles what the end of a scoring request at a target says about the request.
-    pub(super) fn scoring_seen(&mut self, scorer: &Scorer, target: &TargetName, end: &ScoreEnd) {
+    pub(in crate::decision::gateway) fn scoring_seen(
+        &mut self,
+        scorer: &Scorer,
+        target: &TargetName,
+        end: &ScoreEnd,
+    ) {
         let parts = scoring_parts(scorer);
         match end {
             ScoreEnd::Crashed(_) => {
@@ -127,7 +132,7 @@
     }
 
     /// Handles a crash that another process stored.
-    pub(super) fn crash_watched(&mut self, stored: StoredCrash) {
+    pub(in crate::decision::gateway) fn crash_watched(&mut self, stored: StoredCrash) {
         let age = self.wall_time().0.saturating_sub(stored.at.0);
         let at = Time(self.now.0.saturating_sub(age));
         self.suspects.unstored.remove(&stored.crash);
@@ -135,13 +140,13 @@
     }
 
     /// Handles the removal of a stored crash.
-    pub(super) fn crash_cleared(&mut self, crash: &Crash) {
+    pub(in crate::decision::gateway) fn crash_cleared(&mut self, crash: &Crash) {
         self.suspects.quarantine.forget(crash);
         self.publish_suspects();
     }
 
     /// Replaces the crashes that are known from the object API by a complete listing.
-    pub(super) fn replace_crashes(&mut self, listing: Vec<WatchedObject>) {
+    pub(in crate::decision::gateway) fn replace_crashes(&mut self, listing: Vec<WatchedObject>) {
         let crashes = listing.into_iter().filter_map(|object| match object {
             WatchedObject::Crash(stored) => Some(stored),
             _ => None,
@@ -161,7 +166,7 @@
 
     /// Stores crashes that could not be stored before, and drops old ones. The holder of the duty
     /// also deletes their objects.
-    pub(super) fn tick_suspects(&mut self) {
+    pub(in crate::decision::gateway) fn tick_suspects(&mut self) {
         self.write_crashes();
         let expired = self.suspects.quarantine.expire(self.now);
         if expired.is_empty() {
@@ -177,14 +182,22 @@
     }
 
     /// Handles the answer to the write of a crash, which exists already after a conflict.
-    pub(super) fn crash_stored(&mut self, crash: &Crash, answer: &Result<Answer, ObjectError>) {
+    pub(in crate::decision::gateway) fn crash_stored(
+        &mut self,
+        crash: &Crash,
+        answer: &Result<Answer, ObjectError>,
+    ) {
         if matches!(answer, Ok(_) | Err(ObjectError::Conflict(_))) {
             self.suspects.unstored.remove(crash);
         }
     }
 
     /// Handles the answer to the deletion of a crash.
-    pub(super) fn crash_deleted(&mut self, crash: Crash, answer: &Result<Answer, ObjectError>) {
+    pub(in crate::decision::gateway) fn crash_deleted(
+        &mut self,
+        crash: Crash,
+        answer: &Result<Answer, ObjectError>,
+    ) {
         if matches!(answer, Err(ObjectError::Unavailable(_))) {
             let name = Arc::from(crash.object_name());
             let delete = StoreCall::Delete(Kind::Crashes, name);
--- a/crates/core/src/decision/gateway/stored.rs
+++ b/crates/core/src/decision/gateway/stored.rs
@@ -5,7 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::decision::gateway::message::CallId;
+use crate::decision::gateway::call::CallId;
 use crate::decision::lease::LeaseRecord;
 use crate::decision::tally::WindowCounts;
 use crate::domain::batch::Drafts;
