--- a/crates/core/src/decision/batch/runner.rs
+++ b/crates/core/src/decision/batch/runner.rs
@@ -336,7 +336,7 @@
         let exhausted = |run: &Run<Generated>| {
             let failures = run.state.score_failures;
             let max = run.item.scorer.as_ref().and_then(&max_scorings);
-            failures > 0 && max.is_some_and(|max| failures >= max)
+            max.is_some_and(|max| failures >= max)
         };
         for slot in &mut self.slots {
             *slot = match mem::replace(slot, Slot::Listed) {
