Keep a missing target only after an interruption in which entries lapse

A follower whose feed ended counted none, and dropped targets whose entries had lapsed. Change: a watch of the entries with its interruption and the time in which an entry can lapse; the end of a feed is an interruption. Measured: gateway_entries, 3 tests; with the former rules one fails with 21 requests to the target that had left, one because the follower drops the target.

--- a/crates/core/src/decision/gateway/membership/health.rs
+++ b/crates/core/src/decision/gateway/membership/health.rs
@@ -59,7 +59,10 @@
             self.store_probed(false);
         }
         if kind == Kind::Targets {
-            self.watch_start = up.then_some(self.watch_start.unwrap_or(self.now));
+            match up {
+                true => self.target_watch.regained(self.now),
+                false => self.target_watch.lost(self.now),
+            }
         }
         let event = if up {
             Event::WatchRegained
--- a/crates/core/src/decision/gateway/membership/source.rs
+++ b/crates/core/src/decision/gateway/membership/source.rs
@@ -113,6 +113,7 @@
         };
         self.feed.failed_peers.insert(address, failure);
         self.feed.search_start.get_or_insert(now);
+        self.target_watch.lost(now);
         self.tick_source();
     }
 
--- a/crates/core/src/decision/gateway/membership/watched.rs
+++ b/crates/core/src/decision/gateway/membership/watched.rs
@@ -68,7 +68,10 @@
         match view {
             WatchedObject::Table(table) => self.apply_table(table),
             WatchedObject::Target(listed) => self.target_changed(listed),
-            WatchedObject::TargetGone(name) => self.remove_target(&name, self.is_unsettled()),
+            WatchedObject::TargetGone(name) => {
+                let kept = self.target_watch.may_miss_entries(self.now);
+                self.remove_target(&name, kept);
+            }
             // The entry is there, so it need not be waited for.
             WatchedObject::TargetUnreadable(name) => self.remove_target(&name, false),
             WatchedObject::Version(model, version) => {
@@ -106,12 +109,12 @@
                 _ => {}
             }
         }
-        let unsettled = self.is_unsettled();
-        self.directory.replace(self.now, listed, unsettled);
+        let lapsed = self.target_watch.may_miss_entries(self.now);
+        self.directory.replace(self.now, listed, lapsed);
         for name in unreadable {
             self.remove_target(&name, false);
         }
-        self.watch_start.get_or_insert(self.now);
+        self.target_watch.regained(self.now);
     }
 
     /// Removes a target, or keeps it for a while if its entry may come back.
@@ -161,13 +164,6 @@
         self.dispatch();
     }
 
-    /// Returns `true` if target entries may be missing because the watch was lost recently.
-    pub(in crate::decision::gateway) fn is_unsettled(&self) -> bool {
-        const SETTLE_TIME: std::time::Duration = std::time::Duration::from_millis(2_000);
-        self.watch_start
-            .is_none_or(|since| self.now.since(since) < SETTLE_TIME)
-    }
-
     /// Dispatches an answer of the object API to its handler.
     pub(in crate::decision::gateway) fn stored(
         &mut self,
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -40,6 +40,7 @@
 use crate::decision::gateway::membership::health::StoreHealth;
 use crate::decision::gateway::membership::peers::Peers;
 use crate::decision::gateway::membership::source::Feed;
+use crate::decision::gateway::membership::target_watch::TargetWatch;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::Message;
@@ -100,8 +101,8 @@
     drained: bool,
     /// Availability of the object API.
     store: StoreHealth,
-    /// Time since which targets are watched without a gap, or `None` while the watch is lost.
-    watch_start: Option<Time>,
+    /// Watch of the entries of targets.
+    target_watch: TargetWatch,
     /// Removal of an old job that is in progress.
     removal: Option<Removal>,
     next_removal: Time,
@@ -140,7 +141,7 @@
             draining: false,
             drained: false,
             store: StoreHealth::new(now),
-            watch_start: None,
+            target_watch: TargetWatch::new(settings.entry_lapse),
             removal: None,
             next_removal: now,
             retries: Vec::new(),
@@ -208,7 +209,7 @@
     /// Runs all timers that are due and returns the resulting effects.
     pub fn tick(&mut self, now: Time) -> Vec<Effect> {
         self.advance(now);
-        for name in self.directory.expire(now, self.watch_start) {
+        for name in self.directory.expire(now, self.target_watch.start()) {
             self.log(Event::TargetLost, vec![("target", name.to_string())]);
         }
         self.send_retries();
--- a/crates/core/src/decision/gateway/requests/streams.rs
+++ b/crates/core/src/decision/gateway/requests/streams.rs
@@ -140,7 +140,7 @@
             let name = Arc::from(id.as_str());
             self.call_store(Purpose::Forget, StoreCall::Delete(Kind::Streams, name));
         }
-        if self.permit().is_some() && !self.is_unsettled() {
+        if self.permit().is_some() && self.target_watch.is_settled(self.now) {
             for pool in self.resumable_pools() {
                 self.settle(pool);
             }
--- a/crates/core/src/decision/gateway/settings.rs
+++ b/crates/core/src/decision/gateway/settings.rs
@@ -21,6 +21,8 @@
     pub fence_checked: bool,
     /// Length of a usage window, or `None` if usage is not reported.
     pub usage_window: Option<Duration>,
+    /// Shortest interruption of the object API in which the entry of a living target lapses.
+    pub entry_lapse: Duration,
     /// Time after acceptance during which an ended job can still be read.
     pub job_retention: Duration,
     /// Time after the end of a usage window within which it must be reported.
--- /dev/null
+++ b/crates/core/tests/gateway_entries.rs
@@ -0,0 +1,96 @@
+//! Entries of targets that are missing after an interruption of the watch, in virtual time.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod gateway_support;
+
+use gateway_support::Simulation;
+use gateway_support::address;
+use sardinepath_core::decision::gateway::message::FeedEnd;
+use sardinepath_core::decision::gateway::message::Message;
+use sardinepath_core::decision::gateway::stored::Kind;
+
+/// Interruption in which no entry of a living target can lapse, in milliseconds.
+const SHORT_MS: u64 = 600;
+
+/// Interruption in which entries of living targets lapse, in milliseconds.
+const LONG_MS: u64 = 6_000;
+
+/// Time for which an entry that may have lapsed is waited for, in milliseconds.
+const RETURN_MS: u64 = 2_000;
+
+/// Time until a listing has been read, in milliseconds.
+const LISTING_MS: u64 = 50;
+
+/// Time for which a choice of a target is valid, in milliseconds.
+const CHOICE_MS: u64 = 1_000;
+
+/// Starts a gateway that gets a plain request every 50 ms.
+fn loaded() -> Simulation {
+    let mut sim = Simulation::new(1);
+    sim.plain_interval = Some(50);
+    sim.run(1_000);
+    sim
+}
+
+/// Returns the target that the gateway uses most.
+fn most_used(sim: &Simulation) -> &'static str {
+    let targets = ["t0", "t1", "t2", "t3"];
+    let used = targets
+        .into_iter()
+        .max_by_key(|t| sim.arrivals_from(0, t, 0));
+    used.unwrap()
+}
+
+/// Returns the number of requests that arrive at a target within a time from when the last listing
+/// has been read.
+fn arrivals(sim: &mut Simulation, target: &str, millis: u64) -> usize {
+    sim.run(LISTING_MS);
+    let since = sim.now;
+    sim.run(millis);
+    sim.arrivals_from(0, target, since)
+}
+
+/// Fails if a target that left during a short interruption of the watch gets requests, although no
+/// entry of a living target can have lapsed in it.
+#[test]
+fn a_target_that_left_during_a_short_interruption_gets_nothing() {
+    let mut sim = loaded();
+    let target = most_used(&sim);
+    sim.message(0, Message::WatchContact(Kind::Targets, false));
+    sim.run(SHORT_MS);
+
+    sim.list_without(0, target);
+
+    assert_eq!(arrivals(&mut sim, target, CHOICE_MS), 0);
+}
+
+/// Fails if a target whose entry lapsed in an outage gets nothing although it lives, or still gets
+/// requests when its entry has not come back in time.
+#[test]
+fn a_target_whose_entry_lapsed_in_an_outage_is_kept_for_a_while() {
+    let mut sim = loaded();
+    let target = most_used(&sim);
+    sim.message(0, Message::WatchContact(Kind::Targets, false));
+    sim.run(LONG_MS);
+
+    sim.list_without(0, target);
+
+    assert_ne!(arrivals(&mut sim, target, RETURN_MS), 0);
+    sim.run(CHOICE_MS);
+    assert_eq!(arrivals(&mut sim, target, RETURN_MS), 0);
+}
+
+/// Fails if a gateway that follows another one drops targets whose entries lapsed in an outage that
+/// ended the feed.
+#[test]
+fn a_follower_keeps_targets_whose_entries_lapsed_in_an_outage() {
+    let mut sim = loaded();
+    let target = most_used(&sim);
+    let lost = Message::FeedLost(address(7), FeedEnd::Disconnected);
+    sim.message(0, lost);
+    sim.run(LONG_MS);
+
+    sim.list_without(0, target);
+
+    assert_ne!(arrivals(&mut sim, target, RETURN_MS), 0);
+}
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -243,6 +243,7 @@
                 poll: Duration::from_millis(1_500),
                 retry: Duration::from_millis(400),
             },
+            entry_lapse: Duration::from_millis(1_200),
             job_retention: JOB_RETENTION,
             fence_checked: self.fence_checked,
             usage_window: Some(Duration::from_secs(5)),
--- a/crates/core/tests/gateway_support/traffic.rs
+++ b/crates/core/tests/gateway_support/traffic.rs
@@ -246,6 +246,14 @@
         }
     }
 
+    /// Sends a gateway a listing without a target, as the watch does when it has contact again.
+    pub fn list_without(&mut self, index: usize, target: &str) {
+        self.message(index, Message::WatchContact(Kind::Targets, true));
+        let left = self.targets.iter().filter(|e| e.name.as_str() != target);
+        let views = left.cloned().map(WatchedObject::Target).collect();
+        self.message(index, Message::Listing(Kind::Targets, views));
+    }
+
     /// Registers a target again, as a run that started at another time or under another state.
     pub fn register(&mut self, target: &str, change: impl Fn(&mut TargetEntry)) {
         let name = TargetName::from(target);
