--- a/crates/core/src/decision/gateway/jobs/head.rs
+++ b/crates/core/src/decision/gateway/jobs/head.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::decision::gateway::Gateway;
+use crate::decision::gateway::STORE_RETRY_DELAY;
 use crate::decision::gateway::jobs::Job;
 use crate::decision::gateway::stored::Answer;
 use crate::decision::gateway::stored::Kind;
@@ -114,6 +115,16 @@
         }
     }
 
+    /// Hands over the jobs that are still with this process while it drains, since the calls that
+    /// should have handed them over failed.
+    pub(in crate::decision::gateway) fn tick_hand_over(&mut self) {
+        if !self.draining || self.now < self.next_hand_over {
+            return;
+        }
+        self.next_hand_over = self.now + STORE_RETRY_DELAY;
+        self.hand_over();
+    }
+
     /// Handles the answer to a change of the runner.
     pub(in crate::decision::gateway) fn runner_changed(
         &mut self,
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -99,6 +99,8 @@
     draining: bool,
     /// Whether `Effect::Drained` has been emitted.
     drained: bool,
+    /// Earliest time at which a draining process tries again to hand over its jobs.
+    next_hand_over: Time,
     /// Availability of the object API.
     store: StoreHealth,
     /// Watch of the entries of targets.
@@ -140,6 +142,7 @@
             reports: Reports::new(now),
             draining: false,
             drained: false,
+            next_hand_over: now,
             store: StoreHealth::new(now),
             target_watch: TargetWatch::new(settings.entry_lapse),
             removal: None,
@@ -215,6 +218,7 @@
         self.send_retries();
         self.tick_duty();
         self.tick_jobs();
+        self.tick_hand_over();
         self.tick_peers();
         self.tick_limits();
         self.tick_suspects();
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -338,6 +338,28 @@
     assert_complete(&sim, 60);
 }
 
+/// Fails if a draining gateway keeps its job because the store did not answer when the drain started.
+#[test]
+fn a_draining_gateway_hands_its_job_over_after_an_outage() {
+    for fault in [StoreFault::Unavailable, StoreFault::AnswerLost] {
+        let mut sim = Simulation::new(2);
+        sim.submit(0, 60);
+        sim.run(400);
+        sim.nodes[0].fault = fault;
+        sim.message(0, Message::Drain);
+        sim.run(1_500);
+
+        sim.nodes[0].fault = StoreFault::None;
+        sim.run(800);
+        let drained = sim.nodes[0].gateway.as_ref().unwrap().is_drained();
+        sim.kill(0);
+        sim.run(FAULT_FREE_MS);
+
+        assert!(drained, "{fault:?}");
+        assert_complete(&sim, 60);
+    }
+}
+
 /// Fails if the objects of an ended job are not removed, are removed too early, or remain when the
 /// holder of the duty is killed during the removal.
 #[test]
--- a/crates/core/tests/gateway_logs.rs
+++ b/crates/core/tests/gateway_logs.rs
@@ -35,6 +35,7 @@
         lease: Terms::default(),
         fence_checked: true,
         usage_window: None,
+        entry_lapse: Duration::from_millis(1_200),
         job_retention: Duration::from_secs(60),
         report_deadline: Duration::from_secs(10),
         seed: 1,
