--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -40,6 +40,7 @@
 use crate::decision::gateway::membership::health::StoreHealth;
 use crate::decision::gateway::membership::peers::Peers;
 use crate::decision::gateway::membership::source::Feed;
+use crate::decision::gateway::membership::target_watch::TargetWatch;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::Message;
@@ -98,10 +99,12 @@
     draining: bool,
     /// Whether `Effect::Drained` has been emitted.
     drained: bool,
+    /// Earliest time at which a draining process tries again to hand over its jobs.
+    next_hand_over: Time,
     /// Availability of the object API.
     store: StoreHealth,
-    /// Time since which targets are watched without a gap, or `None` while the watch is lost.
-    watch_start: Option<Time>,
+    /// Watch of the entries of targets.
+    target_watch: TargetWatch,
     /// Removal of an old job that is in progress.
     removal: Option<Removal>,
     next_removal: Time,
@@ -139,8 +142,9 @@
             reports: Reports::new(now),
             draining: false,
             drained: false,
+            next_hand_over: now,
             store: StoreHealth::new(now),
-            watch_start: None,
+            target_watch: TargetWatch::new(settings.entry_lapse),
             removal: None,
             next_removal: now,
             retries: Vec::new(),
@@ -208,12 +212,13 @@
     /// Runs all timers that are due and returns the resulting effects.
     pub fn tick(&mut self, now: Time) -> Vec<Effect> {
         self.advance(now);
-        for name in self.directory.expire(now, self.watch_start) {
+        for name in self.directory.expire(now, self.target_watch.start()) {
             self.log(Event::TargetLost, vec![("target", name.to_string())]);
         }
         self.send_retries();
         self.tick_duty();
         self.tick_jobs();
+        self.tick_hand_over();
         self.tick_peers();
         self.tick_limits();
         self.tick_suspects();
