--- a/crates/adapters/src/peer/mod.rs
+++ b/crates/adapters/src/peer/mod.rs
@@ -10,6 +10,7 @@
 //! - `POST /submissions/{batch}` takes the query fields `host`, `path` and `workspace` and the
 //!   submission as its body. It returns 202 if the job was accepted, 503 if nothing of it will run,
 //!   and 502 if it may have been accepted.
+//! - `GET /ended/{batch}` takes the query field `revision`, that of the head that ended the job.
 //! - `POST /permits` takes a `PermitRequest` and returns a `PermitGrant`.
 
 mod permits;
@@ -32,6 +33,7 @@
 use sardinepath_core::decision::gateway::message::Reply;
 use sardinepath_core::decision::tally::Counts;
 use sardinepath_core::domain::batch::Outcome;
+use sardinepath_core::domain::ids::Revision;
 use sardinepath_core::domain::leave::LeaveStatement;
 use sardinepath_core::domain::name::BatchId;
 use sardinepath_core::domain::name::WorkspaceName;
@@ -138,6 +140,23 @@
     get_json(pool, address, &path, PING_TIMEOUT).await.ok()
 }
 
+/// Tells another gateway that a job was ended with this revision of its head. Its watch of the store
+/// tells it too, so a failure is only logged.
+pub async fn tell_ended(pool: &Pool, address: SocketAddr, id: &BatchId, revision: Revision) {
+    let id = utf8_percent_encode(id.as_str(), ESCAPED);
+    let path = format!("/ended/{id}?revision={revision}");
+    let request = Request::get(&path).header("host", address.to_string());
+    let Ok(request) = request.body(Body::default()) else {
+        return;
+    };
+    let told = pool
+        .call(address, request, PING_TIMEOUT, MAX_RESPONSE_BYTES)
+        .await;
+    if let Err(e) = told {
+        log::debug!("{address}{path}: {e}");
+    }
+}
+
 /// Requests results of a job from another gateway, which waits at most `wait` for new ones.
 ///
 /// Returns `None` if the request fails or the other gateway cannot tell.
@@ -232,6 +251,11 @@
             paces: query_field(query, "paces") == Some("1"),
         })),
         ("counts", Some(window)) => window.parse().ok().map(Question::UsageCounts),
+        ("ended", Some(id)) => {
+            let revision = query_field(query, "revision")?.parse().ok()?;
+            let id = BatchId::from(percent_decode(id)?);
+            Some(Question::JobEnded(id, Revision(revision)))
+        }
         ("results", Some(id)) => {
             let id = BatchId::from(percent_decode(id)?);
             let wait = query_field(query, "wait").and_then(|w| w.parse().ok());
@@ -261,6 +285,7 @@
             after,
             outcomes,
         }),
+        Reply::Ended => empty_response(StatusCode::OK),
         Reply::NotFound => empty_response(StatusCode::NOT_FOUND),
         _ => empty_response(StatusCode::SERVICE_UNAVAILABLE),
     }
--- a/crates/core/src/decision/gateway/jobs/ending.rs
+++ b/crates/core/src/decision/gateway/jobs/ending.rs
@@ -6,11 +6,13 @@
 use crate::decision::gateway::jobs::Ending;
 use crate::decision::gateway::jobs::read::JobQuestion;
 use crate::decision::gateway::message::CallId;
+use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::Reply;
 use crate::decision::gateway::stored::Answer;
 use crate::decision::gateway::stored::Purpose;
 use crate::domain::batch::Head;
 use crate::domain::event::Event;
+use crate::domain::ids::Revision;
 use crate::domain::name::BatchId;
 use crate::domain::name::WorkspaceName;
 use crate::port::object::ObjectError;
@@ -79,12 +81,38 @@
                     ended: true,
                     ..job.head.clone()
                 };
+                self.tell_runner(id, &head, *revision);
                 self.apply_head(id, *revision, head);
             }
             _ => self.refresh(id),
         }
     }
 
+    /// Tells the runner of a job that it has ended. Its watch may be silent without showing so.
+    fn tell_runner(&mut self, id: &BatchId, head: &Head, revision: Revision) {
+        let me = &self.settings.peer.host;
+        let runner = head.runner.as_ref().filter(|runner| runner.host != *me);
+        let told = runner.map(|r| Effect::TellEnded(r.address, id.clone(), revision));
+        self.effects.extend(told);
+    }
+
+    /// Handles the word of another process that it has ended a job with this revision of the head.
+    pub(in crate::decision::gateway) fn end_told(
+        &mut self,
+        call: CallId,
+        id: &BatchId,
+        revision: Revision,
+    ) {
+        if let Some(job) = self.jobs.get(id) {
+            let head = Head {
+                ended: true,
+                ..job.head.clone()
+            };
+            self.apply_head(id, revision, head);
+        }
+        self.reply(call, Reply::Ended);
+    }
+
     /// Answers callers that wait for the end of a job after it has been stored.
     pub(in crate::decision::gateway) fn confirm_end(&mut self, id: &BatchId) {
         let ending = self.jobs.get_mut(id).and_then(|job| job.ending.take());
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -39,6 +39,7 @@
 use crate::domain::fingerprint::RequestShape;
 use crate::domain::fleet::Peer;
 use crate::domain::ids::Incarnation;
+use crate::domain::ids::Revision;
 use crate::domain::leave::LeaveStatement;
 use crate::domain::limit::LimitStatement;
 use crate::domain::name::BatchId;
@@ -193,6 +194,8 @@
     UsageCounts(u64),
     /// Give another process permits for a limited target.
     GrantPermits(PermitRequest),
+    /// Learn from another process that it ended a job with this revision of the head.
+    JobEnded(BatchId, Revision),
 }
 
 /// Reply of the control thread to a question.
@@ -355,6 +358,8 @@
     Score(RunId, Choice, Scorer),
     /// Ping another process.
     Ping(Runner, PingRequest),
+    /// Tell the runner of a job that it was ended with this revision of the head.
+    TellEnded(SocketAddr, BatchId, Revision),
     /// Report that the drain is complete.
     Drained,
     /// Ask another process for permits and answer with `Message::PermitsAnswered`.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -294,6 +294,7 @@
             } => self.body(call, id, workspace, item),
             Question::EndJob { id, workspace } => self.end_job(call, id, workspace),
             Question::Ping(ping) => self.answer_ping(call, &ping),
+            Question::JobEnded(id, revision) => self.end_told(call, &id, revision),
             Question::UsageCounts(window) => {
                 let counts = self.tally.counts(window);
                 self.reply(call, Reply::Counts(counts));
--- a/crates/core/tests/gateway_reads.rs
+++ b/crates/core/tests/gateway_reads.rs
@@ -117,6 +117,26 @@
     assert_eq!(sim.reply(0, call), Some(&Reply::NotFound));
 }
 
+/// Fails if a runner whose watch of the store is silent goes on with a job that another gateway ended.
+#[test]
+fn a_runner_with_a_silent_watch_learns_that_its_job_has_ended() {
+    let mut sim = Simulation::new(3);
+    sim.submit(0, 200);
+    sim.run(300);
+    let runner = (0..3).find(|index| sim.runs_jobs(*index)).unwrap();
+    sim.nodes[runner].watch_lag = 11_000;
+    let end = Question::EndJob {
+        id: batch_id(),
+        workspace: workspace(),
+    };
+
+    let call = sim.ask((runner + 1) % 3, end);
+    sim.run(500);
+
+    assert_eq!(sim.reply((runner + 1) % 3, call), Some(&Reply::Ended));
+    assert!(!sim.runs_jobs(runner));
+}
+
 /// Fails if a job is reported as absent while the store is unavailable.
 #[test]
 fn an_unknown_job_is_not_absent_while_the_store_is_away() {
--- a/crates/core/tests/gateway_support/effects.rs
+++ b/crates/core/tests/gateway_support/effects.rs
@@ -67,6 +67,9 @@
                     let pong = self.pong(index, &runner.host, ping);
                     self.send(index, STEP_MS, Message::PingEnded(runner.host, pong));
                 }
+                Effect::TellEnded(address, id, revision) => {
+                    self.tell_ended(index, address, id, revision);
+                }
                 Effect::AskPermits(address, request) => {
                     self.ask_permits(index, address, request);
                 }
--- a/crates/core/tests/gateway_support/traffic.rs
+++ b/crates/core/tests/gateway_support/traffic.rs
@@ -18,8 +18,10 @@
 use sardinepath_core::decision::gateway::stored::WatchedObject;
 use sardinepath_core::decision::permit::PermitRequest;
 use sardinepath_core::domain::fleet::TargetEntry;
+use sardinepath_core::domain::ids::Revision;
 use sardinepath_core::domain::limit::LimitStatement;
 use sardinepath_core::domain::limit::RequestLimit;
+use sardinepath_core::domain::name::BatchId;
 use sardinepath_core::domain::name::PoolName;
 use sardinepath_core::domain::name::SoftwareVersion;
 use sardinepath_core::domain::name::TargetName;
@@ -49,6 +51,27 @@
 }
 
 impl Simulation {
+    /// Tells a gateway that a job has ended, unless one of the two is cut off.
+    pub(super) fn tell_ended(
+        &mut self,
+        teller: usize,
+        runner: SocketAddr,
+        id: BatchId,
+        revision: Revision,
+    ) {
+        let runner = (0..self.nodes.len()).find(|i| address(*i) == runner);
+        let runner = runner.filter(|i| !self.nodes[teller].cut && !self.nodes[*i].cut);
+        if let Some(runner) = runner {
+            self.next_call += 1;
+            let question = Question::JobEnded(id, revision);
+            self.send(
+                runner,
+                STEP_MS,
+                Message::Ask(CallId(self.next_call), question),
+            );
+        }
+    }
+
     /// Passes a request for permits on to the granter, which does not get it if it is cut off.
     pub(super) fn ask_permits(
         &mut self,
