Send nothing to evacuated data centres, and keep to homes

No code read evacuations/ZONE or allowedRegions.

The directory of each gateway now holds the evacuations and the region of each data centre, and asks them before every choice of a target and every order. Homes bind targets, the gateway to which a submission is passed on, take-overs and relayed parts of submissions. Only deployments whose settings list the contract places watch the new kind.

--- a/crates/core/src/decision/directory/choice.rs
+++ b/crates/core/src/decision/directory/choice.rs
@@ -6,6 +6,7 @@
 use crate::domain::name::ModelName;
 use crate::domain::name::SoftwareVersion;
 use crate::domain::name::TargetName;
+use crate::domain::place::Homes;
 use crate::domain::time::Time;
 
 /// Requirements and preferences of a request for its target.
@@ -15,6 +16,8 @@
     pub model: Option<(ModelName, WeightVersion)>,
     /// Software version that the target must have, or `None` if any will do.
     pub software: Option<SoftwareVersion>,
+    /// Regions in which the target must lie, or `None` if any will do.
+    pub homes: Option<Homes>,
     /// Targets that must not be chosen.
     pub excluded: Vec<TargetName>,
     /// Target that has a part of the prompt cached.
--- a/crates/core/src/decision/directory/mod.rs
+++ b/crates/core/src/decision/directory/mod.rs
@@ -24,6 +24,7 @@
 pub use crate::decision::directory::pace::ToldPace;
 use crate::decision::directory::target::ERROR_THRESHOLD;
 use crate::decision::directory::target::Target;
+use crate::decision::places::Places;
 use crate::domain::crash::Crash;
 use crate::domain::fleet::TargetEntry;
 use crate::domain::leave::LeaveStatement;
@@ -31,6 +32,7 @@
 use crate::domain::name::PoolName;
 use crate::domain::name::SoftwareVersion;
 use crate::domain::name::TargetName;
+use crate::domain::place::Closure;
 use crate::domain::time::Time;
 
 /// Time for which an entry may be missing after an outage of the object API before its target is
@@ -60,11 +62,21 @@
     references: BTreeMap<PoolName, Option<f64>>,
     /// Request limits that targets stated.
     pub limits: Limits,
+    /// Regions of data centres, and evacuations.
+    pub places: Places,
     /// Targets that said that they are leaving.
     leaves: Leaves,
 }
 
 impl Directory {
+    /// Creates a directory without targets that keeps requests to the places where they may go.
+    pub fn with_places(places: Places) -> Self {
+        Self {
+            places,
+            ..Self::default()
+        }
+    }
+
     /// Adds or updates the entry of a target. An entry of an earlier run of the target is ignored,
     /// and a target that said that it is leaving does so whatever its entry says.
     pub fn insert(&mut self, mut entry: TargetEntry) {
@@ -205,7 +217,7 @@
         let reference = self.reference_pace(pool);
         let limits = &self.limits;
         let fits = |t: &&Target| {
-            t.fits(now, pool, need) && limits.may_send(now, &t.entry, need.deferrable)
+            t.fits(now, pool, need, &self.places) && limits.may_send(now, &t.entry, need.deferrable)
         };
         let cost = |t: &Target| t.cost(reference, need, centre) + limits.cost(now, &t.entry);
         let cost = |t| (cost(t), t);
@@ -241,7 +253,8 @@
         let targets = self.targets.values();
         let mut fitting: Vec<_> = targets
             .filter(|t| {
-                self.limits.needs_permit(now, &t.entry, need.deferrable) && t.fits(now, pool, need)
+                self.limits.needs_permit(now, &t.entry, need.deferrable)
+                    && t.fits(now, pool, need, &self.places)
             })
             .map(|t| (t.cost(reference, need, centre), t.entry.name.clone()))
             .collect();
@@ -265,11 +278,31 @@
         let found = targets.find(|t| {
             limits.needs_refresh(now, &t.entry)
                 && limits.needs_permit(now, &t.entry, need.deferrable)
-                && t.fits(now, pool, need)
+                && t.fits(now, pool, need, &self.places)
         });
         found.map(|t| t.entry.name.clone())
     }
 
+    /// Returns why a request cannot be sent to any target of a pool that has some, or `None` if it
+    /// may be possible at once or soon.
+    pub fn closure(&self, pool: &PoolName, need: &TargetNeeds) -> Option<Closure> {
+        let serves = |e: &&TargetEntry| {
+            let software = need.software.as_ref();
+            e.pool == *pool && !e.leaving && software.is_none_or(|s| *s == e.software)
+        };
+        let mut serving = self.entries().filter(serves).peekable();
+        serving.peek()?;
+        let homes = need.homes.as_ref();
+        let mut at_home = serving
+            .filter(|e| self.places.is_home(&e.centre, homes))
+            .peekable();
+        if at_home.peek().is_none() {
+            return Some(Closure::NoHome);
+        }
+        let evacuated = at_home.all(|e| self.places.is_evacuated(&e.centre));
+        evacuated.then_some(Closure::Evacuated)
+    }
+
     /// Records the end of a request at a target.
     pub fn release(&mut self, now: Time, name: &TargetName, end: CallEnd) {
         let Some(target) = self.targets.get_mut(name) else {
--- a/crates/core/src/decision/directory/speed.rs
+++ b/crates/core/src/decision/directory/speed.rs
@@ -11,6 +11,7 @@
 use crate::domain::name::ModelName;
 use crate::domain::name::PoolName;
 use crate::domain::name::TargetName;
+use crate::domain::place::Homes;
 use crate::domain::time::Time;
 
 /// Number of usual event intervals without an event after which a stream counts as stalled.
@@ -60,18 +61,20 @@
     }
 
     /// Returns `true` if a target that is not slow could take over a request from another one, with
-    /// the same software version and a permitted version of the model.
+    /// the same software version and a permitted version of the model, in a region of its homes.
     pub fn has_fast_slot(
         &mut self,
         now: Time,
         slow: &TargetName,
         model: Option<(ModelName, WeightVersion)>,
+        homes: Option<Homes>,
     ) -> bool {
         let Some(slow) = self.get(slow).cloned() else {
             return false;
         };
         let need = TargetNeeds {
             model,
+            homes,
             software: Some(slow.software),
             free_slot: true,
             ..TargetNeeds::default()
@@ -80,7 +83,7 @@
         let mut targets = self.targets.values();
         let limits = &self.limits;
         targets.any(|t| {
-            t.fits(now, &slow.pool, &need)
+            t.fits(now, &slow.pool, &need, &self.places)
                 && limits.may_send(now, &t.entry, true)
                 && !t.is_slow(reference)
         })
--- a/crates/core/src/decision/directory/target.rs
+++ b/crates/core/src/decision/directory/target.rs
@@ -5,6 +5,7 @@
 use crate::decision::directory::Sharing;
 use crate::decision::directory::TargetNeeds;
 use crate::decision::directory::pace::AveragePace;
+use crate::decision::places::Places;
 use crate::domain::fleet::TargetEntry;
 use crate::domain::hash::fnv1a;
 use crate::domain::ids::WeightVersion;
@@ -85,9 +86,17 @@
     }
 
     /// Returns `true` if the target meets the requirements of a request.
-    pub(super) fn fits(&self, now: Time, pool: &PoolName, need: &TargetNeeds) -> bool {
+    pub(super) fn fits(
+        &self,
+        now: Time,
+        pool: &PoolName,
+        need: &TargetNeeds,
+        places: &Places,
+    ) -> bool {
         self.entry.pool == *pool
             && !self.entry.leaving
+            && places.is_open(&self.entry.centre)
+            && places.is_home(&self.entry.centre, need.homes.as_ref())
             && now >= self.withheld_until
             && (need.allow_paused || now >= self.paused_until)
             && (need.allow_paused || self.errors < ERROR_THRESHOLD || self.running == 0)
--- a/crates/core/src/decision/gateway/duties/duty.rs
+++ b/crates/core/src/decision/gateway/duties/duty.rs
@@ -28,6 +28,7 @@
 use crate::decision::weights::Replica;
 use crate::domain::batch::Head;
 use crate::domain::event::Event;
+use crate::domain::fleet::TargetEntry;
 use crate::domain::ids::Incarnation;
 use crate::domain::name::DutyName;
 use crate::domain::name::ModelName;
@@ -253,7 +254,9 @@
         };
         let fixed = self.single_version_models(table);
         let mut replicas = Vec::new();
-        for target in self.directory.entries().filter(|t| !t.leaving) {
+        let places = &self.directory.places;
+        let ordered = |t: &&TargetEntry| !t.leaving && places.is_open(&t.centre);
+        for target in self.directory.entries().filter(ordered) {
             for (model, version) in &target.models {
                 replicas.push(Replica {
                     target: target.name.clone(),
--- a/crates/core/src/decision/gateway/jobs/dispatch.rs
+++ b/crates/core/src/decision/gateway/jobs/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::decision::directory::TargetNeeds;
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::jobs::Work;
+use crate::decision::gateway::jobs::homes::job_homes;
 use crate::decision::gateway::jobs::routes::JobRoute;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::RunRequest;
@@ -227,6 +228,7 @@
         };
         let mut need = TargetNeeds {
             model: head.model.clone().map(|model| (model, head.min_version)),
+            homes: self.job_homes(head),
             software: task.software.clone(),
             excluded: task.avoid.clone(),
             preferred: prefer,
@@ -255,16 +257,21 @@
             .filter(|name| self.directory.is_slow(name))
             .collect();
         let mut moves = 0;
+        let table = self.table.clone();
         for target in slow {
             for job in self.jobs.values_mut() {
                 let Work::Running(active) = &mut job.work else {
                     continue;
                 };
+                let homes = table.as_ref().and_then(|table| job_homes(table, &job.head));
                 while moves < MAX_MOVES_PER_TICK
                     && let Some(run) = active.runner.movable_run(&target)
                 {
                     let model = job.head.model.clone().map(|m| (m, job.head.min_version));
-                    let has_room = self.directory.has_fast_slot(now, &target, model);
+                    let has_room = {
+                        let homes = homes.clone();
+                        self.directory.has_fast_slot(now, &target, model, homes)
+                    };
                     if !has_room {
                         break;
                     }
--- a/crates/core/src/decision/gateway/jobs/mod.rs
+++ b/crates/core/src/decision/gateway/jobs/mod.rs
@@ -3,6 +3,7 @@
 //! - `submit`, `place`: submissions, and the choice of the runner
 //! - `head`, `ending`, `removal`: stored heads, and the ends of jobs
 //! - `load`, `routes`: what a job needs before it runs here
+//! - `homes`: where a job may run
 //! - `dispatch`, `scoring`: items and scoring requests sent to targets
 //! - `pages`, `read`: results, and their readers
 //! - `draft`: texts that are reused by another process or a later job
@@ -11,6 +12,7 @@
 pub(super) mod draft;
 pub(super) mod ending;
 pub(super) mod head;
+pub(super) mod homes;
 pub(super) mod load;
 pub(super) mod pages;
 pub(super) mod place;
--- a/crates/core/src/decision/gateway/jobs/place.rs
+++ b/crates/core/src/decision/gateway/jobs/place.rs
@@ -15,6 +15,9 @@
 use crate::domain::name::BatchId;
 use crate::domain::name::HostName;
 use crate::domain::name::RouteName;
+use crate::domain::place::Closure;
+use crate::domain::place::Homes;
+use crate::domain::table::Route;
 
 /// Time for which a process that did not accept a submission gets no other one.
 const EXCLUSION_TIME: Duration = Duration::from_secs(3);
@@ -25,17 +28,31 @@
         &mut self,
         call: CallId,
         id: &BatchId,
-        route: &RouteName,
+        route: &Route,
+        homes: Option<&Homes>,
     ) {
         let known = self.jobs.contains_key(id) || self.submissions.contains_key(id);
-        let runner = if known { None } else { self.runner_for(route) };
+        if !known
+            && let Some(homes) = homes
+            && self.is_homeless(route, homes)
+        {
+            self.reply(call, Reply::Closed(Closure::NoHome));
+            return;
+        }
+        let runner = if known {
+            None
+        } else {
+            self.runner_for(&route.name, homes)
+        };
         let remote = runner.filter(|peer| peer.host != self.settings.peer.host);
         let reply = remote.map_or(Reply::Local, |peer| Reply::Forward(peer.address));
         self.reply(call, reply);
     }
 
-    /// Returns the process that runs the newest job of the route, or else the first one by rank.
-    fn runner_for(&self, route: &RouteName) -> Option<&Peer> {
+    /// Returns the process that runs the newest job of the route, or else the first one by rank. It lies
+    /// in a region that may get the body of the submission.
+    fn runner_for(&self, route: &RouteName, homes: Option<&Homes>) -> Option<&Peer> {
+        let is_home = |peer: &Peer| homes.is_none_or(|homes| homes.allow(peer.region.as_ref()));
         let newest = self
             .jobs
             .values()
@@ -44,10 +61,13 @@
         let runner = newest.and_then(|job| job.head.runner.as_ref());
         let alive = runner.and_then(|runner| {
             let peer = self.peer(&runner.host)?;
-            (peer.incarnation == runner.incarnation && self.accepts_jobs(peer)).then_some(peer)
+            let accepts = self.accepts_jobs(peer) && is_home(peer);
+            (peer.incarnation == runner.incarnation && accepts).then_some(peer)
         });
         alive.or_else(|| {
-            let peers = self.all_peers().filter(|peer| self.accepts_jobs(peer));
+            let peers = self
+                .all_peers()
+                .filter(|peer| self.accepts_jobs(peer) && is_home(peer));
             let max_power = self.max_power();
             peers.min_by_key(|peer| placement_rank(route.as_str(), peer, max_power))
         })
--- a/crates/core/src/decision/gateway/jobs/scoring.rs
+++ b/crates/core/src/decision/gateway/jobs/scoring.rs
@@ -22,7 +22,7 @@
         scorer: Scorer,
     ) {
         let now = self.now;
-        let Some(target) = self.scoring_target(&scorer) else {
+        let Some(target) = self.scoring_target(id, &scorer) else {
             return;
         };
         let run = self.next_run_id();
@@ -38,7 +38,7 @@
             .release(now, &target.name, CallEnd::Cancelled);
     }
 
-    fn scoring_target(&mut self, scorer: &Scorer) -> Option<Choice> {
+    fn scoring_target(&mut self, id: &BatchId, scorer: &Scorer) -> Option<Choice> {
         let random = self.next_random();
         let table = self.table.clone()?;
         let route = table.route(&scorer.host, &scorer.path)?;
@@ -46,7 +46,10 @@
         if let Verdict::Quarantined(_) = verdict {
             return None;
         }
+        let job = self.jobs.get(id);
+        let workspace = job.and_then(|job| job.head.workspace.as_ref());
         let need = TargetNeeds {
+            homes: table.homes(route, workspace),
             deferrable: true,
             suspect: verdict == Verdict::Suspect,
             seed: self.settings.seed,
--- a/crates/core/src/decision/gateway/jobs/submit.rs
+++ b/crates/core/src/decision/gateway/jobs/submit.rs
@@ -41,7 +41,7 @@
 pub(in crate::decision::gateway) struct Submission {
     calls: Vec<CallId>,
     batch: Arc<Batch>,
-    head: Head,
+    pub(in crate::decision::gateway) head: Head,
     /// Number of parts that are not stored yet.
     unstored: usize,
     deadline: Time,
--- a/crates/core/src/decision/gateway/membership/mod.rs
+++ b/crates/core/src/decision/gateway/membership/mod.rs
@@ -1,5 +1,6 @@
 //! Other gateways, the sources of watched objects, and the health of the store.
 
+pub(super) mod evacuations;
 pub(super) mod health;
 pub(super) mod peers;
 pub(super) mod source;
--- a/crates/core/src/decision/gateway/membership/peers.rs
+++ b/crates/core/src/decision/gateway/membership/peers.rs
@@ -279,7 +279,7 @@
             return;
         }
         // Without its route the job could not run here.
-        if self.job_route(&job.head).is_none() {
+        if self.job_route(&job.head).is_none() || !self.may_take_over(&job.head) {
             return;
         }
         let presence = match &job.head.runner {
@@ -371,8 +371,11 @@
         let subject = head.route.as_str();
         let max_power = self.max_power();
         let own = placement_rank(subject, me, max_power);
+        let homes = self.job_homes(head);
+        let is_home = |peer: &&Peer| homes.as_ref().is_none_or(|h| h.allow(peer.region.as_ref()));
         let ahead = self
             .all_peers()
+            .filter(is_home)
             .filter(|peer| runner.is_none_or(|r| r.host != peer.host))
             .filter(|peer| placement_rank(subject, peer, max_power) < own)
             .count();
--- a/crates/core/src/decision/gateway/membership/source.rs
+++ b/crates/core/src/decision/gateway/membership/source.rs
@@ -61,7 +61,7 @@
     /// Time since which the object API does not answer direct calls of this process.
     outage_start: Option<Time>,
     /// Processes that relay calls to the object API.
-    relays: Vec<SocketAddr>,
+    relays: Vec<Peer>,
 }
 
 /// Failed tries to receive objects from a process.
@@ -210,9 +210,9 @@
         let me = self.settings.peer.host.clone();
         let mut peers = self.others();
         peers.sort_by_key(|peer| hash_rank(me.as_str(), &peer.host));
-        let addresses = peers.iter().map(|peer| peer.address);
-        let relays: Vec<SocketAddr> = addresses
-            .filter(|address| !self.is_excluded(*address))
+        let relays: Vec<Peer> = peers
+            .into_iter()
+            .filter(|peer| !self.is_excluded(peer.address))
             .take(RELAY_COUNT)
             .collect();
         if relays != self.feed.relays {
--- a/crates/core/src/decision/gateway/membership/watched.rs
+++ b/crates/core/src/decision/gateway/membership/watched.rs
@@ -50,6 +50,7 @@
                 }
             }
             Kind::Crashes => self.replace_crashes(views),
+            Kind::Evacuations => self.evacuations_listed(&views),
             _ => {
                 for view in views {
                     self.object_changed(view);
@@ -93,6 +94,8 @@
             }
             WatchedObject::Crash(stored) => self.crash_watched(stored),
             WatchedObject::CrashGone(crash) => self.crash_cleared(&crash),
+            WatchedObject::Evacuation(centre) => self.evacuation_begun(&centre),
+            WatchedObject::EvacuationGone(centre) => self.evacuation_gone(&centre),
         }
     }
 
@@ -155,6 +158,7 @@
             Event::ConfigInForce,
             vec![("version", table.version.to_string())],
         );
+        self.check_homes(&table);
         let before = self.table.replace(table.clone());
         self.effects.push(Effect::Publish(table));
         self.apply_routes(before.as_deref());
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -46,11 +46,12 @@
 use crate::domain::name::HostName;
 use crate::domain::name::ItemId;
 use crate::domain::name::PoolName;
-use crate::domain::name::RouteName;
 use crate::domain::name::SoftwareVersion;
 use crate::domain::name::StreamId;
 use crate::domain::name::TargetName;
 use crate::domain::name::WorkspaceName;
+use crate::domain::place::Closure;
+use crate::domain::place::Homes;
 use crate::domain::table::Route;
 use crate::domain::table::RouteTable;
 use crate::port::object::ObjectError;
@@ -123,6 +124,8 @@
         tried: Vec<TargetName>,
         /// Software version that the target must have, or `None` if any will do.
         software: Option<SoftwareVersion>,
+        /// Regions that may serve the request, or `None` if all may.
+        homes: Option<Homes>,
     },
     /// Find the software version that began a stream.
     FindStream {
@@ -145,7 +148,9 @@
         /// Name of the job.
         id: BatchId,
         /// Route of the job.
-        route: RouteName,
+        route: Arc<Route>,
+        /// Regions that may serve the job, or `None` if all may.
+        homes: Option<Homes>,
     },
     /// Accept a batch job.
     Submit {
@@ -204,6 +209,8 @@
     NoTarget,
     /// The targets that are available have reached their request limits.
     LimitsReached,
+    /// The targets must not get the request, for this reason.
+    Closed(Closure),
     /// Targets crash under the request, which must not be sent for this time.
     Quarantined(Duration),
     /// The job is stored and will run.
@@ -340,9 +347,12 @@
     /// Receive watched objects from this source from now on.
     SetSource(Source),
     /// Set the processes that relay calls while the object API does not answer this one.
-    SetRelays(Vec<SocketAddr>),
+    SetRelays(Vec<Peer>),
     /// Call the object API and answer with `Message::Stored`.
     Store(Purpose, StoreCall),
+    /// The same for a call that carries bodies of requests, which only processes in these regions may
+    /// relay.
+    StoreWithin(Purpose, StoreCall, Homes),
     /// Decode a submission that was read from the object API.
     Decode(BatchId, String),
     /// Start the generation of an item.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -30,6 +30,7 @@
 use crate::decision::batch::RetainedTexts;
 use crate::decision::batch::RunId;
 use crate::decision::directory::Directory;
+use crate::decision::directory::TargetNeeds;
 use crate::decision::gateway::duties::duty::Duty;
 use crate::decision::gateway::duties::usage::Reports;
 use crate::decision::gateway::jobs::Job;
@@ -52,6 +53,7 @@
 use crate::decision::gateway::stored::Kind;
 use crate::decision::gateway::stored::Purpose;
 use crate::decision::gateway::stored::StoreCall;
+use crate::decision::places::Places;
 use crate::decision::tally::Tally;
 use crate::decision::weights::Weights;
 use crate::domain::event::Event;
@@ -122,7 +124,7 @@
         let window = settings.usage_window.unwrap_or(Duration::from_secs(5));
         let mut gateway = Self {
             table: None,
-            directory: Directory::default(),
+            directory: Directory::with_places(known_places(&settings)),
             jobs: BTreeMap::new(),
             runs: HashMap::new(),
             submissions: BTreeMap::new(),
@@ -211,6 +213,7 @@
         for name in self.directory.expire(now, self.watch_start) {
             self.log(Event::TargetLost, vec![("target", name.to_string())]);
         }
+        self.tick_evacuations();
         self.send_retries();
         self.tick_duty();
         self.tick_jobs();
@@ -259,12 +262,25 @@
                 request,
                 tried,
                 software,
-            } => self.choose_plain_target(call, &pool, request.as_ref(), tried, software),
+                homes,
+            } => {
+                let need = TargetNeeds {
+                    excluded: tried,
+                    software,
+                    homes,
+                    seed: self.settings.seed,
+                    ..TargetNeeds::default()
+                };
+                self.choose_plain_target(call, &pool, request.as_ref(), need);
+            }
             Question::FindStream { pool, begun } => self.find_stream(call, pool, &begun),
             Question::RecordStream { pool, id, software } => {
                 self.record_stream(call, &pool, id, software);
             }
-            Question::ChooseRunner { id, route } => self.choose_runner(call, &id, &route),
+            Question::ChooseRunner { id, route, homes } => {
+                let homes = self.directory.places.binding(homes);
+                self.choose_runner(call, &id, &route, homes.as_ref());
+            }
             Question::Submit {
                 id,
                 workspace,
@@ -335,7 +351,10 @@
     }
 
     fn call_store(&mut self, purpose: Purpose, call: StoreCall) {
-        self.effects.push(Effect::Store(purpose, call));
+        self.effects.push(match self.body_homes(&purpose) {
+            Some(homes) => Effect::StoreWithin(purpose, call, homes),
+            None => Effect::Store(purpose, call),
+        });
     }
 
     /// Schedules a failed call to the object API to be repeated.
@@ -359,3 +378,11 @@
         self.effects.push(Effect::Log(event, fields));
     }
 }
+
+/// Returns what is known of data centres at the start of a process.
+fn known_places(settings: &GatewaySettings) -> Places {
+    match settings.places {
+        true => Places::awaiting(settings.regions.clone()),
+        false => Places::default(),
+    }
+}
--- a/crates/core/src/decision/gateway/requests/plain.rs
+++ b/crates/core/src/decision/gateway/requests/plain.rs
@@ -8,8 +8,6 @@
 use crate::decision::quarantine::Verdict;
 use crate::domain::name::Fingerprint;
 use crate::domain::name::PoolName;
-use crate::domain::name::SoftwareVersion;
-use crate::domain::name::TargetName;
 
 impl Gateway {
     /// Replies with the target of a plain request, unless the request is quarantined.
@@ -18,8 +16,7 @@
         call: CallId,
         pool: &PoolName,
         request: Option<&Fingerprint>,
-        tried: Vec<TargetName>,
-        software: Option<SoftwareVersion>,
+        need: TargetNeeds,
     ) {
         let quarantine = &self.suspects.quarantine;
         let verdict = request.map_or(Verdict::Sound, |r| quarantine.verdict(self.now, r));
@@ -28,11 +25,8 @@
             return;
         }
         let apart = TargetNeeds {
-            excluded: tried,
-            software,
             suspect: verdict == Verdict::Suspect,
-            seed: self.settings.seed,
-            ..TargetNeeds::default()
+            ..need
         };
         let untried = TargetNeeds {
             sharing: Sharing::Any,
@@ -54,7 +48,10 @@
         let reply = match choice {
             Some(choice) => Reply::Target(choice),
             None if self.needs_permit(pool, &paused) => Reply::LimitsReached,
-            None => Reply::NoTarget,
+            None => match self.directory.closure(pool, &paused) {
+                Some(closure) => Reply::Closed(closure),
+                None => Reply::NoTarget,
+            },
         };
         self.reply(call, reply);
     }
--- a/crates/core/src/decision/gateway/settings.rs
+++ b/crates/core/src/decision/gateway/settings.rs
@@ -1,10 +1,12 @@
 //! Identity and settings of a gateway process.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::decision::lease::Terms;
 use crate::domain::fleet::Peer;
 use crate::domain::name::CentreName;
+use crate::domain::name::RegionName;
 
 /// Identity and settings of a gateway process.
 #[derive(Clone, Debug)]
@@ -13,6 +15,12 @@
     pub peer: Peer,
     /// Data centre of this process. Targets in it are preferred.
     pub centre: CentreName,
+    /// Region of this process.
+    pub region: RegionName,
+    /// Region of each data centre.
+    pub regions: BTreeMap<CentreName, RegionName>,
+    /// Whether the deployment has evacuations and homes.
+    pub places: bool,
     /// Wall-clock time at `Time(0)`, in milliseconds since the Unix epoch.
     pub epoch: u64,
     /// Durations of the duty lease.
--- a/crates/core/src/decision/gateway/stored.rs
+++ b/crates/core/src/decision/gateway/stored.rs
@@ -18,6 +18,7 @@
 use crate::domain::ids::WeightVersion;
 use crate::domain::limit::RequestLimit;
 use crate::domain::name::BatchId;
+use crate::domain::name::CentreName;
 use crate::domain::name::HostName;
 use crate::domain::name::ModelName;
 use crate::domain::name::PoolName;
@@ -100,6 +101,8 @@
     Versions,
     /// Requests to empty store hosts, written by operators.
     Retirements,
+    /// Evacuations of data centres, written by operators.
+    Evacuations,
     /// Leases of duties.
     Leases,
     /// Heads of batch jobs.
@@ -226,4 +229,8 @@
     Crash(StoredCrash),
     /// Crash that no longer counts.
     CrashGone(Crash),
+    /// Data centre that is evacuated.
+    Evacuation(CentreName),
+    /// Data centre whose evacuation was taken back.
+    EvacuationGone(CentreName),
 }
--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -16,6 +16,7 @@
 pub mod member;
 pub mod order;
 pub mod permit;
+pub mod places;
 pub mod prefix;
 pub mod process;
 pub mod quarantine;
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -178,6 +178,14 @@
     OrderEnded = (622, Info, "order_ended", "an order to a target completed or failed"),
     /// A usage report completed or failed. Fields: `window`, `requests`, `missing`, `end`.
     UsageReported = (623, Info, "usage_reported", "a usage report completed or failed"),
+    /// A data centre is evacuated. Fields: `centre`, `targets`, `running`.
+    EvacuationBegun = (624, Info, "evacuation_begun", "a data centre is evacuated, so its targets get nothing more"),
+    /// An evacuation ended. Fields: `centre`, `reason`.
+    EvacuationEnded = (625, Info, "evacuation_ended", "the evacuation of a data centre ended"),
+    /// A data centre is evacuated that the settings do not name. Fields: `centre`, `targets`, `running`.
+    EvacuationUnknown = (626, Warn, "evacuation_unknown", "a data centre is evacuated that the settings do not name"),
+    /// The homes of a route or workspace name no known region. Fields: `route` or `workspace`, `homes`.
+    HomesUnknown = (627, Warn, "homes_unknown", "the homes of a route or workspace name no known region, so its requests are refused"),
     /// A batch job was accepted. Fields: `batch`, `items`, `least`, `revision`.
     BatchAccepted = (630, Info, "batch_accepted", "a batch job is accepted"),
     /// A batch job was not accepted. Fields: `batch`, `unsure`, `error`.
--- a/crates/core/src/domain/fleet.rs
+++ b/crates/core/src/domain/fleet.rs
@@ -11,6 +11,7 @@
 use crate::domain::name::HostName;
 use crate::domain::name::ModelName;
 use crate::domain::name::PoolName;
+use crate::domain::name::RegionName;
 use crate::domain::name::SoftwareVersion;
 use crate::domain::name::TargetName;
 
@@ -50,6 +51,9 @@
     #[serde(default)]
     #[serde(rename = "power")]
     pub cpu_percent: u32,
+    /// Region of the host, or `None` if not stated.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub region: Option<RegionName>,
 }
 
 impl TargetEntry {
--- a/crates/core/src/domain/mod.rs
+++ b/crates/core/src/domain/mod.rs
@@ -15,6 +15,7 @@
 pub mod limit;
 pub mod name;
 pub mod order;
+pub mod place;
 pub mod table;
 pub mod target;
 pub mod time;
--- a/crates/core/src/domain/name.rs
+++ b/crates/core/src/domain/name.rs
@@ -93,6 +93,10 @@
     /// Name of a data centre.
     CentreName
 );
+name_type!(
+    /// Name of a region, which has one or more data centres.
+    RegionName
+);
 name_type!(
     /// Name of a model that engines serve.
     ModelName
--- a/crates/core/src/domain/table.rs
+++ b/crates/core/src/domain/table.rs
@@ -9,6 +9,7 @@
 use crate::domain::name::PoolName;
 use crate::domain::name::RouteName;
 use crate::domain::name::WorkspaceName;
+use crate::domain::place::Homes;
 
 /// One version of the configuration. It does not change once it is in force.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -21,6 +22,8 @@
     pub keys: HashMap<KeyDigest, WorkspaceName>,
     /// Ranks of workspaces, which take precedence over those of routes.
     pub workspace_ranks: BTreeMap<WorkspaceName, u32>,
+    /// Regions that may serve the requests of workspaces. Workspaces without any are absent.
+    pub workspace_homes: BTreeMap<WorkspaceName, Homes>,
     /// True if requests need a key, except on open routes.
     pub needs_key: bool,
     /// Limits for requests and connections of callers.
@@ -50,6 +53,8 @@
     pub open: bool,
     /// Rank of the requests. 0 is the most urgent.
     pub rank: u32,
+    /// Regions that may serve the requests, or `None` if all may.
+    pub homes: Option<Homes>,
 }
 
 /// Kind of the requests of a route.
@@ -147,6 +152,16 @@
         own.copied().unwrap_or(route.rank)
     }
 
+    /// Returns the regions that may serve a request of a workspace on a route, or `None` if all may.
+    /// Where both have homes, both bind.
+    pub fn homes(&self, route: &Route, workspace: Option<&WorkspaceName>) -> Option<Homes> {
+        let own = workspace.and_then(|workspace| self.workspace_homes.get(workspace));
+        match (&route.homes, own) {
+            (Some(route), Some(own)) => Some(route.intersection(own)),
+            (one, other) => one.as_ref().or(other).cloned(),
+        }
+    }
+
     /// Sorts the routes of each host so that the longest prefix comes first.
     pub fn sort(&mut self) {
         for routes in self.hosts.values_mut() {
--- a/crates/core/tests/gateway_crashes.rs
+++ b/crates/core/tests/gateway_crashes.rs
@@ -42,6 +42,7 @@
         request: Some(fingerprint(request)),
         tried: Vec::new(),
         software: None,
+        homes: None,
     };
     let call = sim.ask(gateway, question);
     sim.run(100);
--- a/crates/core/tests/gateway_logs.rs
+++ b/crates/core/tests/gateway_logs.rs
@@ -1,6 +1,7 @@
 //! Log lines about targets at gateways, of which each should tell of a change that matters there.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -29,8 +30,12 @@
             address: SocketAddr::from(([10, 0, 0, 1], 1)),
             incarnation: Incarnation(1),
             cpu_percent: 50,
+            region: None,
         },
         centre: "c".into(),
+        region: "r".into(),
+        regions: BTreeMap::new(),
+        places: false,
         epoch: 0,
         lease: Terms::default(),
         fence_checked: true,
@@ -59,6 +64,9 @@
         pool: "engines".into(),
         address: SocketAddr::from(([10, 0, 0, 9], 1)),
         centre: "c".into(),
+        region: "r".into(),
+        regions: BTreeMap::new(),
+        places: false,
         slots: 8,
         leaving,
         models: vec![("m".into(), WeightVersion(version))],
--- a/crates/core/tests/gateway_support/crashing.rs
+++ b/crates/core/tests/gateway_support/crashing.rs
@@ -109,6 +109,7 @@
             request: Some(fingerprint("crashing")),
             tried: tried.clone(),
             software: None,
+            homes: None,
         };
         let call = self.ask(gateway, question);
         self.crashing.attempts.push(Attempt {
--- a/crates/core/tests/gateway_support/effects.rs
+++ b/crates/core/tests/gateway_support/effects.rs
@@ -54,6 +54,11 @@
                     let answer = self.call_store(index, call);
                     self.send(index, STORE_LATENCY_MS, Message::Stored(purpose, answer));
                 }
+                Effect::StoreWithin(purpose, call, homes) => {
+                    self.relayed.push((index, homes));
+                    let answer = self.call_store(index, call);
+                    self.send(index, STORE_LATENCY_MS, Message::Stored(purpose, answer));
+                }
                 Effect::Decode(id, source) => {
                     self.decodes += 1;
                     let decoded = (!self.undecodable).then(|| batch(source.parse().unwrap()));
--- a/crates/core/tests/gateway_support/fixtures.rs
+++ b/crates/core/tests/gateway_support/fixtures.rs
@@ -57,6 +57,7 @@
         attempts: Some(3),
         open: false,
         rank: 0,
+        homes: None,
     })
 }
 
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -6,10 +6,12 @@
 mod effects;
 mod fixtures;
 mod leaving;
+mod places;
 mod store;
 mod traffic;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,7 +37,9 @@
 use sardinepath_core::domain::name::BatchId;
 use sardinepath_core::domain::name::CentreName;
 use sardinepath_core::domain::name::ItemId;
+use sardinepath_core::domain::name::RegionName;
 use sardinepath_core::domain::name::TargetName;
+use sardinepath_core::domain::place::Homes;
 use sardinepath_core::domain::table::RouteTable;
 use sardinepath_core::domain::time::Time;
 
@@ -54,6 +58,9 @@
 pub use crate::gateway_support::fixtures::workspace;
 pub use crate::gateway_support::leaving::DRAIN_MS;
 use crate::gateway_support::leaving::Leaving;
+pub use crate::gateway_support::places::AWAY;
+pub use crate::gateway_support::places::HOME;
+use crate::gateway_support::places::regions;
 pub use crate::gateway_support::store::StoreFault;
 pub use crate::gateway_support::traffic::GENERATION_EVENTS;
 use crate::gateway_support::traffic::PermitCall;
@@ -90,6 +97,8 @@
     pub watch_lag: u64,
     /// CPU allowance of the host, in percent of a core.
     power: u32,
+    /// Region of the host.
+    region: RegionName,
     /// Configuration that the gateway gets when it starts, or `None` if it gets none.
     pub table: Option<Arc<RouteTable>>,
     /// Source from which the gateway receives watched objects.
@@ -124,6 +133,14 @@
     pub report_times: Vec<(usize, u64, u64)>,
     /// Whether the platform and the targets check fencing tokens.
     pub fence_checked: bool,
+    /// Whether the deployment has evacuations and homes.
+    places: bool,
+    /// Data centres that are evacuated, in the store.
+    evacuated: BTreeSet<CentreName>,
+    /// Target and time of each order to load weights.
+    pub loads: Vec<(TargetName, u64)>,
+    /// Gateway and address of each process to which a submission may be relayed within regions.
+    pub relayed: Vec<(usize, Homes)>,
     /// Request limits that the targets state, in requests a second.
     pub limits: BTreeMap<TargetName, f64>,
     /// Arrival time of each request at a target.
@@ -177,6 +194,7 @@
             cut: false,
             watch_lag: 0,
             power: *power,
+            region: RegionName::from(HOME),
             table: Some(table()),
             source: Source::Store,
             incarnation: 0,
@@ -199,6 +217,10 @@
             orders: Vec::new(),
             report_times: Vec::new(),
             fence_checked: true,
+            places: false,
+            evacuated: BTreeSet::new(),
+            loads: Vec::new(),
+            relayed: Vec::new(),
             limits: BTreeMap::new(),
             arrivals: Vec::new(),
             senders: Vec::new(),
@@ -218,13 +240,18 @@
             decodes: 0,
             failing_scores: false,
         };
-        for index in 0..powers.len() {
-            sim.start(index);
-        }
-        sim.run(1_000);
+        sim.start_all();
         sim
     }
 
+    /// Starts all gateways, also those that run.
+    fn start_all(&mut self) {
+        for index in 0..self.nodes.len() {
+            self.start(index);
+        }
+        self.run(1_000);
+    }
+
     /// Starts or restarts a process.
     pub fn start(&mut self, index: usize) {
         let incarnation = self.nodes[index].incarnation + 1;
@@ -234,8 +261,12 @@
                 address: address(index),
                 incarnation: Incarnation(u64::try_from(index).unwrap() * 1_000 + incarnation),
                 cpu_percent: self.nodes[index].power,
+                region: self.places.then(|| self.nodes[index].region.clone()),
             },
             centre: CentreName::from("c"),
+            region: self.nodes[index].region.clone(),
+            regions: regions(),
+            places: self.places,
             epoch: EPOCH_MS,
             lease: Terms {
                 length: Duration::from_secs(3),
@@ -282,6 +313,7 @@
         ] {
             self.send(index, STORE_LATENCY_MS, message);
         }
+        self.list_evacuations(index);
     }
 
     /// Sends a version of the configuration to a gateway.
@@ -312,7 +344,8 @@
     pub fn place(&mut self, index: usize) -> usize {
         let question = Question::ChooseRunner {
             id: BatchId::from("new"),
-            route: route().name.clone(),
+            route: route(),
+            homes: None,
         };
         let call = self.ask(index, question);
         self.run(2 * STEP_MS);
--- /dev/null
+++ b/crates/core/tests/gateway_support/places.rs
@@ -0,0 +1,114 @@
+//! Data centres and regions of the simulation.
+
+use std::collections::BTreeMap;
+
+use sardinepath_core::decision::gateway::message::Message;
+use sardinepath_core::decision::gateway::stored::Kind;
+use sardinepath_core::decision::gateway::stored::WatchedObject;
+use sardinepath_core::domain::name::CentreName;
+use sardinepath_core::domain::name::RegionName;
+use sardinepath_core::domain::name::TargetName;
+
+use crate::gateway_support::STORE_LATENCY_MS;
+use crate::gateway_support::Simulation;
+use crate::gateway_support::StoreFault;
+
+/// Region of the data centres `c`, `c1` and `c2`, and of all gateways unless a test moves them.
+pub const HOME: &str = "home";
+
+/// Region of the data centre `far`.
+pub const AWAY: &str = "away";
+
+/// Returns the region of each data centre.
+pub(super) fn regions() -> BTreeMap<CentreName, RegionName> {
+    let places = [("c", HOME), ("c1", HOME), ("c2", HOME), ("far", AWAY)];
+    places
+        .into_iter()
+        .map(|(centre, region)| (centre.into(), region.into()))
+        .collect()
+}
+
+impl Simulation {
+    /// Starts gateways in these regions in a deployment with evacuations and homes. The four targets lie
+    /// in the data centres in turn.
+    pub fn with_places(gateways: &[&str], centres: &[&str]) -> Self {
+        let mut sim = Self::new(gateways.len());
+        sim.places = true;
+        for (index, region) in gateways.iter().enumerate() {
+            sim.nodes[index].region = RegionName::from(*region);
+        }
+        for (index, target) in sim.targets.iter_mut().enumerate() {
+            target.centre = CentreName::from(centres[index % centres.len()]);
+        }
+        sim.start_all();
+        sim.arrivals.clear();
+        sim
+    }
+
+    /// Stores the evacuation of a data centre. Gateways learn of it as of other objects.
+    pub fn evacuate(&mut self, centre: &str) {
+        let centre = CentreName::from(centre);
+        self.evacuated.insert(centre.clone());
+        self.notify(&WatchedObject::Evacuation(centre));
+    }
+
+    /// Removes the evacuation of a data centre from the store.
+    pub fn take_back(&mut self, centre: &str) {
+        let centre = CentreName::from(centre);
+        self.evacuated.remove(&centre);
+        self.notify(&WatchedObject::EvacuationGone(centre));
+    }
+
+    /// Sends all evacuations to a gateway.
+    pub fn list_evacuations(&mut self, index: usize) {
+        if !self.places {
+            return;
+        }
+        let listed = self.evacuated.iter().cloned();
+        let listed = listed.map(WatchedObject::Evacuation).collect();
+        let listing = Message::Listing(Kind::Evacuations, listed);
+        self.send(index, STORE_LATENCY_MS, listing);
+    }
+
+    /// Returns the requests that reached targets of a data centre after a time, each with the time and
+    /// the target.
+    pub fn arrivals_in(&self, centre: &str, since: u64) -> Vec<(u64, TargetName)> {
+        let inside = |name: &TargetName| {
+            let mut targets = self.targets.iter();
+            targets.any(|t| t.name == *name && t.centre.as_str() == centre)
+        };
+        let arrivals = self.arrivals.iter();
+        arrivals
+            .filter(|(at, name)| *at > since && inside(name))
+            .cloned()
+            .collect()
+    }
+
+    /// Returns the number of orders that targets of a data centre got after a time.
+    pub fn loads_in(&self, centre: &str, since: u64) -> usize {
+        let inside = |name: &TargetName| {
+            let mut targets = self.targets.iter();
+            targets.any(|t| t.name == *name && t.centre.as_str() == centre)
+        };
+        let loads = self.loads.iter();
+        loads
+            .filter(|(name, at)| *at > since && inside(name))
+            .count()
+    }
+
+    /// Starts a process that does not get a listing of the evacuations.
+    pub fn start_unlisted(&mut self, index: usize) {
+        self.start(index);
+        let inbox = &mut self.nodes[index].inbox;
+        inbox.retain(|(_, message)| !matches!(message, Message::Listing(Kind::Evacuations, _)));
+    }
+
+    fn notify(&mut self, view: &WatchedObject) {
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].fault != StoreFault::Unavailable {
+                let delay = STORE_LATENCY_MS + self.nodes[index].watch_lag;
+                self.send(index, delay, Message::Changed(view.clone()));
+            }
+        }
+    }
+}
--- a/crates/core/tests/gateway_support/traffic.rs
+++ b/crates/core/tests/gateway_support/traffic.rs
@@ -111,6 +111,7 @@
             request: None,
             tried: Vec::new(),
             software: None,
+            homes: None,
         };
         let call = self.ask(index, question);
         self.nodes[index].plain_calls.push((call, tries));
--- a/crates/node/tests/gateway_control.rs
+++ b/crates/node/tests/gateway_control.rs
@@ -1,6 +1,7 @@
 //! Panics while the control thread of a gateway handles messages.
 #![allow(clippy::unwrap_used, missing_docs)]
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
@@ -55,8 +56,12 @@
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             incarnation: Incarnation(1),
             cpu_percent: 50,
+            region: None,
         },
         centre: "c".into(),
+        region: "r".into(),
+        regions: BTreeMap::new(),
+        places: false,
         epoch: 0,
         lease: Terms::default(),
         fence_checked: true,
