Keep the bound on requests to cold targets over all gateways

Cause: no code read the cold times of entries or the cold rates of the configuration, so that a job's items reached a target at several times the rate that a cold one tolerates. Change: decision/opening holds the start of each target as a typestate and counts this gateway's requests in a sliding window. The bound is divided over the gateways by a hash order and by the runners of jobs; no messages are sent. The adapter reads coldRemainingMs, coldStartS, coldPerS, coldOverage and coldSlack; a cold time that cannot be read is logged and counts as the longest one.

--- a/crates/core/src/decision/directory/choice.rs
+++ b/crates/core/src/decision/directory/choice.rs
@@ -73,8 +73,10 @@
     pub started_at: u64,
     /// Time until which the request may be sent. Later the target has to be chosen again.
     pub valid_until: Time,
-    /// True if the target limits its requests, so that the choice covers a single request.
+    /// True if the target limits its requests.
     pub limited: bool,
+    /// True if the requests to the target are counted, so that the choice covers a single one.
+    pub single: bool,
 }
 
 impl Choice {
--- a/crates/core/src/decision/directory/mod.rs
+++ b/crates/core/src/decision/directory/mod.rs
@@ -24,6 +24,8 @@
 pub use crate::decision::directory::pace::ToldPace;
 use crate::decision::directory::target::ERROR_THRESHOLD;
 use crate::decision::directory::target::Target;
+use crate::decision::opening::COUNTED_VALIDITY;
+use crate::decision::opening::Starts;
 use crate::domain::crash::Crash;
 use crate::domain::fleet::TargetEntry;
 use crate::domain::leave::LeaveStatement;
@@ -60,6 +62,8 @@
     references: BTreeMap<PoolName, Option<f64>>,
     /// Request limits that targets stated.
     pub limits: Limits,
+    /// Starts of targets, and the requests that they may get.
+    pub starts: Starts,
     /// Targets that said that they are leaving.
     leaves: Leaves,
 }
@@ -114,6 +118,14 @@
         }
     }
 
+    /// Marks all targets of a data centre as possibly cold, which they may be after an evacuation.
+    pub fn reopen(&mut self, now: Time, centre: &CentreName) {
+        let targets = self.targets.values();
+        for target in targets.filter(|target| target.entry.centre == *centre) {
+            self.starts.doubt(now, &target.entry.name);
+        }
+    }
+
     /// Returns the statements of leaving targets of which other processes should be told.
     pub fn recent_leaves(&self, now: Time) -> Vec<LeaveStatement> {
         self.leaves.recent(now)
@@ -159,6 +171,7 @@
         let targets = &self.targets;
         self.leaves
             .drop_gone(now, |name| targets.contains_key(name));
+        self.starts.expire(now, |name| targets.contains_key(name));
         gone
     }
 
@@ -203,9 +216,11 @@
         centre: &CentreName,
     ) -> Option<Choice> {
         let reference = self.reference_pace(pool);
-        let limits = &self.limits;
+        let (limits, starts) = (&self.limits, &self.starts);
         let fits = |t: &&Target| {
-            t.fits(now, pool, need) && limits.may_send(now, &t.entry, need.deferrable)
+            t.fits(now, pool, need)
+                && limits.may_send(now, &t.entry, need.deferrable)
+                && starts.may_send(now, &t.entry.name)
         };
         let cost = |t: &Target| t.cost(reference, need, centre) + limits.cost(now, &t.entry);
         let cost = |t| (cost(t), t);
@@ -218,13 +233,19 @@
             target.isolated_until = now + ISOLATION_TIME;
         }
         let limited = self.limits.use_permit(&target.entry, need.deferrable);
+        let counted = self.starts.record_send(now, &name);
         Some(Choice {
             name,
             address: target.entry.address,
             software: target.entry.software.clone(),
             started_at: target.entry.started_at,
-            valid_until: now + CHOICE_VALIDITY,
+            valid_until: now
+                + match counted {
+                    true => COUNTED_VALIDITY,
+                    false => CHOICE_VALIDITY,
+                },
             limited,
+            single: limited || counted,
         })
     }
 
@@ -241,7 +262,9 @@
         let targets = self.targets.values();
         let mut fitting: Vec<_> = targets
             .filter(|t| {
-                self.limits.needs_permit(now, &t.entry, need.deferrable) && t.fits(now, pool, need)
+                self.limits.needs_permit(now, &t.entry, need.deferrable)
+                    && t.fits(now, pool, need)
+                    && self.starts.may_send(now, &t.entry.name)
             })
             .map(|t| (t.cost(reference, need, centre), t.entry.name.clone()))
             .collect();
@@ -264,6 +287,7 @@
             .filter_map(|name| self.targets.get(name));
         let found = targets.find(|t| {
             limits.needs_refresh(now, &t.entry)
+                && self.starts.may_send(now, &t.entry.name)
                 && limits.needs_permit(now, &t.entry, need.deferrable)
                 && t.fits(now, pool, need)
         });
@@ -291,7 +315,11 @@
                 }
             }
             CallEnd::Refused => target.paused_until = target.paused_until.max(now + REFUSAL_PAUSE),
-            CallEnd::Failed | CallEnd::Misdirected => target.pause_after_failure(now),
+            CallEnd::Failed => target.pause_after_failure(now),
+            CallEnd::Misdirected => {
+                target.pause_after_failure(now);
+                self.starts.retract_send(name);
+            }
             CallEnd::Cancelled => {}
         }
     }
--- a/crates/core/src/decision/directory/speed.rs
+++ b/crates/core/src/decision/directory/speed.rs
@@ -78,10 +78,11 @@
         };
         let reference = self.reference_pace(&slow.pool);
         let mut targets = self.targets.values();
-        let limits = &self.limits;
+        let (limits, starts) = (&self.limits, &self.starts);
         targets.any(|t| {
             t.fits(now, &slow.pool, &need)
                 && limits.may_send(now, &t.entry, true)
+                && starts.may_send(now, &t.entry.name)
                 && !t.is_slow(reference)
         })
     }
--- a/crates/core/src/decision/gateway/duties/duty.rs
+++ b/crates/core/src/decision/gateway/duties/duty.rs
@@ -38,6 +38,9 @@
 use crate::port::object::Precondition;
 
 /// Name of the duty and its lease object.
+/// Number of requests with which a target is ordered to load a version: the report is read before.
+const ORDER_REQUESTS: usize = 2;
+
 const DUTY_NAME: &str = "fleet";
 
 /// Minimum remaining lease time for sending an order or report, so that it arrives in time.
@@ -276,6 +279,9 @@
                     ("fence", permit.fence.0.to_string()),
                 ],
             );
+            for _ in 0..ORDER_REQUESTS {
+                self.directory.starts.record_send(self.now, &load.target);
+            }
             self.effects.push(Effect::OrderLoad(load, address, permit));
         }
     }
--- a/crates/core/src/decision/gateway/membership/mod.rs
+++ b/crates/core/src/decision/gateway/membership/mod.rs
@@ -3,5 +3,6 @@
 pub(super) mod health;
 pub(super) mod peers;
 pub(super) mod source;
+pub(super) mod starts;
 pub(super) mod watched;
 pub(super) mod witness;
--- a/crates/core/src/decision/gateway/membership/watched.rs
+++ b/crates/core/src/decision/gateway/membership/watched.rs
@@ -83,7 +83,10 @@
                     self.tick_weights();
                 }
             }
-            WatchedObject::Head(id, revision, head) => self.apply_head(&id, revision, head),
+            WatchedObject::Head(id, revision, head) => {
+                self.apply_head(&id, revision, head);
+                self.update_users();
+            }
             WatchedObject::HeadGone(id) => self.drop_job(&id),
             WatchedObject::Peer(peer) => self.insert_peer(peer),
             WatchedObject::PeerGone(host) => self.remove_peer(&host),
@@ -107,6 +110,9 @@
             }
         }
         let unsettled = self.is_unsettled();
+        for entry in &listed {
+            self.target_started(entry);
+        }
         self.directory.replace(self.now, listed, unsettled);
         for name in unreadable {
             self.remove_target(&name, false);
@@ -139,6 +145,7 @@
             ];
             self.log(Event::TargetSeen, fields);
         }
+        self.target_started(&listed);
         self.directory.insert(listed);
         self.tick_weights();
     }
@@ -157,6 +164,7 @@
         );
         let before = self.table.replace(table.clone());
         self.effects.push(Effect::Publish(table));
+        self.apply_pools();
         self.apply_routes(before.as_deref());
         self.dispatch();
     }
@@ -226,6 +234,8 @@
         };
         let same_versions = TargetEntry {
             models: known.models.clone(),
+            // The start of a target has log events of its own.
+            cold: known.cold,
             ..listed.clone()
         };
         if same_versions != *known {
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -52,6 +52,7 @@
 use crate::decision::gateway::stored::Kind;
 use crate::decision::gateway::stored::Purpose;
 use crate::decision::gateway::stored::StoreCall;
+use crate::decision::opening::Starts;
 use crate::decision::tally::Tally;
 use crate::decision::weights::Weights;
 use crate::domain::event::Event;
@@ -120,9 +121,12 @@
     /// Creates a gateway that knows no objects yet. Its first effect announces the process.
     pub fn new(settings: GatewaySettings, now: Time) -> Self {
         let window = settings.usage_window.unwrap_or(Duration::from_secs(5));
+        let host = settings.peer.host.clone();
+        let mut directory = Directory::default();
+        directory.starts = Starts::new(now, host, settings.cold_tolerance);
         let mut gateway = Self {
             table: None,
-            directory: Directory::default(),
+            directory,
             jobs: BTreeMap::new(),
             runs: HashMap::new(),
             submissions: BTreeMap::new(),
@@ -211,6 +215,7 @@
         for name in self.directory.expire(now, self.watch_start) {
             self.log(Event::TargetLost, vec![("target", name.to_string())]);
         }
+        self.tick_starts();
         self.send_retries();
         self.tick_duty();
         self.tick_jobs();
--- a/crates/core/src/decision/gateway/settings.rs
+++ b/crates/core/src/decision/gateway/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::decision::lease::Terms;
+use crate::domain::cold::ColdTolerance;
 use crate::domain::fleet::Peer;
 use crate::domain::name::CentreName;
 
@@ -25,6 +26,10 @@
     pub job_retention: Duration,
     /// Time after the end of a usage window within which it must be reported.
     pub report_deadline: Duration,
+    /// Number of requests that a cold target may get above the rate that it tolerates.
+    pub cold_tolerance: ColdTolerance,
+    /// Whether targets that have started or recovered are opened by how they answer.
+    pub paces: bool,
     /// Seed of the random numbers that distribute requests.
     pub seed: u64,
 }
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -178,6 +178,14 @@
     OrderEnded = (622, Info, "order_ended", "an order to a target completed or failed"),
     /// A usage report completed or failed. Fields: `window`, `requests`, `missing`, `end`.
     UsageReported = (623, Info, "usage_reported", "a usage report completed or failed"),
+    /// A target is cold. Fields: `target`, `before`, `cold_ms`, `entry_age_ms`, `share`, `runners`.
+    TargetCold = (624, Info, "target_cold", "a target is cold and gets the requests that it tolerates"),
+    /// A target may be cold although its entry does not say so. Fields: those of `target_cold`.
+    TargetDoubted = (625, Info, "target_doubted", "a target may be cold and gets the requests that a cold one tolerates"),
+    /// A target is no longer cold. Fields: those of `target_cold`.
+    TargetOpen = (626, Info, "target_open", "a target is no longer cold"),
+    /// The entry of a target states a cold time that cannot be read. Fields: `target`.
+    ColdTimeUnreadable = (627, Warn, "cold_time_unreadable", "the cold time of a target cannot be read and counts as the longest one of its pool"),
     /// A batch job was accepted. Fields: `batch`, `items`, `least`, `revision`.
     BatchAccepted = (630, Info, "batch_accepted", "a batch job is accepted"),
     /// A batch job was not accepted. Fields: `batch`, `unsure`, `error`.
--- a/crates/core/src/domain/fleet.rs
+++ b/crates/core/src/domain/fleet.rs
@@ -1,6 +1,7 @@
 //! Targets and processes of the system, as they register in the object API.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -14,6 +15,9 @@
 use crate::domain::name::SoftwareVersion;
 use crate::domain::name::TargetName;
 
+/// Cold time of a target whose entry states one that cannot be read.
+pub const UNREADABLE_COLD_TIME: Duration = Duration::MAX;
+
 /// A running target, as its entry in the object API describes it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetEntry {
@@ -35,6 +39,8 @@
     pub software: SoftwareVersion,
     /// Start of this run in milliseconds since the Unix epoch, or 0 if not stated.
     pub started_at: u64,
+    /// Time for which the target stays cold, counted from its entry, or `UNREADABLE_COLD_TIME`.
+    pub cold: Duration,
 }
 
 /// A gateway process, registered as an object of its own.
--- a/crates/core/src/domain/mod.rs
+++ b/crates/core/src/domain/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod batch;
 pub mod call;
+pub mod cold;
 pub mod crash;
 pub mod declare;
 pub mod error;
--- a/crates/core/src/domain/table.rs
+++ b/crates/core/src/domain/table.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::domain::cold::PoolSettings;
 use crate::domain::key::KeyDigest;
 use crate::domain::name::PoolName;
 use crate::domain::name::RouteName;
@@ -25,6 +26,8 @@
     pub needs_key: bool,
     /// Limits for requests and connections of callers.
     pub limits: CallerLimits,
+    /// Settings of the pools.
+    pub pools: BTreeMap<PoolName, PoolSettings>,
 }
 
 /// A route from a host and path prefix to pools.
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, missing_docs)]
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use sardinepath_core::decision::directory::CallEnd;
 use sardinepath_core::decision::directory::Directory;
@@ -27,6 +28,7 @@
         models: vec![(ModelName::from("m"), WeightVersion(version))],
         software: SoftwareVersion::from("v1"),
         started_at: 1,
+        cold: Duration::ZERO,
     }
 }
 
--- a/crates/core/tests/gateway_logs.rs
+++ b/crates/core/tests/gateway_logs.rs
@@ -12,6 +12,7 @@
 use sardinepath_core::decision::gateway::stored::Purpose;
 use sardinepath_core::decision::gateway::stored::WatchedObject;
 use sardinepath_core::decision::lease::Terms;
+use sardinepath_core::domain::cold::ColdTolerance;
 use sardinepath_core::domain::event::Event;
 use sardinepath_core::domain::fleet::Peer;
 use sardinepath_core::domain::fleet::TargetEntry;
@@ -37,6 +38,8 @@
         usage_window: None,
         job_retention: Duration::from_secs(60),
         report_deadline: Duration::from_secs(10),
+        cold_tolerance: ColdTolerance::default(),
+        paces: false,
         seed: 1,
     };
     Gateway::new(settings, NOW)
@@ -64,6 +67,7 @@
         models: vec![("m".into(), WeightVersion(version))],
         software: "v1".into(),
         started_at: 1,
+        cold: Duration::ZERO,
     }
 }
 
--- a/crates/core/tests/gateway_support/fixtures.rs
+++ b/crates/core/tests/gateway_support/fixtures.rs
@@ -128,5 +128,6 @@
         models: vec![(ModelName::from("m"), WeightVersion(1))],
         software: SoftwareVersion::from("v1"),
         started_at: 1,
+        cold: Duration::ZERO,
     }
 }
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -29,6 +29,7 @@
 use sardinepath_core::decision::lease::Terms;
 use sardinepath_core::decision::tally::Counts;
 use sardinepath_core::domain::batch::Outcome;
+use sardinepath_core::domain::cold::ColdTolerance;
 use sardinepath_core::domain::fleet::Peer;
 use sardinepath_core::domain::fleet::TargetEntry;
 use sardinepath_core::domain::ids::Incarnation;
@@ -247,6 +248,11 @@
             fence_checked: self.fence_checked,
             usage_window: Some(Duration::from_secs(5)),
             report_deadline: Duration::from_secs(10),
+            cold_tolerance: ColdTolerance {
+                overage: 1.5,
+                slack: 5.0,
+            },
+            paces: false,
             seed: incarnation + 77 * u64::try_from(index).unwrap(),
         };
         let node = &mut self.nodes[index];
--- a/crates/node/tests/gateway_control.rs
+++ b/crates/node/tests/gateway_control.rs
@@ -18,6 +18,7 @@
 use sardinepath_core::decision::gateway::message::Question;
 use sardinepath_core::decision::gateway::message::Reply;
 use sardinepath_core::decision::lease::Terms;
+use sardinepath_core::domain::cold::ColdTolerance;
 use sardinepath_core::domain::fleet::Peer;
 use sardinepath_core::domain::ids::Incarnation;
 use sardinepath_core::port::clock::Clock;
@@ -63,6 +64,8 @@
         usage_window: None,
         job_retention: Duration::from_secs(60),
         report_deadline: Duration::from_secs(10),
+        cold_tolerance: ColdTolerance::default(),
+        paces: false,
         seed: 1,
     };
     Gateway::new(settings, HostClock.now())
