--- a/crates/core/src/decision/gateway/membership/evacuations.rs
+++ b/crates/core/src/decision/gateway/membership/evacuations.rs
@@ -59,8 +59,10 @@
         }
     }
 
-    /// Acts on the end of an evacuation: the targets of the data centre may get requests and orders.
+    /// Acts on the end of an evacuation: the targets of the data centre may get requests and orders, as
+    /// many as cold ones tolerate until their entries tell.
     fn evacuation_ended(&mut self, centre: &CentreName, reason: &str) {
+        self.directory.reopen(self.now, centre);
         let fields = vec![
             ("centre", centre.to_string()),
             ("reason", reason.to_owned()),
--- a/crates/core/src/decision/gateway/membership/mod.rs
+++ b/crates/core/src/decision/gateway/membership/mod.rs
@@ -4,6 +4,7 @@
 pub(super) mod health;
 pub(super) mod peers;
 pub(super) mod source;
+pub(super) mod starts;
 pub(super) mod target_watch;
 pub(super) mod watched;
 pub(super) mod witness;
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -54,6 +54,7 @@
 use crate::decision::gateway::stored::Kind;
 use crate::decision::gateway::stored::Purpose;
 use crate::decision::gateway::stored::StoreCall;
+use crate::decision::opening::Starts;
 use crate::decision::places::Places;
 use crate::decision::tally::Tally;
 use crate::decision::weights::Weights;
@@ -125,9 +126,12 @@
     /// Creates a gateway that knows no objects yet. Its first effect announces the process.
     pub fn new(settings: GatewaySettings, now: Time) -> Self {
         let window = settings.usage_window.unwrap_or(Duration::from_secs(5));
+        let host = settings.peer.host.clone();
+        let mut directory = Directory::with_places(known_places(&settings));
+        directory.starts = Starts::new(now, host, settings.cold_tolerance);
         let mut gateway = Self {
             table: None,
-            directory: Directory::with_places(known_places(&settings)),
+            directory,
             jobs: BTreeMap::new(),
             runs: HashMap::new(),
             submissions: BTreeMap::new(),
@@ -218,6 +222,7 @@
             self.log(Event::TargetLost, vec![("target", name.to_string())]);
         }
         self.tick_evacuations();
+        self.tick_starts();
         self.send_retries();
         self.tick_duty();
         self.tick_jobs();
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -186,10 +186,14 @@
     EvacuationUnknown = (626, Warn, "evacuation_unknown", "a data centre is evacuated that the settings do not name"),
     /// The homes of a route or workspace name no known region. Fields: `route` or `workspace`, `homes`.
     HomesUnknown = (627, Warn, "homes_unknown", "the homes of a route or workspace name no known region, so its requests are refused"),
-    /// A batch job was accepted. Fields: `batch`, `items`, `least`, `revision`.
-    BatchAccepted = (630, Info, "batch_accepted", "a batch job is accepted"),
-    /// A batch job was not accepted. Fields: `batch`, `unsure`, `error`.
-    BatchRefused = (631, Warn, "batch_refused", "a batch job is not accepted"),
+    /// A target is cold. Fields: `target`, `before`, `cold_ms`, `entry_age_ms`, `share`, `runners`.
+    TargetCold = (628, Info, "target_cold", "a target is cold and gets the requests that it tolerates"),
+    /// A target may be cold although its entry does not say so. Fields: those of `target_cold`.
+    TargetDoubted = (629, Info, "target_doubted", "a target may be cold and gets the requests that a cold one tolerates"),
+    /// A target is no longer cold. Fields: those of `target_cold`.
+    TargetOpen = (630, Info, "target_open", "a target is no longer cold"),
+    /// The entry of a target states a cold time that cannot be read. Fields: `target`.
+    ColdTimeUnreadable = (631, Warn, "cold_time_unreadable", "the cold time of a target cannot be read and counts as the longest one of its pool"),
     /// This process runs a batch job. Fields: `batch`.
     BatchStarted = (632, Info, "batch_started", "this process runs the batch job"),
     /// This process stopped running a batch job. Fields: `batch`, `ended`, `running`.
@@ -234,6 +238,10 @@
     CrashedUnderRequest = (655, Warn, "crashed_under_request", "a target crashed while a request ran on it"),
     /// A target answered a request under which targets had crashed. Fields: `fingerprint`, `crashes`.
     SuspectCleared = (656, Info, "suspect_cleared", "a target answered a request under which targets had crashed"),
+    /// A batch job was accepted. Fields: `batch`, `items`, `least`, `revision`.
+    BatchAccepted = (660, Info, "batch_accepted", "a batch job is accepted"),
+    /// A batch job was not accepted. Fields: `batch`, `unsure`, `error`.
+    BatchRefused = (661, Warn, "batch_refused", "a batch job is not accepted"),
     /// Log events were dropped. Fields: `count`.
     EventsLeftOut = (690, Warn, "events_left_out", "log events were dropped because there were too many"),
 }
--- a/crates/core/tests/gateway_logs.rs
+++ b/crates/core/tests/gateway_logs.rs
@@ -13,6 +13,7 @@
 use sardinepath_core::decision::gateway::stored::Purpose;
 use sardinepath_core::decision::gateway::stored::WatchedObject;
 use sardinepath_core::decision::lease::Terms;
+use sardinepath_core::domain::cold::ColdTolerance;
 use sardinepath_core::domain::event::Event;
 use sardinepath_core::domain::fleet::Peer;
 use sardinepath_core::domain::fleet::TargetEntry;
@@ -43,6 +44,8 @@
         entry_lapse: Duration::from_millis(1_200),
         job_retention: Duration::from_secs(60),
         report_deadline: Duration::from_secs(10),
+        cold_tolerance: ColdTolerance::default(),
+        paces: false,
         seed: 1,
     };
     Gateway::new(settings, NOW)
@@ -70,6 +73,7 @@
         models: vec![("m".into(), WeightVersion(version))],
         software: "v1".into(),
         started_at: 1,
+        cold: Duration::ZERO,
     }
 }
 
--- a/crates/node/tests/gateway_control.rs
+++ b/crates/node/tests/gateway_control.rs
@@ -19,6 +19,7 @@
 use sardinepath_core::decision::gateway::message::Question;
 use sardinepath_core::decision::gateway::message::Reply;
 use sardinepath_core::decision::lease::Terms;
+use sardinepath_core::domain::cold::ColdTolerance;
 use sardinepath_core::domain::fleet::Peer;
 use sardinepath_core::domain::ids::Incarnation;
 use sardinepath_core::port::clock::Clock;
@@ -69,6 +70,8 @@
         entry_lapse: Duration::from_millis(1_200),
         job_retention: Duration::from_secs(60),
         report_deadline: Duration::from_secs(10),
+        cold_tolerance: ColdTolerance::default(),
+        paces: false,
         seed: 1,
     };
     Gateway::new(settings, HostClock.now())
