Hold submissions while the store is away, and run their items meanwhile

A submission was refused at the first unavailable answer of the store.

A submission whose caller says how long it waits is now held until shortly before that time. Its items run meanwhile; nothing of it is listed, read or handed over before its head is stored. Writes of held submissions are limited to one at a time for each process while no call is answered. When one is, heads are written first, then pages, and writes whose answer is outstanding are sent again. A submission whose items have begun is never answered with the promise that they did not run.

--- a/crates/adapters/src/peer/mod.rs
+++ b/crates/adapters/src/peer/mod.rs
@@ -72,6 +72,8 @@
     pub path: String,
     /// Workspace of the caller's key, or `None` on a route that needs no key.
     pub workspace: Option<WorkspaceName>,
+    /// Time for which the caller still waits, or `None` if it does not say.
+    pub patience: Option<Duration>,
 }
 
 /// Outcome of forwarding a submission.
@@ -180,6 +182,9 @@
     if let Some(workspace) = &submission.workspace {
         path.push_str(&format!("&workspace={}", encode(workspace.as_str())));
     }
+    if let Some(patience) = submission.patience {
+        path.push_str(&format!("&patience={}", patience.as_millis()));
+    }
     let request = Request::post(&path).header("host", address.to_string());
     let Ok(request) = request.body(Body::new(body)) else {
         return Forwarded::NotSent;
@@ -211,6 +216,10 @@
             Some(workspace) => Some(WorkspaceName::from(percent_decode(workspace)?)),
             None => None,
         },
+        patience: match query_field(query, "patience") {
+            Some(millis) => Some(Duration::from_millis(millis.parse().ok()?)),
+            None => None,
+        },
     })
 }
 
--- a/crates/core/src/decision/gateway/jobs/dispatch.rs
+++ b/crates/core/src/decision/gateway/jobs/dispatch.rs
@@ -63,7 +63,7 @@
 
     /// Returns the priority rank of a job. A job whose route is gone sends only scoring requests, after
     /// the requests of all other jobs.
-    fn rank(&self, head: &Head) -> u32 {
+    pub(in crate::decision::gateway) fn rank(&self, head: &Head) -> u32 {
         let table = self.table.as_ref();
         let found = table.and_then(|table| Some((table, JobRoute::find(table, head)?)));
         found.map_or(u32::MAX, |(table, found)| {
--- a/crates/core/src/decision/gateway/jobs/draft.rs
+++ b/crates/core/src/decision/gateway/jobs/draft.rs
@@ -35,6 +35,9 @@
 /// Minimum number of new events since the last write for another write.
 const MIN_NEW_EVENTS: u64 = 24;
 
+/// Time after an outage of the object API in which no drafts are written.
+const DRAFT_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Stored drafts of a job, as far as they have been read.
 #[derive(Debug, Default)]
 pub(in crate::decision::gateway) enum LoadedDrafts {
@@ -70,8 +73,15 @@
     /// Writes the drafts of running jobs that have grown enough since the last write.
     pub(in crate::decision::gateway) fn write_drafts(&mut self) {
         let now = self.now;
+        // Heads and pages come first after an outage, and a draft would fail during one.
+        if !self.draining && self.store.uptime(now) < DRAFT_PAUSE {
+            return;
+        }
         let mut calls = Vec::new();
         for (id, job) in &mut self.jobs {
+            if !job.is_stored() {
+                continue;
+            }
             let Work::Running(active) = &mut job.work else {
                 continue;
             };
--- a/crates/core/src/decision/gateway/jobs/ending.rs
+++ b/crates/core/src/decision/gateway/jobs/ending.rs
@@ -27,7 +27,7 @@
         workspace: Option<WorkspaceName>,
     ) {
         let now = self.now;
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_stored()) else {
             self.find(call, id, JobQuestion::EndJob(workspace));
             return;
         };
--- a/crates/core/src/decision/gateway/jobs/head.rs
+++ b/crates/core/src/decision/gateway/jobs/head.rs
@@ -28,9 +28,13 @@
             if revision <= job.revision {
                 return;
             }
+            let held = !job.is_stored();
             job.revision = revision;
             job.head = head;
             job.suspected_since = None;
+            if held {
+                self.settle_held(id);
+            }
         } else {
             self.jobs.insert(id.clone(), Job::new(head, revision, now));
         }
@@ -83,7 +87,7 @@
                 if let Some(job) = self.jobs.get_mut(id) {
                     job.changing_runner = false;
                     // `expire_end` answers the callers if the object API remains unavailable.
-                    if job.ending.is_some() {
+                    if job.ending.is_some() || !job.is_stored() {
                         self.refresh_again(id);
                     }
                 }
@@ -97,7 +101,8 @@
             .jobs
             .iter()
             .filter(|(_, job)| {
-                job.is_run_by(&self.settings.peer) && !job.head.ended && !job.changing_runner
+                let mine = job.is_run_by(&self.settings.peer) && job.is_stored();
+                mine && !job.head.ended && !job.changing_runner
             })
             .map(|(id, _)| id.clone())
             .collect();
--- a/crates/core/src/decision/gateway/jobs/mod.rs
+++ b/crates/core/src/decision/gateway/jobs/mod.rs
@@ -1,6 +1,6 @@
 //! Life cycle of a batch job at one process: known, loading, awaiting its route, running, ended.
 //!
-//! - `submit`, `place`: submissions, and the choice of the runner
+//! - `submit`, `held`, `place`: submissions, and the choice of the runner
 //! - `head`, `ending`, `removal`: stored heads, and the ends of jobs
 //! - `load`, `routes`: what a job needs before it runs here
 //! - `dispatch`, `scoring`: items and scoring requests sent to targets
@@ -11,6 +11,7 @@
 pub(super) mod draft;
 pub(super) mod ending;
 pub(super) mod head;
+pub(super) mod held;
 pub(super) mod load;
 pub(super) mod pages;
 pub(super) mod place;
@@ -171,6 +172,11 @@
             .is_some_and(|runner| runner.host == me.host && runner.incarnation == me.incarnation)
     }
 
+    /// Returns `true` if the head is stored, which accepts the job. A held submission runs before.
+    pub(super) fn is_stored(&self) -> bool {
+        self.revision != Revision::default()
+    }
+
     /// Returns `true` if the job needs frequent ticks.
     pub(super) fn is_busy(&self) -> bool {
         matches!(self.work, Work::Loading | Work::Running(_))
--- a/crates/core/src/decision/gateway/jobs/pages.rs
+++ b/crates/core/src/decision/gateway/jobs/pages.rs
@@ -32,12 +32,19 @@
 /// Time after a page until results are written even if they complete no group.
 const MAX_PAGE_INTERVAL: Duration = Duration::from_millis(2_500);
 
+/// Delay before a failed write of a page is repeated while no call to the object API is answered. The
+/// page is written at once when one is.
+const OUTAGE_PAGE_DELAY: Duration = Duration::from_millis(800);
+
 impl Gateway {
     /// Writes the next page of each running job whose results are due.
     pub(in crate::decision::gateway) fn write_pages(&mut self) {
         let now = self.now;
         let mut calls = Vec::new();
         for (id, job) in &mut self.jobs {
+            if !job.is_stored() {
+                continue;
+            }
             let Work::Running(active) = &mut job.work else {
                 continue;
             };
@@ -73,6 +80,17 @@
         }
     }
 
+    /// Writes the pages that waited for the object API without the delay after a failed write.
+    pub(in crate::decision::gateway) fn resume_pages(&mut self) {
+        let now = self.now;
+        for job in self.jobs.values_mut() {
+            if let Work::Running(active) = &mut job.work {
+                active.next_page = now;
+            }
+        }
+        self.write_pages();
+    }
+
     pub(in crate::decision::gateway) fn append(&mut self, id: BatchId, start: usize, page: Page) {
         let name = Arc::from(page_name(&id, start));
         let call = StoreCall::Create(Kind::Pages, name, Record::Page(page));
@@ -122,6 +140,7 @@
                 let page = page.clone();
                 self.apply_page(id, start, &page);
             }
+            _ if self.store.outage_start.is_some() => active.next_page = now + OUTAGE_PAGE_DELAY,
             _ => active.next_page = now + STORE_RETRY_DELAY,
         }
     }
--- a/crates/core/src/decision/gateway/jobs/read.rs
+++ b/crates/core/src/decision/gateway/jobs/read.rs
@@ -71,7 +71,7 @@
     ) {
         let now = self.now;
         let incarnation = self.settings.peer.incarnation;
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_stored()) else {
             self.find(call, id, JobQuestion::Read(workspace, after, wait, local));
             return;
         };
@@ -146,7 +146,7 @@
         item: ItemId,
     ) {
         let now = self.now;
-        let Some(job) = self.jobs.get_mut(&id) else {
+        let Some(job) = self.jobs.get_mut(&id).filter(|job| job.is_stored()) else {
             self.find(call, id, JobQuestion::ReadItem(workspace, item));
             return;
         };
--- a/crates/core/src/decision/gateway/membership/source.rs
+++ b/crates/core/src/decision/gateway/membership/source.rs
@@ -30,7 +30,7 @@
 const STORE_SILENCE_LIMIT: Duration = Duration::from_millis(400);
 
 /// Number of processes that relay calls to the object API.
-const RELAY_COUNT: usize = 2;
+const RELAY_COUNT: usize = 4;
 
 /// Exclusion time of an unresponsive process, and maximum of all exclusion times.
 const MAX_EXCLUSION_TIME: Duration = Duration::from_secs(5);
@@ -125,6 +125,7 @@
     pub(in crate::decision::gateway) fn store_probed(&mut self, up: bool) {
         if up {
             self.feed.outage_start = None;
+            self.store.record(self.now, true);
         } else {
             self.feed.outage_start.get_or_insert(self.now);
         }
@@ -200,6 +201,11 @@
         source.map_or(Source::Store, |peer| Source::Peer(peer.address))
     }
 
+    /// Returns the length of the current outage of direct calls, or `None`.
+    pub(in crate::decision::gateway) fn direct_outage(&self) -> Option<Duration> {
+        self.feed.outage_start.map(|at| self.now.since(at))
+    }
+
     fn is_excluded(&self, address: SocketAddr) -> bool {
         let failure = self.feed.failed_peers.get(&address);
         failure.is_some_and(|failure| self.now < failure.excluded_until)
--- a/crates/core/src/decision/gateway/membership/watched.rs
+++ b/crates/core/src/decision/gateway/membership/watched.rs
@@ -38,8 +38,9 @@
                         .iter()
                         .any(|view| matches!(view, WatchedObject::Head(head, ..) if head == id))
                 };
-                let missing: Vec<BatchId> =
-                    self.jobs.keys().filter(|id| !stored(id)).cloned().collect();
+                let accepted = self.jobs.iter().filter(|(_, job)| job.is_stored());
+                let missing = accepted.map(|(id, _)| id).filter(|id| !stored(id));
+                let missing: Vec<BatchId> = missing.cloned().collect();
                 // The job may have been accepted after the listing, so its head is read before it
                 // is dropped.
                 for id in missing {
@@ -176,7 +177,7 @@
     ) {
         match purpose {
             Purpose::Lease => self.lease_answered(answer),
-            Purpose::Part(id, _) => self.part_stored(&id, &answer),
+            Purpose::Part(id, part) => self.part_stored(&id, part, &answer),
             Purpose::Accept(id) => self.head_created(&id, &answer),
             Purpose::Find(id) => self.head_found(&id, answer),
             Purpose::Refresh(id) => self.head_refreshed(&id, answer),
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -17,6 +17,7 @@
 use crate::decision::directory::Choice;
 use crate::decision::directory::ToldPace;
 pub use crate::decision::gateway::call::CallId;
+pub use crate::decision::gateway::jobs::submit::SubmitRequest;
 use crate::decision::gateway::stored::Answer;
 use crate::decision::gateway::stored::Kind;
 use crate::decision::gateway::stored::Purpose;
@@ -51,7 +52,6 @@
 use crate::domain::name::StreamId;
 use crate::domain::name::TargetName;
 use crate::domain::name::WorkspaceName;
-use crate::domain::table::Route;
 use crate::domain::table::RouteTable;
 use crate::port::object::ObjectError;
 
@@ -148,16 +148,7 @@
         route: RouteName,
     },
     /// Accept a batch job.
-    Submit {
-        /// Name of the job.
-        id: BatchId,
-        /// Workspace of the key.
-        workspace: Option<WorkspaceName>,
-        /// Route of the job.
-        route: Arc<Route>,
-        /// Decoded submission.
-        batch: Arc<Batch>,
-    },
+    Submit(SubmitRequest),
     /// Read results of a job.
     Read {
         /// Name of the job.
@@ -210,6 +201,9 @@
     Accepted,
     /// The job is not accepted, and none of its items will run.
     NotAccepted,
+    /// The job is not accepted, and none of its items will run. The caller should come back after this
+    /// delay.
+    Rejected(Duration),
     /// The outcome of the call is unknown because the object API did not answer in time.
     Unsure,
     /// The job or item does not exist, or belongs to another workspace.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -83,6 +83,8 @@
     /// Job of each running attempt.
     runs: HashMap<RunId, BatchId>,
     submissions: BTreeMap<BatchId, Submission>,
+    /// Earliest time of the next write of a held submission while no call is answered.
+    next_held_write: Time,
     lookups: BTreeMap<BatchId, Vec<JobLookup>>,
     /// Texts that ended jobs did not need.
     retained: RetainedTexts,
@@ -126,6 +128,7 @@
             jobs: BTreeMap::new(),
             runs: HashMap::new(),
             submissions: BTreeMap::new(),
+            next_held_write: now,
             lookups: BTreeMap::new(),
             retained: RetainedTexts::default(),
             peers: Peers::default(),
@@ -158,6 +161,7 @@
     /// Processes a message and returns the resulting effects.
     pub fn handle(&mut self, now: Time, message: Message) -> Vec<Effect> {
         self.advance(now);
+        let away = self.store.outage_start.is_some();
         match message {
             Message::Ask(call, question) => self.handle_question(call, question),
             Message::RequestEnded(target, end) => self.directory.release(now, &target, end),
@@ -202,6 +206,9 @@
             // The control thread handles this message itself.
             Message::Stop => {}
         }
+        if away && self.store.outage_start.is_none() {
+            self.store_returned();
+        }
         std::mem::take(&mut self.effects)
     }
 
@@ -212,6 +219,7 @@
             self.log(Event::TargetLost, vec![("target", name.to_string())]);
         }
         self.send_retries();
+        self.tick_submissions();
         self.tick_duty();
         self.tick_jobs();
         self.tick_peers();
@@ -239,7 +247,7 @@
 
     /// Returns the time of the next tick.
     pub fn next_tick(&self) -> Time {
-        let busy = self.jobs.values().any(Job::is_busy);
+        let busy = !self.submissions.is_empty() || self.jobs.values().any(Job::is_busy);
         self.now + if busy { BUSY_INTERVAL } else { IDLE_INTERVAL }
     }
 
@@ -265,14 +273,7 @@
                 self.record_stream(call, &pool, id, software);
             }
             Question::ChooseRunner { id, route } => self.choose_runner(call, &id, &route),
-            Question::Submit {
-                id,
-                workspace,
-                route,
-                batch,
-            } => {
-                self.submit(call, id, workspace, &route, batch);
-            }
+            Question::Submit(request) => self.submit(call, request),
             Question::Read {
                 id,
                 workspace,
--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -15,6 +15,7 @@
 pub mod lease;
 pub mod member;
 pub mod order;
+pub mod outage;
 pub mod permit;
 pub mod prefix;
 pub mod process;
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -210,6 +210,8 @@
     /// The text of an item is discarded, because no target of the software version that began it
     /// takes it. Fields: `batch`, `item`, `software`, `served`, `events`, `waited_ms`.
     TextDiscarded = (644, Warn, "text_discarded", "the text of an item is discarded because the software version that began it does not go on"),
+    /// A submission that cannot be stored is held, and its items run. Fields: `batch`, `reach`, `left_ms`, `reason`.
+    BatchHeld = (645, Warn, "batch_held", "a submission is held until the object API answers, and its items run"),
     /// A request was answered. Fields: `request`, `route`, `status`, `attempts`, `target`, `millis`.
     RequestAnswered = (650, Debug, "request_answered", "a request is answered"),
     /// A request was refused. Fields: `request`, `status`, `reason`, `attempts`, `millis`, `config`.
--- a/crates/core/tests/gateway.rs
+++ b/crates/core/tests/gateway.rs
@@ -14,13 +14,16 @@
 use sardinepath_core::decision::gateway::message::Message;
 use sardinepath_core::decision::gateway::message::Question;
 use sardinepath_core::decision::gateway::message::Reply;
+use sardinepath_core::decision::gateway::message::SubmitRequest;
 use sardinepath_core::decision::gateway::stored::Kind;
 use sardinepath_core::domain::name::ItemId;
+use sardinepath_core::domain::time::Time;
 
 use crate::gateway_support::STEP_MS;
 use crate::gateway_support::Simulation;
 use crate::gateway_support::StoreFault;
 use crate::gateway_support::batch_id;
+use crate::gateway_support::submission;
 use crate::gateway_support::workspace;
 
 /// Time in which any job of these tests completes without faults, in milliseconds.
@@ -30,6 +33,9 @@
 /// silent processes, the delays of candidates and the loading of the job.
 const RECOVERY_MS: u64 = 20_000;
 
+/// Patience of a caller that says how long it waits, in milliseconds.
+const PATIENCE_MS: u64 = 8_000;
+
 #[derive(Clone, Debug)]
 enum Fault {
     Kill(usize),
@@ -38,12 +44,14 @@
     Resume(usize),
     Store(usize, StoreFault),
     Submit(usize),
+    SubmitPatiently(usize),
 }
 
 fn any_fault() -> impl Strategy<Value = Fault> {
     let store = prop_oneof![
         Just(StoreFault::None),
         Just(StoreFault::Unavailable),
+        Just(StoreFault::Silent),
         Just(StoreFault::AnswerLost),
         Just(StoreFault::Delayed),
     ];
@@ -54,6 +62,7 @@
         (0..3usize).prop_map(Fault::Resume),
         (0..3usize, store).prop_map(|(node, fault)| Fault::Store(node, fault)),
         (0..3usize).prop_map(Fault::Submit),
+        (0..3usize).prop_map(Fault::SubmitPatiently),
     ]
 }
 
@@ -75,6 +84,13 @@
             sim.relist(node);
         }
         Fault::Submit(node) => drop(sim.submit(node, 12)),
+        Fault::SubmitPatiently(node) => {
+            let request = SubmitRequest {
+                until: Some(Time(sim.now + PATIENCE_MS)),
+                ..submission(12)
+            };
+            sim.ask(node, Question::Submit(request));
+        }
     }
 }
 
--- a/crates/core/tests/gateway_retained.rs
+++ b/crates/core/tests/gateway_retained.rs
@@ -7,6 +7,7 @@
 
 use sardinepath_core::decision::batch::RetainedTexts;
 use sardinepath_core::decision::gateway::message::Question;
+use sardinepath_core::decision::gateway::message::SubmitRequest;
 use sardinepath_core::domain::batch::Draft;
 use sardinepath_core::domain::batch::Head;
 use sardinepath_core::domain::batch::Item;
@@ -22,7 +23,7 @@
 use crate::gateway_support::Simulation;
 use crate::gateway_support::batch;
 use crate::gateway_support::batch_id;
-use crate::gateway_support::route;
+use crate::gateway_support::submission;
 use crate::gateway_support::workspace;
 
 /// Number of items of each job.
@@ -67,11 +68,12 @@
 /// Returns the number of events that were made for the second job, by item.
 fn events_of_second_job(first: &str, second: &str) -> Vec<u64> {
     let mut sim = Simulation::new(1);
-    let submit = |id: BatchId, workspace: &str| Question::Submit {
-        id,
-        workspace: Some(WorkspaceName::from(workspace)),
-        route: route(),
-        batch: batch(ITEMS),
+    let submit = |id: BatchId, workspace: &str| {
+        Question::Submit(SubmitRequest {
+            id,
+            workspace: Some(WorkspaceName::from(workspace)),
+            ..submission(ITEMS)
+        })
     };
     sim.ask(0, submit(batch_id(), first));
     sim.run(500);
--- a/crates/core/tests/gateway_speeds.rs
+++ b/crates/core/tests/gateway_speeds.rs
@@ -5,10 +5,9 @@
 
 use gateway_support::STEP_MS;
 use gateway_support::Simulation;
-use gateway_support::batch;
-use gateway_support::route;
-use gateway_support::workspace;
+use gateway_support::submission;
 use sardinepath_core::decision::gateway::message::Question;
+use sardinepath_core::decision::gateway::message::SubmitRequest;
 use sardinepath_core::domain::name::BatchId;
 use sardinepath_core::domain::name::TargetName;
 
@@ -32,13 +31,11 @@
 fn run_step(sim: &mut Simulation, name: &str, items: usize) -> u64 {
     let start = sim.now;
     let before = sim.texts().len();
-    let submit = Question::Submit {
+    let submit = SubmitRequest {
         id: BatchId::from(name),
-        workspace: workspace(),
-        route: route(),
-        batch: batch(items),
+        ..submission(items)
     };
-    sim.ask(0, submit);
+    sim.ask(0, Question::Submit(submit));
     while sim.texts().len() < before + items {
         assert!(sim.now < start + 60_000, "step {name} does not complete");
         sim.run(STEP_MS);
--- a/crates/core/tests/gateway_support/effects.rs
+++ b/crates/core/tests/gateway_support/effects.rs
@@ -12,7 +12,6 @@
 use sardinepath_core::domain::time::Time;
 
 use crate::gateway_support::STEP_MS;
-use crate::gateway_support::STORE_LATENCY_MS;
 use crate::gateway_support::Simulation;
 use crate::gateway_support::duty::DutyCall;
 use crate::gateway_support::fixtures::batch;
@@ -51,8 +50,9 @@
             match effect {
                 Effect::Reply(call, reply) => drop(self.nodes[index].replies.insert(call, reply)),
                 Effect::Store(purpose, call) => {
+                    let delay = self.store_latency(index);
                     let answer = self.call_store(index, call);
-                    self.send(index, STORE_LATENCY_MS, Message::Stored(purpose, answer));
+                    self.send(index, delay, Message::Stored(purpose, answer));
                 }
                 Effect::Decode(id, source) => {
                     self.decodes += 1;
--- a/crates/core/tests/gateway_support/fixtures.rs
+++ b/crates/core/tests/gateway_support/fixtures.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sardinepath_core::decision::gateway::message::SubmitRequest;
 use sardinepath_core::domain::batch::Batch;
 use sardinepath_core::domain::batch::Item;
 use sardinepath_core::domain::batch::Scorer;
@@ -117,6 +118,18 @@
     })
 }
 
+/// Creates a submission of a caller that does not say how long it waits.
+pub fn submission(items: usize) -> SubmitRequest {
+    SubmitRequest {
+        id: batch_id(),
+        workspace: workspace(),
+        route: route(),
+        batch: batch(items),
+        until: None,
+        passed_to: None,
+    }
+}
+
 pub(super) fn target(index: usize) -> TargetEntry {
     TargetEntry {
         name: TargetName::from(format!("t{index}")),
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -49,6 +49,7 @@
 use crate::gateway_support::fixtures::host;
 pub use crate::gateway_support::fixtures::route;
 pub use crate::gateway_support::fixtures::score_route;
+pub use crate::gateway_support::fixtures::submission;
 pub use crate::gateway_support::fixtures::table;
 use crate::gateway_support::fixtures::target;
 pub use crate::gateway_support::fixtures::workspace;
@@ -326,13 +327,7 @@
     }
 
     pub fn submit(&mut self, index: usize, items: usize) -> CallId {
-        let question = Question::Submit {
-            id: batch_id(),
-            workspace: workspace(),
-            route: route(),
-            batch: batch(items),
-        };
-        self.ask(index, question)
+        self.ask(index, Question::Submit(submission(items)))
     }
 
     /// Reads all results at a gateway, from the start until a read returns none.
--- a/crates/core/tests/gateway_support/store.rs
+++ b/crates/core/tests/gateway_support/store.rs
@@ -24,13 +24,26 @@
     None,
     /// Calls fail without effect.
     Unavailable,
+    /// Calls have no effect, and fail only after a while.
+    Silent,
     /// Calls take effect, but the answer is lost.
     AnswerLost,
     /// Calls take effect three seconds later, and the answer is lost.
     Delayed,
 }
 
+/// Time until a call to a silent store fails, in milliseconds: its timeout and that of a relayed call.
+const SILENT_CALL_MS: u64 = 1_900;
+
 impl Simulation {
+    /// Returns the time until a call of a gateway is answered, in milliseconds.
+    pub(super) fn store_latency(&self, index: usize) -> u64 {
+        match self.nodes[index].fault {
+            StoreFault::Silent => SILENT_CALL_MS,
+            _ => STORE_LATENCY_MS,
+        }
+    }
+
     pub(super) fn call_store(
         &mut self,
         index: usize,
@@ -39,6 +52,7 @@
         match self.nodes[index].fault {
             StoreFault::None => self.apply(call),
             StoreFault::Unavailable => Err(ObjectError::Unavailable("unavailable".into())),
+            StoreFault::Silent => Err(ObjectError::Unknown("silent".into())),
             StoreFault::AnswerLost => {
                 let _ = self.apply(call);
                 Err(ObjectError::Unknown("lost".into()))
@@ -98,7 +112,8 @@
         let view = view(kind, &name, revision, &record);
         self.store.insert((kind, name), (revision, record));
         for index in 0..self.nodes.len() {
-            if self.nodes[index].fault != StoreFault::Unavailable {
+            let fault = self.nodes[index].fault;
+            if fault != StoreFault::Unavailable && fault != StoreFault::Silent {
                 let view = view.clone();
                 let delay = STORE_LATENCY_MS + self.nodes[index].watch_lag;
                 if let Some(view) = view {
