--- a/crates/core/src/decision/gateway/duties/usage.rs
+++ b/crates/core/src/decision/gateway/duties/usage.rs
@@ -26,6 +26,10 @@
 /// Time for which processes that do not answer are asked again. After it they count as missing.
 const COLLECT_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Part of the time until the deadline of a report for which processes that do not answer are asked
+/// again. The sums are stored and reported in the rest, also after an outage that left little time.
+const COLLECT_PART: u32 = 3;
+
 /// Delay before a failed report or collection is repeated.
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(400);
 
@@ -44,7 +48,8 @@
 
 #[derive(Debug)]
 struct OpenWindow {
-    opened: Time,
+    /// Time after which processes that did not answer count as missing.
+    collect_until: Time,
     state: WindowState,
 }
 
@@ -103,10 +108,11 @@
         while self.tally.end(next).0 + millis(WINDOW_SETTLE_TIME) <= self.wall_time().0
             && self.reports.open.len() < MAX_OPEN_WINDOWS
         {
-            let state = WindowState::Collecting(BTreeMap::new(), now);
-            self.reports
-                .open
-                .insert(next, OpenWindow { opened: now, state });
+            let window = OpenWindow {
+                collect_until: now + self.collect_time(next),
+                state: WindowState::Collecting(BTreeMap::new(), now),
+            };
+            self.reports.open.insert(next, window);
             next += 1;
         }
         self.reports.next = Some(next);
@@ -118,6 +124,13 @@
             .retain(|window, _| wall < tally.end(*window).0 + limit);
     }
 
+    /// Returns the time for which processes are asked for their counts of a window.
+    fn collect_time(&self, window: u64) -> Duration {
+        let due = self.tally.end(window).0 + millis(self.settings.report_deadline);
+        let left = Duration::from_millis(due.saturating_sub(self.wall_time().0));
+        COLLECT_TIMEOUT.min(left / COLLECT_PART)
+    }
+
     fn step_window(&mut self, window: u64) {
         let now = self.now;
         let others = self.others();
@@ -134,7 +147,7 @@
                     .iter()
                     .filter(|p| !counts.contains_key(&p.host))
                     .collect();
-                if missing.is_empty() || now >= open.opened + COLLECT_TIMEOUT {
+                if missing.is_empty() || now >= open.collect_until {
                     let mut sum = self.tally.counts(window);
                     for (workspace, count) in counts.values().flatten() {
                         *sum.entry(workspace.clone()).or_default() += count;
--- a/crates/core/src/decision/gateway/stored.rs
+++ b/crates/core/src/decision/gateway/stored.rs
@@ -89,6 +89,41 @@
     ForgetCrash(Crash),
 }
 
+impl Purpose {
+    /// Returns the name under which calls of this purpose are counted.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Lease => "lease",
+            Self::Part(..) => "part",
+            Self::Accept(_) => "accept",
+            Self::Find(_) => "find",
+            Self::Refresh(_) => "refresh",
+            Self::LoadPart(..) => "load_part",
+            Self::LoadPage(..) => "load_page",
+            Self::Append(..) => "append",
+            Self::Draft(_) => "draft",
+            Self::LoadDrafts(_) => "load_drafts",
+            Self::Witness(_) => "witness",
+            Self::End(_) => "end",
+            Self::TakeOver(_) => "take_over",
+            Self::HandOver(_) => "hand_over",
+            Self::Freeze(_) => "freeze",
+            Self::Frozen(_) => "frozen",
+            Self::Announce => "announce",
+            Self::Announced => "announced",
+            Self::Leave => "leave",
+            Self::Retire(_) => "retire",
+            Self::Forget => "forget",
+            Self::Limit(_) => "limit",
+            Self::FindStream(..) => "find_stream",
+            Self::RecordStream(..) => "record_stream",
+            Self::Settle(_) => "settle",
+            Self::StoreCrash(_) => "store_crash",
+            Self::ForgetCrash(_) => "forget_crash",
+        }
+    }
+}
+
 /// Kind of an object, which determines its path.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Kind {
--- a/crates/core/tests/gateway_duty.rs
+++ b/crates/core/tests/gateway_duty.rs
@@ -223,3 +223,35 @@
         );
     }
 }
+
+/// Length of a usage window, and time after its end until its report is due, in milliseconds.
+const WINDOW_MS: u64 = 5_000;
+const REPORT_MS: u64 = 10_000;
+
+/// Fails if the report of a window is missed after an outage that leaves less time than the collection
+/// of counts may take, while a process does not answer, or if it is sent twice with other figures.
+#[test]
+fn a_window_is_reported_in_the_time_that_an_outage_leaves() {
+    for left in [2_400, 3_000, 4_000] {
+        let mut sim = Simulation::new(3);
+        sim.run(2 * WINDOW_MS - 200 - sim.now % WINDOW_MS);
+        let end = sim.wall_time().next_multiple_of(WINDOW_MS);
+        let window = end / WINDOW_MS - 1;
+        let silent = (0..3).find(|index| sim.report_times.iter().all(|(host, ..)| host != index));
+
+        for node in &mut sim.nodes {
+            node.fault = StoreFault::Unavailable;
+        }
+        sim.nodes[silent.unwrap()].frozen = true;
+        sim.run(end + REPORT_MS - left - sim.wall_time());
+        for index in 0..3 {
+            sim.nodes[index].fault = StoreFault::None;
+            sim.relist(index);
+        }
+        sim.run(left);
+
+        let reports = sim.reports.get(&window);
+        let reports = reports.unwrap_or_else(|| panic!("not reported, {left} ms left"));
+        assert!(reports.iter().all(|(_, _, counts)| *counts == reports[0].2));
+    }
+}
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -24,6 +24,7 @@
     events: IntCounterVec,
     answers: IntCounterVec,
     calls: IntCounterVec,
+    callers: IntCounterVec,
     request_time: Histogram,
     store_time: Histogram,
     panics: IntCounter,
@@ -54,6 +55,11 @@
                 "Calls to the object API, by result.",
                 "result",
             )?,
+            callers: counter(
+                "sardinepath_store_callers_total",
+                "Calls to the object API with watches, listings and probes, by their purpose.",
+                "purpose",
+            )?,
             request_time: latency(
                 "sardinepath_request_seconds",
                 "Time from a request to its whole answer.",
@@ -71,6 +77,7 @@
         registry.register(Box::new(metrics.events.clone()))?;
         registry.register(Box::new(metrics.answers.clone()))?;
         registry.register(Box::new(metrics.calls.clone()))?;
+        registry.register(Box::new(metrics.callers.clone()))?;
         registry.register(Box::new(metrics.request_time.clone()))?;
         registry.register(Box::new(metrics.store_time.clone()))?;
         registry.register(Box::new(metrics.panics.clone()))?;
@@ -94,6 +101,11 @@
         self.store_time.observe(time.as_secs_f64());
     }
 
+    /// Counts a call to the object API by its purpose.
+    pub fn count_store_caller(&self, purpose: &str) {
+        self.callers.with_label_values(&[purpose]).inc();
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let new = panic::count().saturating_sub(self.panics.get());
