--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -331,7 +331,7 @@
 }
 
 /// Returns the body of a batch submission.
-fn submission(name: &str, min_version: u64) -> Value {
+pub fn submission(name: &str, min_version: u64) -> Value {
     let item = |index: usize| {
         let id = format!("{name}.{index}");
         json!({
