--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -17,6 +17,7 @@
 use crate::decision::directory::Choice;
 use crate::decision::directory::ToldPace;
 pub use crate::decision::gateway::call::CallId;
+pub use crate::decision::gateway::jobs::submit::SubmitRequest;
 use crate::decision::gateway::stored::Answer;
 use crate::decision::gateway::stored::Kind;
 use crate::decision::gateway::stored::Purpose;
@@ -154,16 +155,7 @@
         homes: Option<Homes>,
     },
     /// Accept a batch job.
-    Submit {
-        /// Name of the job.
-        id: BatchId,
-        /// Workspace of the key.
-        workspace: Option<WorkspaceName>,
-        /// Route of the job.
-        route: Arc<Route>,
-        /// Decoded submission.
-        batch: Arc<Batch>,
-    },
+    Submit(SubmitRequest),
     /// Read results of a job.
     Read {
         /// Name of the job.
@@ -220,6 +212,9 @@
     Accepted,
     /// The job is not accepted, and none of its items will run.
     NotAccepted,
+    /// The job is not accepted, and none of its items will run. The caller should come back after this
+    /// delay.
+    Rejected(Duration),
     /// The outcome of the call is unknown because the object API did not answer in time.
     Unsure,
     /// The job or item does not exist, or belongs to another workspace.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -87,6 +87,8 @@
     /// Job of each running attempt.
     runs: HashMap<RunId, BatchId>,
     submissions: BTreeMap<BatchId, Submission>,
+    /// Earliest time of the next write of a held submission while no call is answered.
+    next_held_write: Time,
     lookups: BTreeMap<BatchId, Vec<JobLookup>>,
     /// Texts that ended jobs did not need.
     retained: RetainedTexts,
@@ -135,6 +137,7 @@
             jobs: BTreeMap::new(),
             runs: HashMap::new(),
             submissions: BTreeMap::new(),
+            next_held_write: now,
             lookups: BTreeMap::new(),
             retained: RetainedTexts::default(),
             peers: Peers::default(),
@@ -168,6 +171,7 @@
     /// Processes a message and returns the resulting effects.
     pub fn handle(&mut self, now: Time, message: Message) -> Vec<Effect> {
         self.advance(now);
+        let away = self.store.outage_start.is_some();
         match message {
             Message::Ask(call, question) => self.handle_question(call, question),
             Message::RequestEnded(target, end) => self.directory.release(now, &target, end),
@@ -212,6 +216,9 @@
             // The control thread handles this message itself.
             Message::Stop => {}
         }
+        if away && self.store.outage_start.is_none() {
+            self.store_returned();
+        }
         std::mem::take(&mut self.effects)
     }
 
@@ -224,6 +231,7 @@
         self.tick_evacuations();
         self.tick_starts();
         self.send_retries();
+        self.tick_submissions();
         self.tick_duty();
         self.tick_jobs();
         self.tick_hand_over();
@@ -252,7 +260,7 @@
 
     /// Returns the time of the next tick.
     pub fn next_tick(&self) -> Time {
-        let busy = self.jobs.values().any(Job::is_busy);
+        let busy = !self.submissions.is_empty() || self.jobs.values().any(Job::is_busy);
         self.now + if busy { BUSY_INTERVAL } else { IDLE_INTERVAL }
     }
 
@@ -291,14 +299,7 @@
                 let homes = self.directory.places.binding(homes);
                 self.choose_runner(call, &id, &route, homes.as_ref());
             }
-            Question::Submit {
-                id,
-                workspace,
-                route,
-                batch,
-            } => {
-                self.submit(call, id, workspace, &route, batch);
-            }
+            Question::Submit(request) => self.submit(call, request),
             Question::Read {
                 id,
                 workspace,
--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -16,6 +16,7 @@
 pub mod member;
 pub mod opening;
 pub mod order;
+pub mod outage;
 pub mod permit;
 pub mod places;
 pub mod prefix;
--- a/crates/core/tests/gateway_cold.rs
+++ b/crates/core/tests/gateway_cold.rs
@@ -8,11 +8,10 @@
 
 use gateway_support::Simulation;
 use gateway_support::StoreFault;
-use gateway_support::batch;
-use gateway_support::route;
+use gateway_support::submission;
 use gateway_support::table;
-use gateway_support::workspace;
 use sardinepath_core::decision::gateway::message::Question;
+use sardinepath_core::decision::gateway::message::SubmitRequest;
 use sardinepath_core::domain::cold::ColdRate;
 use sardinepath_core::domain::cold::PoolSettings;
 use sardinepath_core::domain::fleet::UNREADABLE_COLD_TIME;
@@ -65,13 +64,11 @@
 /// Submits a batch job to a gateway, which runs it.
 fn submit(sim: &mut Simulation, gateway: usize, items: usize) {
     let name = format!("b{gateway}-{}", sim.now);
-    let question = Question::Submit {
+    let request = SubmitRequest {
         id: BatchId::from(name),
-        workspace: workspace(),
-        route: route(),
-        batch: batch(items),
+        ..submission(items)
     };
-    sim.ask(gateway, question);
+    sim.ask(gateway, Question::Submit(request));
 }
 
 /// Restarts all targets, which are cold for some time according to their entries.
