--- a/crates/sardinepath/tests/process_support/node.rs
+++ b/crates/sardinepath/tests/process_support/node.rs
@@ -66,6 +66,11 @@
         });
     }
 
+    /// Returns `true` if the process is running.
+    pub fn is_running(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Returns the process ID.
     pub fn pid(&self) -> u32 {
         self.child.id()
