--- a/crates/adapters/src/caller/connection.rs
+++ b/crates/adapters/src/caller/connection.rs
@@ -25,6 +25,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 
+use crate::caller::inbound::HeldInbound;
 use crate::caller::inbound::read_request;
 use crate::caller::refuse::close;
 use crate::caller::refuse::refuse;
@@ -140,9 +141,9 @@
 /// Serves one request. A request whose head arrived before the drain is served completely.
 async fn handle(request: Request<Incoming>, shared: &Shared) -> Response<Body> {
     let draining = shared.draining.load(Ordering::Acquire);
-    let inbound = match read_request(request, &shared.limits).await {
+    let HeldInbound { inbound, held } = match read_request(request, shared).await {
         Ok(_) if draining => return refuse_request(shared, ErrorKind::Draining),
-        Ok(inbound) => inbound,
+        Ok(read) => read,
         Err(kind) => return refuse_request(shared, kind),
     };
     if let Some(front) = shared.front.steps()
@@ -156,6 +157,7 @@
     let pending = PendingResponse {
         _guard: shared.front.submit(inbound, sender),
         events,
+        _held: held,
     };
     respond(pending, streamed).await
 }
--- a/crates/adapters/src/caller/inbound.rs
+++ b/crates/adapters/src/caller/inbound.rs
@@ -3,53 +3,108 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::request::Parts;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use sardinepath_core::decision::authorize::Completion;
 use sardinepath_core::decision::authorize::Inbound;
+use sardinepath_core::decision::memory::Owner;
 use sardinepath_core::domain::call::HeaderField;
 use sardinepath_core::domain::error::ErrorKind;
 use serde_json::Value;
 
-use crate::caller::limits::CallerLimits;
+use crate::caller::serve::Shared;
+use crate::memory::Complete;
+use crate::memory::Held;
+use crate::memory::ReadFault;
 use crate::runtime::timeout;
 
-/// Reads a complete request. Fails if it exceeds a size or time limit or is malformed.
+/// Number of copies of a body that exist while it is decoded: as received, as kept, its texts and its
+/// prompt.
+const COPIES: usize = 4;
+
+/// Time for which the body of a refused request is read and discarded.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A complete request with the memory that it holds.
+pub(super) struct HeldInbound {
+    pub(super) inbound: Inbound,
+    pub(super) held: Held<Complete>,
+}
+
+/// Reads a complete request, whose caller is known before any of its body is held. Fails if it is
+/// not authorized, exceeds a size or time limit or is malformed.
 pub(super) async fn read_request(
     request: Request<Incoming>,
-    limits: &CallerLimits,
-) -> Result<Inbound, ErrorKind> {
+    shared: &Shared,
+) -> Result<HeldInbound, ErrorKind> {
+    let limits = &shared.limits;
     let (head, body) = request.into_parts();
-    let body = read_body(body, limits.max_body, limits.body_timeout).await?;
-    Ok(to_inbound(&head, body))
+    let owner = match admit_body(shared, &head, &body) {
+        Ok(owner) => owner,
+        Err(kind) => {
+            discard(body, limits.max_body);
+            return Err(kind);
+        }
+    };
+    let memory = &shared.memory;
+    let read = memory.read_copied(owner, body, limits.max_body, COPIES);
+    let read = timeout(limits.body_timeout, read).await;
+    let (body, held) = read.ok_or(ErrorKind::SlowCaller)?.map_err(refusal)?;
+    Ok(HeldInbound {
+        inbound: to_inbound(&head, &body),
+        held,
+    })
 }
 
-async fn read_body(
-    body: Incoming,
-    max_bytes: usize,
-    limit: Duration,
-) -> Result<Vec<u8>, ErrorKind> {
-    let result = timeout(limit, Limited::new(body, max_bytes).collect())
-        .await
-        .ok_or(ErrorKind::SlowCaller)?;
-    match result {
-        Ok(body) => Ok(body.to_bytes().into()),
-        Err(e) if e.is::<LengthLimitError>() => Err(ErrorKind::BodyTooLarge),
-        Err(_) => Err(ErrorKind::BadRequest),
+/// Decides from the head of a request whether its body is read, and who is charged for it.
+fn admit_body(shared: &Shared, head: &Parts, body: &Incoming) -> Result<Owner, ErrorKind> {
+    let owner = shared.front.admit_body(&to_inbound(head, &[]))?;
+    let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    if stated > shared.limits.max_body {
+        return Err(ErrorKind::BodyTooLarge);
     }
+    Ok(owner)
+}
+
+fn refusal(fault: ReadFault) -> ErrorKind {
+    match fault {
+        ReadFault::TooLarge => ErrorKind::BodyTooLarge,
+        ReadFault::Incomplete => ErrorKind::BadRequest,
+        ReadFault::NoRoom => ErrorKind::Overloaded,
+        ReadFault::Stalled => ErrorKind::SlowCaller,
+    }
+}
+
+/// Reads and discards the rest of a body, bounded in bytes and time. Closing a connection with
+/// unread bytes resets it, and the caller would lose the response.
+fn discard(mut body: Incoming, max_bytes: usize) {
+    if body.is_end_stream() {
+        return;
+    }
+    let read = async move {
+        let mut left = max_bytes;
+        while let Some(Ok(frame)) = body.frame().await {
+            let read = frame.data_ref().map_or(0, Bytes::len);
+            let Some(rest) = left.checked_sub(read) else {
+                return;
+            };
+            left = rest;
+        }
+    };
+    tokio::spawn(timeout(DISCARD_TIMEOUT, read));
 }
 
-fn to_inbound(head: &Parts, body: Vec<u8>) -> Inbound {
+fn to_inbound(head: &Parts, body: &[u8]) -> Inbound {
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let fields = head.headers.iter().map(|(name, value)| HeaderField {
         name: Arc::from(name.as_str()),
         value: Arc::from(value.as_bytes()),
     });
-    let json: Option<Value> = serde_json::from_slice(&body).ok();
+    let json: Option<Value> = serde_json::from_slice(body).ok();
     Inbound {
         method: Arc::from(head.method.as_str()),
         path: Arc::from(path),
--- a/crates/adapters/src/caller/limits.rs
+++ b/crates/adapters/src/caller/limits.rs
@@ -2,11 +2,18 @@
 
 use std::time::Duration;
 
+use sardinepath_core::decision::memory::MemoryLimits;
+
+/// Memory of a host whose settings state none, in bytes.
+const DEFAULT_MEMORY_BYTES: usize = 256 << 20;
+
 /// Limits of the server for callers.
 #[derive(Clone, Copy, Debug)]
 pub struct CallerLimits {
     /// Maximum number of open connections. Further ones are refused with `overloaded`.
     pub max_connections: usize,
+    /// Memory for the bodies of all requests.
+    pub memory: MemoryLimits,
     /// Maximum size of a request head in bytes. `hyper` requires at least 8,192.
     pub max_head: usize,
     /// Maximum size of a request body in bytes.
@@ -23,6 +30,7 @@
     fn default() -> Self {
         Self {
             max_connections: 4096,
+            memory: MemoryLimits::for_host(DEFAULT_MEMORY_BYTES),
             max_head: 16 << 10,
             max_body: 1 << 20,
             head_timeout: Duration::from_secs(10),
--- a/crates/adapters/src/caller/response.rs
+++ b/crates/adapters/src/caller/response.rs
@@ -21,6 +21,8 @@
 use sardinepath_core::port::target::CallGuard;
 use serde_json::json;
 
+use crate::memory::Complete;
+use crate::memory::Held;
 use crate::runtime::sleep;
 
 /// Delay between the error event of a failed stream and the end of the connection, in which the
@@ -36,6 +38,8 @@
     pub(super) events: Receiver<CallEvent>,
     /// Guard that cancels the request when dropped.
     pub(super) _guard: Box<dyn CallGuard>,
+    /// Memory of the request.
+    pub(super) _held: Held<Complete>,
 }
 
 /// Waits for the head of the response and builds it. Waits for the complete body unless `streamed`.
--- a/crates/adapters/src/caller/serve.rs
+++ b/crates/adapters/src/caller/serve.rs
@@ -25,6 +25,7 @@
 use crate::caller::limits::CallerLimits;
 use crate::caller::refuse::refuse;
 use crate::event::emit;
+use crate::memory::BodyMemory;
 use crate::runtime::Spawner;
 use crate::runtime::Task;
 use crate::runtime::sleep;
@@ -55,6 +56,8 @@
 pub(super) struct Shared {
     pub(super) limits: CallerLimits,
     pub(super) front: Arc<dyn CallerFront>,
+    /// Memory for the bodies of requests.
+    pub(super) memory: BodyMemory,
     /// True once new requests are refused.
     pub(super) draining: AtomicBool,
 }
@@ -93,6 +96,7 @@
         let shared = Arc::new(Shared {
             limits,
             front,
+            memory: BodyMemory::new(limits.memory),
             draining: AtomicBool::new(false),
         });
         let acceptor = Acceptor {
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod clock;
 pub mod elements;
 pub mod event;
+pub mod memory;
 pub mod panic;
 pub mod peer;
 pub mod platform;
--- a/crates/core/src/decision/admission.rs
+++ b/crates/core/src/decision/admission.rs
@@ -3,11 +3,14 @@
 use crate::decision::authorize::Authorized;
 use crate::decision::authorize::Inbound;
 use crate::decision::authorize::authorize;
+use crate::decision::authorize::authorize_head;
 use crate::decision::config::Config;
+use crate::decision::memory::Owner;
 use crate::decision::prefix::prefix_hashes;
 use crate::decision::traffic::AdmissionRequest;
 use crate::domain::error::ErrorKind;
 use crate::domain::ids::WeightVersion;
+use crate::domain::name::WorkspaceName;
 use crate::domain::time::Time;
 
 /// Snapshot of an entry's state for decisions on new requests.
@@ -42,6 +45,21 @@
     Ok((authorized, request))
 }
 
+/// Authorizes the head of a request and returns who is charged for its body. Nothing of the body of
+/// an unknown caller is held.
+pub fn authorize_body(
+    snapshot: EntrySnapshot<'_>,
+    now: Time,
+    head: &Inbound,
+) -> Result<Owner, ErrorKind> {
+    if !snapshot.ready {
+        return Err(ErrorKind::KeysStale);
+    }
+    let workspace = authorize_head(snapshot.config, snapshot.is_fresh(now), head)?;
+    let name = format!("{}/{}", workspace.team, workspace.name);
+    Ok(Owner::Workspace(WorkspaceName::from(name)))
+}
+
 /// Returns the properties of an authorized request that admission needs. `floor` is the oldest
 /// weight version that may produce the answer.
 pub fn admission_request(
--- a/crates/core/src/decision/authorize.rs
+++ b/crates/core/src/decision/authorize.rs
@@ -100,6 +100,16 @@
     Ok(authorized)
 }
 
+/// Authorizes the head of a request, whose body has not been read, and returns the workspace that
+/// is charged for it. The complete request must be authorized too.
+pub fn authorize_head(
+    config: &Config,
+    fresh: bool,
+    head: &Inbound,
+) -> Result<WorkspaceId, ErrorKind> {
+    identify(config, fresh, head).map(|authorized| authorized.workspace)
+}
+
 /// Finds the route and the workspace, and refuses requests that must not be forwarded.
 fn identify(config: &Config, fresh: bool, inbound: &Inbound) -> Result<Authorized, ErrorKind> {
     let (route, rest) = split_path(&inbound.path)?;
--- a/crates/core/src/decision/gateway/jobs/load.rs
+++ b/crates/core/src/decision/gateway/jobs/load.rs
@@ -7,6 +7,7 @@
 use crate::decision::gateway::STORE_RETRY_DELAY;
 use crate::decision::gateway::jobs::Work;
 use crate::decision::gateway::jobs::draft::LoadedDrafts;
+use crate::decision::gateway::jobs::memory::without_source;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::stored::Answer;
 use crate::decision::gateway::stored::Kind;
@@ -103,7 +104,7 @@
         if batch.is_none() {
             job.next_load = self.now + UNDECODABLE_DELAY;
         }
-        job.batch = batch;
+        job.batch = batch.map(without_source);
         self.advance_load(id);
         self.answer_bodies(id);
     }
--- a/crates/core/src/decision/gateway/jobs/mod.rs
+++ b/crates/core/src/decision/gateway/jobs/mod.rs
@@ -3,6 +3,7 @@
 //! - `submit`, `place`: submissions, and the choice of the runner
 //! - `head`, `ending`, `removal`: stored heads, and the ends of jobs
 //! - `load`, `routes`: what a job needs before it runs here
+//! - `memory`: the bytes of submissions that are kept
 //! - `dispatch`, `scoring`: items and scoring requests sent to targets
 //! - `pages`, `read`: results, and their readers
 //! - `draft`: texts that are reused by another process or a later job
@@ -12,6 +13,7 @@
 pub(super) mod ending;
 pub(super) mod head;
 pub(super) mod load;
+pub(super) mod memory;
 pub(super) mod pages;
 pub(super) mod place;
 pub(super) mod read;
@@ -179,6 +181,22 @@
             || self.suspected_since.is_some()
     }
 
+    /// Returns `true` if nothing needs the copies of the stored objects of the job now.
+    pub(super) fn is_idle(&self) -> bool {
+        matches!(self.work, Work::Idle)
+            && !self.is_busy()
+            && !self.loading_page
+            && !self.loading_part
+    }
+
+    /// Evicts the copies of the stored objects, which are read again when they are needed.
+    pub(super) fn evict(&mut self) {
+        self.batch = None;
+        self.parts.clear();
+        self.journal = Journal::default();
+        self.complete_at = None;
+    }
+
     /// Returns `true` if the workspace owns the job.
     pub(super) fn belongs_to(&self, workspace: Option<&WorkspaceName>) -> bool {
         self.head.workspace.as_ref() == workspace
@@ -261,15 +279,8 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let idle = matches!(job.work, Work::Idle)
-            && !job.is_busy()
-            && !job.loading_page
-            && !job.loading_part;
-        if idle && now.since(job.last_used) > IDLE_COPY_RETENTION {
-            job.batch = None;
-            job.parts.clear();
-            job.journal = Journal::default();
-            job.complete_at = None;
+        if job.is_idle() && now.since(job.last_used) > IDLE_COPY_RETENTION {
+            job.evict();
         }
     }
 
--- a/crates/core/src/decision/gateway/jobs/submit.rs
+++ b/crates/core/src/decision/gateway/jobs/submit.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use crate::decision::gateway::Gateway;
+use crate::decision::gateway::jobs::memory::without_source;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Reply;
 use crate::decision::gateway::stored::Answer;
@@ -40,7 +41,7 @@
 #[derive(Debug)]
 pub(in crate::decision::gateway) struct Submission {
     calls: Vec<CallId>,
-    batch: Arc<Batch>,
+    pub(super) batch: Arc<Batch>,
     head: Head,
     /// Number of parts that are not stored yet.
     unstored: usize,
@@ -74,7 +75,12 @@
             submission.calls.push(call);
             return;
         }
+        if !self.make_room(&id, &batch) {
+            self.reply(call, Reply::NotAccepted);
+            return;
+        }
         let parts = split(&batch.source);
+        let batch = without_source(batch);
         let runner = Runner::from(&self.settings.peer);
         let head = Head {
             workspace,
--- a/crates/core/src/decision/gateway/settings.rs
+++ b/crates/core/src/decision/gateway/settings.rs
@@ -23,6 +23,8 @@
     pub usage_window: Option<Duration>,
     /// Time after acceptance during which an ended job can still be read.
     pub job_retention: Duration,
+    /// Largest size of all submissions that are kept in memory, in bytes.
+    pub job_bytes: usize,
     /// Time after the end of a usage window within which it must be reported.
     pub report_deadline: Duration,
     /// Seed of the random numbers that distribute requests.
--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -14,6 +14,7 @@
 pub mod gateway;
 pub mod lease;
 pub mod member;
+pub mod memory;
 pub mod order;
 pub mod permit;
 pub mod prefix;
--- a/crates/core/src/domain/batch.rs
+++ b/crates/core/src/domain/batch.rs
@@ -19,6 +19,12 @@
 use crate::domain::name::WorkspaceName;
 use crate::domain::time::WallTime;
 
+/// Memory of an item beside its texts, in bytes.
+const ITEM_BYTES: usize = 512;
+
+/// Memory of a header beside its texts, in bytes.
+const FIELD_BYTES: usize = 64;
+
 /// A batch job as submitted by a caller. Immutable.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Batch {
@@ -32,6 +38,14 @@
     pub source: Arc<str>,
 }
 
+impl Batch {
+    /// Returns the size of the submission in memory, in bytes.
+    pub fn bytes(&self) -> usize {
+        let items: usize = self.items.iter().map(|item| item.bytes()).sum();
+        items + self.source.len()
+    }
+}
+
 /// One request of a batch job.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Item {
@@ -51,6 +65,18 @@
     pub scorer: Option<Scorer>,
 }
 
+impl Item {
+    /// Returns the size of the item in memory, in bytes.
+    pub fn bytes(&self) -> usize {
+        let headers = self.headers.iter();
+        let headers: usize = headers
+            .map(|(name, value)| name.len() + value.len() + FIELD_BYTES)
+            .sum();
+        let scorer = self.scorer.as_ref().map_or(0, |scorer| scorer.body.len());
+        self.body.len() + self.path.len() + headers + scorer + ITEM_BYTES
+    }
+}
+
 /// A request that scores the text of an item.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Scorer {
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -210,6 +210,9 @@
     /// The text of an item is discarded, because no target of the software version that began it
     /// takes it. Fields: `batch`, `item`, `software`, `served`, `events`, `waited_ms`.
     TextDiscarded = (644, Warn, "text_discarded", "the text of an item is discarded because the software version that began it does not go on"),
+    /// A submission was not accepted, because the submissions that are kept take all the memory for
+    /// them. Fields: `batch`, `bytes`, `kept`, `limit`.
+    BatchNoRoom = (645, Warn, "batch_no_room", "there is no room for a submission, which is not accepted"),
     /// A request was answered. Fields: `request`, `route`, `status`, `attempts`, `target`, `millis`.
     RequestAnswered = (650, Debug, "request_answered", "a request is answered"),
     /// A request was refused. Fields: `request`, `status`, `reason`, `attempts`, `millis`, `config`.
@@ -226,6 +229,12 @@
     CrashedUnderRequest = (655, Warn, "crashed_under_request", "a target crashed while a request ran on it"),
     /// A target answered a request under which targets had crashed. Fields: `fingerprint`, `crashes`.
     SuspectCleared = (656, Info, "suspect_cleared", "a target answered a request under which targets had crashed"),
+    /// The body of a request was given up, because it found no room or made no progress while others
+    /// needed its room. Fields: `owner`, `bytes`, `used`, `bodies`, `share`.
+    BodyRefused = (660, Warn, "body_refused", "there is no room for the body of a request"),
+    /// The memory of the host does not hold one body of the size that the configuration permits.
+    /// Fields: `memory`, `largest`, `permitted`, `config`.
+    MemoryShort = (661, Error, "memory_short", "the memory of the host does not hold the largest body that is permitted"),
     /// Log events were dropped. Fields: `count`.
     EventsLeftOut = (690, Warn, "events_left_out", "log events were dropped because there were too many"),
 }
--- a/crates/core/src/port/front.rs
+++ b/crates/core/src/port/front.rs
@@ -7,6 +7,7 @@
 
 use crate::decision::agent::RequestState;
 use crate::decision::authorize::Inbound;
+use crate::decision::memory::Owner;
 use crate::domain::call::Call;
 use crate::domain::call::CallEvent;
 use crate::domain::call::Counter;
@@ -25,6 +26,11 @@
     /// Dropping the guard cancels the request.
     fn submit(&self, inbound: Inbound, events: Sender<CallEvent>) -> Box<dyn CallGuard>;
 
+    /// Decides whether the body of a request is read, from its head, and who is charged for it.
+    fn admit_body(&self, _head: &Inbound) -> Result<Owner, ErrorKind> {
+        Ok(Owner::Open)
+    }
+
     /// Records a request that the adapter refused before it was submitted.
     fn record_refusal(&self, kind: ErrorKind);
 
--- a/crates/core/tests/gateway_logs.rs
+++ b/crates/core/tests/gateway_logs.rs
@@ -37,6 +37,7 @@
         usage_window: None,
         job_retention: Duration::from_secs(60),
         report_deadline: Duration::from_secs(10),
+        job_bytes: 64 << 20,
         seed: 1,
     };
     Gateway::new(settings, NOW)
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -247,6 +247,7 @@
             fence_checked: self.fence_checked,
             usage_window: Some(Duration::from_secs(5)),
             report_deadline: Duration::from_secs(10),
+            job_bytes: 64 << 20,
             seed: incarnation + 77 * u64::try_from(index).unwrap(),
         };
         let node = &mut self.nodes[index];
--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -13,11 +13,13 @@
 use sardinepath_adapters::rpc::client::RpcClient;
 use sardinepath_adapters::runtime::Spawner;
 use sardinepath_adapters::runtime::sleep;
+use sardinepath_core::decision::admission::authorize_body;
 use sardinepath_core::decision::admission::authorize_request;
 use sardinepath_core::decision::answer::AnswerBuffer;
 use sardinepath_core::decision::answer::AnswerStep;
 use sardinepath_core::decision::authorize::Authorized;
 use sardinepath_core::decision::authorize::Inbound;
+use sardinepath_core::decision::memory::Owner;
 use sardinepath_core::decision::request::Admitted;
 use sardinepath_core::decision::request::AfterFailure;
 use sardinepath_core::decision::request::Answered;
@@ -148,6 +150,11 @@
         Box::new(self.shared.spawner.spawn(work))
     }
 
+    fn admit_body(&self, head: &Inbound) -> Result<Owner, ErrorKind> {
+        let snapshot = self.shared.snapshot.load();
+        authorize_body(snapshot.view(), self.shared.clock.now(), head)
+    }
+
     fn record_refusal(&self, kind: ErrorKind) {
         self.shared.metrics.count_refusal(kind);
     }
