Count a stated length before the body is read

Bodies that each held a part of the budget and waited for the rest kept each other from their ends: of 96 submissions at once none was accepted, and all were refused after the same two seconds. A stated length is now counted before any of the body is read.

--- a/crates/adapters/src/caller/inbound.rs
+++ b/crates/adapters/src/caller/inbound.rs
@@ -1,11 +1,8 @@
 //! Reads requests of callers.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use bytes::Bytes;
 use http::request::Parts;
-use http_body_util::BodyExt;
 use hyper::Request;
 use hyper::body::Body as _;
 use hyper::body::Incoming;
@@ -20,15 +17,13 @@
 use crate::memory::Complete;
 use crate::memory::Held;
 use crate::memory::ReadFault;
+use crate::memory::discard;
 use crate::runtime::timeout;
 
 /// Number of copies of a body that exist while it is decoded: as received, as kept, its texts and its
 /// prompt.
 const COPIES: usize = 4;
 
-/// Time for which the body of a refused request is read and discarded.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// A complete request with the memory that it holds.
 pub(super) struct HeldInbound {
     pub(super) inbound: Inbound,
@@ -79,25 +74,6 @@
     }
 }
 
-/// Reads and discards the rest of a body, bounded in bytes and time. Closing a connection with
-/// unread bytes resets it, and the caller would lose the response.
-fn discard(mut body: Incoming, max_bytes: usize) {
-    if body.is_end_stream() {
-        return;
-    }
-    let read = async move {
-        let mut left = max_bytes;
-        while let Some(Ok(frame)) = body.frame().await {
-            let read = frame.data_ref().map_or(0, Bytes::len);
-            let Some(rest) = left.checked_sub(read) else {
-                return;
-            };
-            left = rest;
-        }
-    };
-    tokio::spawn(timeout(DISCARD_TIMEOUT, read));
-}
-
 fn to_inbound(head: &Parts, body: &[u8]) -> Inbound {
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let fields = head.headers.iter().map(|(name, value)| HeaderField {
--- a/crates/adapters/src/memory.rs
+++ b/crates/adapters/src/memory.rs
@@ -23,6 +23,7 @@
 use sardinepath_core::port::clock::Clock;
 use tokio::sync::Notify;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::clock::HostClock;
 use crate::event::emit;
@@ -36,6 +37,9 @@
 /// Interval at which a body that waits for room asks again, since others may have stalled meanwhile.
 const WAIT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time for which the body of a refused request is read and discarded.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Reason why a body was not read to its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadFault {
@@ -167,7 +171,7 @@
     pub async fn read_copied(
         &self,
         owner: Owner,
-        body: Incoming,
+        mut body: Incoming,
         max_bytes: usize,
         copies: usize,
     ) -> Result<(Vec<u8>, Held<Complete>), ReadFault> {
@@ -175,10 +179,16 @@
         let held = self.arrive(owner, shed.clone());
         let buffer = tokio::select! {
             biased;
-            () = shed.notified() => return Err(ReadFault::Stalled),
-            buffer = held.fill(body, max_bytes, copies) => buffer?,
+            () = shed.notified() => Err(ReadFault::Stalled),
+            buffer = held.fill(&mut body, max_bytes, copies) => buffer,
         };
-        Ok((buffer, held.complete()))
+        match buffer {
+            Ok(buffer) => Ok((buffer, held.complete())),
+            Err(fault) => {
+                discard(body, max_bytes);
+                Err(fault)
+            }
+        }
     }
 
     fn arrive(&self, owner: Owner, shed: Arc<Notify>) -> Held<Arriving> {
@@ -209,15 +219,21 @@
 }
 
 impl Held<Arriving> {
-    /// Reads a body into one buffer.
+    /// Reads a body into one buffer. The memory for a stated length is counted before any of it is
+    /// read: bodies that each hold a part and wait for the rest would keep each other from their ends.
     async fn fill(
         &self,
-        mut body: Incoming,
+        body: &mut Incoming,
         max_bytes: usize,
         copies: usize,
     ) -> Result<Vec<u8>, ReadFault> {
         let limits = self.memory.limits();
         let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+        if stated > max_bytes {
+            return Err(ReadFault::TooLarge);
+        }
+        let mut counted = limits.charge(stated, copies);
+        self.grow(counted).await?;
         let mut buffer = Vec::new();
         while let Some(frame) = body.frame().await {
             let Ok(data) = frame.map_err(|_| ReadFault::Incomplete)?.into_data() else {
@@ -229,8 +245,11 @@
             }
             if needed > buffer.capacity() {
                 let capacity = next_capacity(needed, stated, max_bytes);
-                let counted = limits.charge(buffer.capacity(), copies);
-                self.grow(limits.charge(capacity, copies) - counted).await?;
+                let charge = limits.charge(capacity, copies);
+                if charge > counted {
+                    self.grow(charge - counted).await?;
+                    counted = charge;
+                }
                 buffer.reserve_exact(capacity - buffer.len());
             }
             buffer.extend_from_slice(&data);
@@ -293,6 +312,25 @@
     }
 }
 
+/// Reads and discards the rest of a body, bounded in bytes and time. Closing a connection with
+/// unread bytes resets it, and the caller would lose the response.
+pub fn discard(mut body: Incoming, max_bytes: usize) {
+    if body.is_end_stream() {
+        return;
+    }
+    let read = async move {
+        let mut left = max_bytes;
+        while let Some(Ok(frame)) = body.frame().await {
+            let read = frame.data_ref().map_or(0, Bytes::len);
+            let Some(rest) = left.checked_sub(read) else {
+                return;
+            };
+            left = rest;
+        }
+    };
+    tokio::spawn(timeout(DISCARD_TIMEOUT, read));
+}
+
 /// Returns the size of a buffer that has to hold `needed` bytes. It stays below the stated length,
 /// or the limit if none is stated.
 fn next_capacity(needed: usize, stated: usize, max_bytes: usize) -> usize {
