--- a/crates/core/src/decision/gateway/jobs/submit.rs
+++ b/crates/core/src/decision/gateway/jobs/submit.rs
@@ -14,6 +14,7 @@
 use crate::decision::gateway::jobs::held::Patience;
 use crate::decision::gateway::jobs::held::Stage;
 use crate::decision::gateway::jobs::held::Write;
+use crate::decision::gateway::jobs::memory::without_source;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Reply;
 use crate::decision::gateway::stored::Answer;
@@ -106,6 +107,10 @@
             );
             return;
         }
+        if !self.make_room(&id, &request.batch) {
+            self.reply(call, Reply::NotAccepted);
+            return;
+        }
         let submission = self.new_submission(call, request);
         self.submissions.insert(id.clone(), submission);
         self.begin_submission(&id);
@@ -115,6 +120,7 @@
         let now = self.now;
         let batch = request.batch;
         let parts = split(&batch.source);
+        let batch = without_source(batch);
         let runner = Runner::from(&self.settings.peer);
         let head = Head {
             workspace: request.workspace,
--- a/crates/core/src/decision/gateway/settings.rs
+++ b/crates/core/src/decision/gateway/settings.rs
@@ -34,6 +34,8 @@
     pub entry_lapse: Duration,
     /// Time after acceptance during which an ended job can still be read.
     pub job_retention: Duration,
+    /// Largest size of all submissions that are kept in memory, in bytes.
+    pub job_bytes: usize,
     /// Time after the end of a usage window within which it must be reported.
     pub report_deadline: Duration,
     /// Number of requests that a cold target may get above the rate that it tolerates.
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -286,6 +286,7 @@
                 slack: 5.0,
             },
             paces: false,
+            job_bytes: 64 << 20,
             seed: incarnation + 77 * u64::try_from(index).unwrap(),
         };
         let node = &mut self.nodes[index];
--- a/crates/node/tests/gateway_control.rs
+++ b/crates/node/tests/gateway_control.rs
@@ -72,6 +72,7 @@
         report_deadline: Duration::from_secs(10),
         cold_tolerance: ColdTolerance::default(),
         paces: false,
+        job_bytes: 64 << 20,
         seed: 1,
     };
     Gateway::new(settings, HostClock.now())
