Divide the slots of a short pool among workspaces over all gateways

Each gateway sent the items of its own jobs strictly by rank and age of the job, so the first one to see a free slot took it, and a workspace or route could wait for all others. While the demand exceeds the slots, the more urgent rank goes first and leaves a reserve to the others, the workspaces of a rank get equal shares, and each gateway takes its part of them.

--- a/crates/core/src/decision/batch/runner.rs
+++ b/crates/core/src/decision/batch/runner.rs
@@ -133,6 +133,17 @@
         tasks
     }
 
+    /// Returns the number of items that wait for a target now, and of those that generate.
+    pub fn demand(&self, now: Time) -> (u32, u32) {
+        self.slots
+            .iter()
+            .fold((0, 0), |(waiting, running), slot| match slot {
+                Slot::Waiting(run) if now >= run.state.due => (waiting + 1, running),
+                Slot::Generating(_) => (waiting, running + 1),
+                _ => (waiting, running),
+            })
+    }
+
     /// Returns the target that last read the prompt of a group.
     pub fn group_target(&self, group: Option<&GroupName>) -> Option<TargetName> {
         self.group_targets.get(group?).cloned()
--- a/crates/core/src/decision/directory/mod.rs
+++ b/crates/core/src/decision/directory/mod.rs
@@ -7,6 +7,7 @@
 mod leaves;
 mod limits;
 mod pace;
+mod room;
 mod speed;
 mod target;
 
@@ -22,6 +23,7 @@
 pub use crate::decision::directory::limits::REFRESH_AGE;
 pub use crate::decision::directory::limits::Statement;
 pub use crate::decision::directory::pace::ToldPace;
+pub use crate::decision::directory::room::Room;
 use crate::decision::directory::target::ERROR_THRESHOLD;
 use crate::decision::directory::target::Target;
 use crate::domain::crash::Crash;
--- a/crates/core/src/decision/gateway/jobs/dispatch.rs
+++ b/crates/core/src/decision/gateway/jobs/dispatch.rs
@@ -38,32 +38,35 @@
 /// What to do with the remaining items of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Dispatch {
-    /// The next item may be sent.
+    /// The item was sent.
+    Sent,
+    /// The item waits, but the next one may be sent.
     Next,
     /// No target has a free slot.
     Full,
 }
 
 impl Gateway {
-    /// Dispatches all tasks for which targets have free slots, ordered by rank and age of the job.
+    /// Dispatches all tasks for which targets have free slots, and moves texts away from slow targets.
     pub(in crate::decision::gateway) fn dispatch(&mut self) {
-        let mut active: Vec<(u32, u64, BatchId)> = Vec::new();
-        for (id, job) in &self.jobs {
-            if matches!(job.work, Work::Running(_)) {
-                let rank = self.rank(&job.head);
-                active.push((rank, job.head.accepted.0, id.clone()));
-            }
-        }
-        active.sort();
-        for (_, _, id) in active {
-            self.dispatch_job(&id);
-        }
+        self.dispatch_all();
         self.move_slow_runs();
     }
 
+    /// Dispatches the tasks of all jobs, ordered by rank and age of the job. While the slots of a pool
+    /// are short, its jobs send no more than their share.
+    fn dispatch_all(&mut self) {
+        let jobs = self.contenders();
+        let limits = self.share_limits(&jobs);
+        for job in jobs {
+            let limit = limits.get(&job.id).copied().unwrap_or(u32::MAX);
+            self.dispatch_job(&job.id, limit);
+        }
+    }
+
     /// Returns the priority rank of a job. A job whose route is gone sends only scoring requests, after
     /// the requests of all other jobs.
-    fn rank(&self, head: &Head) -> u32 {
+    pub(in crate::decision::gateway) fn rank(&self, head: &Head) -> u32 {
         let table = self.table.as_ref();
         let found = table.and_then(|table| Some((table, JobRoute::find(table, head)?)));
         found.map_or(u32::MAX, |(table, found)| {
@@ -71,7 +74,8 @@
         })
     }
 
-    fn dispatch_job(&mut self, id: &BatchId) {
+    /// Dispatches the tasks of a job, of which at most `limit` are generations.
+    fn dispatch_job(&mut self, id: &BatchId, limit: u32) {
         let now = self.now;
         let Some(table) = self.table.clone() else {
             return;
@@ -93,13 +97,17 @@
             return;
         }
         let route = JobRoute::find(&table, &head);
-        let mut full = false;
+        let mut left = limit;
         for task in tasks {
             match task {
-                Task::Generate(_) if full => {}
+                Task::Generate(_) if left == 0 => {}
                 Task::Generate(task) => {
                     if let Some(route) = &route {
-                        full = self.generate(id, &head, route, task) == Dispatch::Full;
+                        left = match self.generate(id, &head, route, task) {
+                            Dispatch::Sent => left - 1,
+                            Dispatch::Next => left,
+                            Dispatch::Full => 0,
+                        };
                     }
                 }
                 Task::Score { index, scorer } => self.score(id, index, scorer),
@@ -167,7 +175,7 @@
             rank: self.rank(head),
             stall_timeout,
         })));
-        Dispatch::Next
+        Dispatch::Sent
     }
 
     /// Chooses the target of an item. A text waits for a target of the software version that began
@@ -336,6 +344,9 @@
             fields.push(("end", format!("{end:?}")));
             self.log(Event::ItemFailed, fields);
         }
-        self.dispatch_job(&batch);
+        match self.shares.is_any_short() {
+            true => self.dispatch_all(),
+            false => self.dispatch_job(&batch, u32::MAX),
+        }
     }
 }
--- a/crates/core/src/decision/gateway/jobs/mod.rs
+++ b/crates/core/src/decision/gateway/jobs/mod.rs
@@ -3,7 +3,7 @@
 //! - `submit`, `place`: submissions, and the choice of the runner
 //! - `head`, `ending`, `removal`: stored heads, and the ends of jobs
 //! - `load`, `routes`: what a job needs before it runs here
-//! - `dispatch`, `scoring`: items and scoring requests sent to targets
+//! - `dispatch`, `share`, `scoring`: items and scoring requests sent to targets
 //! - `pages`, `read`: results, and their readers
 //! - `draft`: texts that are reused by another process or a later job
 
@@ -18,6 +18,7 @@
 pub(super) mod removal;
 pub(super) mod routes;
 pub(super) mod scoring;
+pub(super) mod share;
 pub(super) mod submit;
 
 use std::sync::Arc;
--- a/crates/core/src/decision/gateway/membership/peers.rs
+++ b/crates/core/src/decision/gateway/membership/peers.rs
@@ -212,9 +212,9 @@
     pub(in crate::decision::gateway) fn answer_ping(&mut self, call: CallId, ping: &PingRequest) {
         let now = self.now;
         self.leaves_told(&ping.leaving);
-        let paces = match ping.paces {
-            true => self.directory.recent_paces(now),
-            false => Vec::new(),
+        let (paces, claims) = match ping.paces {
+            true => (self.directory.recent_paces(now), self.own_claims()),
+            false => (Vec::new(), Vec::new()),
         };
         let outage = self.store.outage_time(now);
         let pong = Pong {
@@ -223,6 +223,7 @@
             load: self.directory.own_load(),
             leaving: self.directory.recent_leaves(now),
             paces,
+            claims,
         };
         self.reply(call, Reply::Pong(pong));
     }
@@ -237,6 +238,7 @@
         if let Some(pong) = pong {
             leaving = pong.leaving;
             self.directory.learn_paces(now, &pong.paces);
+            self.shares.told.record(now, host.clone(), pong.claims);
             health.last_pong = now;
             let limit = u64::try_from(SILENCE_LIMIT.as_millis()).unwrap_or(u64::MAX);
             if pong.silence < limit {
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -25,6 +25,7 @@
 use crate::decision::lease::Permit;
 use crate::decision::permit::PermitGrant;
 use crate::decision::permit::PermitRequest;
+use crate::decision::share::Claim;
 use crate::decision::tally::Counts;
 use crate::decision::weights::Load;
 use crate::decision::weights::OrderEnd;
@@ -241,7 +242,7 @@
 pub struct PingRequest {
     /// Targets that said recently that they are leaving.
     pub leaving: Vec<LeaveStatement>,
-    /// Whether the sender runs jobs, so that it needs the paces of targets.
+    /// Whether the sender runs jobs, so that it needs the paces of targets and the demand of others.
     pub paces: bool,
 }
 
@@ -260,6 +261,9 @@
     /// Paces of targets that this process measured recently, if they were asked for.
     #[serde(default)]
     pub paces: Vec<ToldPace>,
+    /// Demand of the jobs of this process, if the paces were asked for.
+    #[serde(default)]
+    pub claims: Vec<Claim>,
 }
 
 /// Reason why a process forwards no watched objects.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -35,6 +35,7 @@
 use crate::decision::gateway::jobs::Job;
 use crate::decision::gateway::jobs::read::JobLookup;
 use crate::decision::gateway::jobs::removal::Removal;
+use crate::decision::gateway::jobs::share::Shares;
 use crate::decision::gateway::jobs::submit::Submission;
 use crate::decision::gateway::limits::limit::Permits;
 use crate::decision::gateway::membership::health::StoreHealth;
@@ -87,6 +88,7 @@
     /// Texts that ended jobs did not need.
     retained: RetainedTexts,
     peers: Peers,
+    shares: Shares,
     permits: Permits,
     suspects: Suspects,
     streams: Streams,
@@ -129,6 +131,7 @@
             lookups: BTreeMap::new(),
             retained: RetainedTexts::default(),
             peers: Peers::default(),
+            shares: Shares::default(),
             permits: Permits::default(),
             suspects: Suspects::default(),
             streams: Streams::default(),
--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -22,6 +22,7 @@
 pub mod request;
 pub mod rollout;
 pub mod sample;
+pub mod share;
 pub mod subset;
 pub mod tally;
 pub mod traffic;
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -210,6 +210,11 @@
     /// The text of an item is discarded, because no target of the software version that began it
     /// takes it. Fields: `batch`, `item`, `software`, `served`, `events`, `waited_ms`.
     TextDiscarded = (644, Warn, "text_discarded", "the text of an item is discarded because the software version that began it does not go on"),
+    /// The slots of a pool are short, so each workspace gets its share. Fields: `pool`, `slots`, `free`,
+    /// `demand`, `share`.
+    PoolShort = (647, Info, "pool_short", "the slots of a pool are short, so each workspace gets its share of them"),
+    /// The slots of a pool suffice again. Fields: `pool`, `slots`, `demand`.
+    PoolSufficient = (648, Info, "pool_sufficient", "the slots of a pool suffice for all items"),
     /// A request was answered. Fields: `request`, `route`, `status`, `attempts`, `target`, `millis`.
     RequestAnswered = (650, Debug, "request_answered", "a request is answered"),
     /// A request was refused. Fields: `request`, `status`, `reason`, `attempts`, `millis`, `config`.
--- a/crates/core/src/domain/table.rs
+++ b/crates/core/src/domain/table.rs
@@ -170,6 +170,15 @@
         None
     }
 
+    /// Returns the pool of all requests, or `None` if they are split over several pools.
+    pub fn sole_pool(&self) -> Option<&PoolName> {
+        let mut weighted = self.split.iter().filter(|(_, weight)| *weight > 0);
+        match (weighted.next(), weighted.next()) {
+            (Some((pool, _)), None) => Some(pool),
+            _ => None,
+        }
+    }
+
     /// Returns the maximum number of targets to which one request may be sent. It is one if the
     /// operator states none, so that no request runs more often than permitted.
     pub fn max_targets(&self) -> u32 {
