Keep the items of a group on few targets

Each target that runs an item of a group reads the prompt of the group. The long items of all groups were sent first, and the short ones wherever a slot was left. While all items that wait can start at once, they are now sent group by group, and any target that has read the prompt is preferred over a fuller one.

--- a/crates/core/src/decision/batch/runner.rs
+++ b/crates/core/src/decision/batch/runner.rs
@@ -19,6 +19,7 @@
 use crate::decision::batch::Scoring;
 use crate::decision::batch::Task;
 use crate::decision::batch::Waiting;
+use crate::decision::batch::groups::Holders;
 use crate::decision::batch::order::dispatch_order;
 use crate::decision::batch::pace::pace;
 use crate::decision::batch::retry::REFUSAL_DELAY;
@@ -49,8 +50,8 @@
     pub(super) runs: HashMap<RunId, usize>,
     /// Indexes of the items in dispatch order.
     order: Vec<usize>,
-    /// Last target of each group, which has cached the prompt.
-    group_targets: HashMap<GroupName, TargetName>,
+    /// Targets that have read the prompts of groups.
+    holders: Holders,
 }
 
 /// Item in its current state.
@@ -97,7 +98,7 @@
             batch,
             limits,
             runs: HashMap::new(),
-            group_targets: HashMap::new(),
+            holders: Holders::default(),
         }
     }
 
@@ -144,9 +145,9 @@
             })
     }
 
-    /// Returns the target that last read the prompt of a group.
-    pub fn group_target(&self, group: Option<&GroupName>) -> Option<TargetName> {
-        self.group_targets.get(group?).cloned()
+    /// Returns the targets that have read the prompt of a group.
+    pub fn group_targets(&self, group: Option<&GroupName>) -> Vec<TargetName> {
+        self.holders.of(group)
     }
 
     /// Marks a waiting item as sent to a target. Returns the item and its text so far, or `None` if
@@ -164,7 +165,7 @@
         };
         let item = run.item.clone();
         if let Some(group) = &item.group {
-            self.group_targets.insert(group.clone(), target.clone());
+            self.holders.record(group, &target);
         }
         let (run, partial) = run.start(now, id, target);
         *slot = Slot::Generating(run);
--- a/crates/core/src/decision/directory/choice.rs
+++ b/crates/core/src/decision/directory/choice.rs
@@ -17,8 +17,8 @@
     pub software: Option<SoftwareVersion>,
     /// Targets that must not be chosen.
     pub excluded: Vec<TargetName>,
-    /// Target that has a part of the prompt cached.
-    pub preferred: Option<TargetName>,
+    /// Targets that have a part of the prompt cached.
+    pub preferred: Vec<TargetName>,
     /// `true` if the request can wait, so that it leaves permits for limited targets to others.
     pub deferrable: bool,
     /// `true` if the target must have a free slot.
--- a/crates/core/src/decision/directory/target.rs
+++ b/crates/core/src/decision/directory/target.rs
@@ -123,8 +123,9 @@
         need: &TargetNeeds,
         centre: &CentreName,
     ) -> f64 {
-        /// Bonus for a target that has a part of the prompt cached.
-        const PREFIX_BONUS: f64 = 0.4;
+        /// Bonus for a target that has a part of the prompt cached. It exceeds the range of the load, so
+        /// that an item does not leave its group for a fuller target.
+        const PREFIX_BONUS: f64 = 1.1;
         /// Cost of a target in another data centre.
         const REMOTE_COST: f64 = 0.05;
         /// Bonus for each version above the oldest permitted one.
@@ -146,7 +147,7 @@
         } else {
             REMOTE_COST
         };
-        let held = need.preferred.as_ref() == Some(&self.entry.name);
+        let held = need.preferred.contains(&self.entry.name);
         let prompt = if held { PREFIX_BONUS } else { 0.0 };
         let common = distance - prompt + self.tie_breaker(need.seed);
         let Some(versions) = need
--- a/crates/core/src/decision/gateway/jobs/dispatch.rs
+++ b/crates/core/src/decision/gateway/jobs/dispatch.rs
@@ -8,6 +8,7 @@
 use crate::decision::batch::RunId;
 use crate::decision::batch::Runner;
 use crate::decision::batch::Task;
+use crate::decision::batch::by_group;
 use crate::decision::directory::CallEnd;
 use crate::decision::directory::Choice;
 use crate::decision::directory::Sharing;
@@ -21,7 +22,9 @@
 use crate::domain::batch::PartialText;
 use crate::domain::batch::Scorer;
 use crate::domain::event::Event;
+use crate::domain::ids::WeightVersion;
 use crate::domain::name::BatchId;
+use crate::domain::name::ModelName;
 use crate::domain::name::TargetName;
 use crate::domain::table::Route;
 
@@ -92,10 +95,14 @@
             route.max_failures()
         };
         active.runner.give_up(now, max_scorings);
-        let tasks = active.runner.tasks(now);
+        let mut tasks = active.runner.tasks(now);
         if tasks.is_empty() {
             return;
         }
+        let model = head.model.clone().map(|model| (model, head.min_version));
+        if self.has_room_for(&tasks, limit, &head, model.as_ref()) {
+            tasks = by_group(tasks);
+        }
         let route = JobRoute::find(&table, &head);
         let mut left = limit;
         for task in tasks {
@@ -115,6 +122,25 @@
         }
     }
 
+    /// Returns `true` if all tasks of a job can start now, so that their order does not matter for the
+    /// end of the job.
+    fn has_room_for(
+        &self,
+        tasks: &[Task],
+        limit: u32,
+        head: &Head,
+        model: Option<&(ModelName, WeightVersion)>,
+    ) -> bool {
+        let route = self.job_route(head);
+        let pool = route.as_ref().and_then(|found| found.route.sole_pool());
+        let Some(pool) = pool else {
+            return false;
+        };
+        let room = self.directory.room(self.now, pool, model);
+        let count = u32::try_from(tasks.len()).unwrap_or(u32::MAX);
+        count <= room.free.min(limit)
+    }
+
     /// Sends an item to a target.
     fn generate(
         &mut self,
@@ -218,7 +244,7 @@
         Ok(target)
     }
 
-    /// Chooses the target of an item, at best the one that holds the prompt of its group. Targets
+    /// Chooses the target of an item, at best one that holds the prompt of its group. Targets
     /// that the item should avoid are used only if no other one has a free slot.
     fn choose_target(
         &mut self,
@@ -230,8 +256,8 @@
         let random = self.next_random();
         let pool = route.pool(random)?;
         let prefer = match self.jobs.get(id).map(|job| &job.work) {
-            Some(Work::Running(active)) => active.runner.group_target(task.group.as_ref()),
-            _ => None,
+            Some(Work::Running(active)) => active.runner.group_targets(task.group.as_ref()),
+            _ => Vec::new(),
         };
         let mut need = TargetNeeds {
             model: head.model.clone().map(|model| (model, head.min_version)),
--- /dev/null
+++ b/crates/core/tests/gateway_shares.rs
@@ -0,0 +1,86 @@
+//! Shares of gateways whose jobs compete for the slots of one pool, in virtual time.
+#![allow(clippy::unwrap_used, missing_docs)]
+
+mod gateway_support;
+
+use sardinepath_core::decision::gateway::message::Question;
+use sardinepath_core::domain::name::BatchId;
+use sardinepath_core::domain::name::WorkspaceName;
+
+use crate::gateway_support::Simulation;
+use crate::gateway_support::batch;
+use crate::gateway_support::route;
+
+/// Slots of all targets of the simulation.
+const SLOTS: u32 = 32;
+
+/// Number of items of a job, enough to fill all slots for the whole test.
+const ITEMS: usize = 400;
+
+/// Time in milliseconds within which shares follow a change.
+const SETTLE_MS: u64 = 2_000;
+
+/// Duration of a generation in milliseconds.
+const GENERATION_MS: u64 = 500;
+
+/// Number of samples of the running items, and the time between two of them in milliseconds.
+const SAMPLES: (u32, u64) = (50, 60);
+
+/// Starts a simulation of two gateways.
+fn simulation() -> Simulation {
+    let mut sim = Simulation::new(2);
+    sim.generation_ms = GENERATION_MS;
+    sim
+}
+
+/// Submits a job of a workspace at a gateway.
+fn submit(sim: &mut Simulation, index: usize, workspace: &str) {
+    let question = Question::Submit {
+        id: BatchId::from(workspace),
+        workspace: Some(WorkspaceName::from(workspace)),
+        route: route(),
+        batch: batch(ITEMS),
+    };
+    sim.ask(index, question);
+}
+
+/// Returns the mean number of requests that each gateway runs.
+fn mean_load(sim: &mut Simulation) -> [u32; 2] {
+    let mut sums = [0, 0];
+    for _ in 0..SAMPLES.0 {
+        sim.run(SAMPLES.1);
+        sums = [sums[0] + sim.running(0), sums[1] + sim.running(1)];
+    }
+    sums.map(|sum| sum / SAMPLES.0)
+}
+
+/// Fails if a workspace whose job comes later waits for all items of an earlier job of another gateway.
+#[test]
+fn a_later_job_of_another_gateway_gets_its_share() {
+    let mut sim = simulation();
+    submit(&mut sim, 0, "early");
+    sim.run(SETTLE_MS);
+
+    submit(&mut sim, 1, "late");
+    sim.run(SETTLE_MS);
+    let [early, late] = mean_load(&mut sim);
+
+    let fair = SLOTS * 2 / 5..=SLOTS * 3 / 5;
+    assert!(fair.contains(&early), "early {early}, late {late}");
+    assert!(fair.contains(&late), "early {early}, late {late}");
+}
+
+/// Fails if the slots of a gateway that died stay unused although its claims are out of date.
+#[test]
+fn the_share_of_a_dead_gateway_is_used() {
+    let mut sim = simulation();
+    submit(&mut sim, 0, "left");
+    submit(&mut sim, 1, "lost");
+    sim.run(SETTLE_MS);
+
+    sim.kill(1);
+    sim.run(SETTLE_MS);
+    let [left, _] = mean_load(&mut sim);
+
+    assert!(left >= SLOTS * 9 / 10, "{left} of {SLOTS} slots are used");
+}
--- a/crates/core/tests/gateway_support/traffic.rs
+++ b/crates/core/tests/gateway_support/traffic.rs
@@ -288,6 +288,11 @@
         outcomes.map(|outcome| outcome.text.clone()).collect()
     }
 
+    /// Returns the number of requests that a gateway runs at targets.
+    pub fn running(&self, index: usize) -> u32 {
+        u32::try_from(self.nodes[index].runs.len()).unwrap()
+    }
+
     pub(super) fn load(&self, index: usize) -> BTreeMap<TargetName, u32> {
         let mut load = BTreeMap::new();
         for target in self.nodes[index].runs.values() {
