--- a/crates/core/src/decision/gateway/jobs/dispatch.rs
+++ b/crates/core/src/decision/gateway/jobs/dispatch.rs
@@ -8,6 +8,7 @@
 use crate::decision::batch::RunId;
 use crate::decision::batch::Runner;
 use crate::decision::batch::Task;
+use crate::decision::batch::by_group;
 use crate::decision::directory::CallEnd;
 use crate::decision::directory::Choice;
 use crate::decision::directory::Sharing;
@@ -22,7 +23,9 @@
 use crate::domain::batch::PartialText;
 use crate::domain::batch::Scorer;
 use crate::domain::event::Event;
+use crate::domain::ids::WeightVersion;
 use crate::domain::name::BatchId;
+use crate::domain::name::ModelName;
 use crate::domain::name::TargetName;
 use crate::domain::table::Route;
 
@@ -39,29 +42,32 @@
 /// What to do with the remaining items of a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Dispatch {
-    /// The next item may be sent.
+    /// The item was sent.
+    Sent,
+    /// The item waits, but the next one may be sent.
     Next,
     /// No target has a free slot.
     Full,
 }
 
 impl Gateway {
-    /// Dispatches all tasks for which targets have free slots, ordered by rank and age of the job.
+    /// Dispatches all tasks for which targets have free slots, and moves texts away from slow targets.
     pub(in crate::decision::gateway) fn dispatch(&mut self) {
-        let mut active: Vec<(u32, u64, BatchId)> = Vec::new();
-        for (id, job) in &self.jobs {
-            if matches!(job.work, Work::Running(_)) {
-                let rank = self.rank(&job.head);
-                active.push((rank, job.head.accepted.0, id.clone()));
-            }
-        }
-        active.sort();
-        for (_, _, id) in active {
-            self.dispatch_job(&id);
-        }
+        self.dispatch_all();
         self.move_slow_runs();
     }
 
+    /// Dispatches the tasks of all jobs, ordered by rank and age of the job. While the slots of a pool
+    /// are short, its jobs send no more than their share.
+    fn dispatch_all(&mut self) {
+        let jobs = self.contenders();
+        let limits = self.share_limits(&jobs);
+        for job in jobs {
+            let limit = limits.get(&job.id).copied().unwrap_or(u32::MAX);
+            self.dispatch_job(&job.id, limit);
+        }
+    }
+
     /// Returns the priority rank of a job. A job whose route is gone sends only scoring requests, after
     /// the requests of all other jobs.
     pub(in crate::decision::gateway) fn rank(&self, head: &Head) -> u32 {
@@ -72,7 +78,8 @@
         })
     }
 
-    fn dispatch_job(&mut self, id: &BatchId) {
+    /// Dispatches the tasks of a job, of which at most `limit` are generations.
+    fn dispatch_job(&mut self, id: &BatchId, limit: u32) {
         let now = self.now;
         let Some(table) = self.table.clone() else {
             return;
@@ -89,18 +96,26 @@
             route.max_failures()
         };
         active.runner.give_up(now, max_scorings);
-        let tasks = active.runner.tasks(now);
+        let mut tasks = active.runner.tasks(now);
         if tasks.is_empty() {
             return;
         }
+        let model = head.model.clone().map(|model| (model, head.min_version));
+        if self.has_room_for(&tasks, limit, &head, model.as_ref()) {
+            tasks = by_group(tasks);
+        }
         let route = JobRoute::find(&table, &head);
-        let mut full = false;
+        let mut left = limit;
         for task in tasks {
             match task {
-                Task::Generate(_) if full => {}
+                Task::Generate(_) if left == 0 => {}
                 Task::Generate(task) => {
                     if let Some(route) = &route {
-                        full = self.generate(id, &head, route, task) == Dispatch::Full;
+                        left = match self.generate(id, &head, route, task) {
+                            Dispatch::Sent => left - 1,
+                            Dispatch::Next => left,
+                            Dispatch::Full => 0,
+                        };
                     }
                 }
                 Task::Score { index, scorer } => self.score(id, index, scorer),
@@ -108,6 +123,25 @@
         }
     }
 
+    /// Returns `true` if all tasks of a job can start now, so that their order does not matter for the
+    /// end of the job.
+    fn has_room_for(
+        &self,
+        tasks: &[Task],
+        limit: u32,
+        head: &Head,
+        model: Option<&(ModelName, WeightVersion)>,
+    ) -> bool {
+        let route = self.job_route(head);
+        let pool = route.as_ref().and_then(|found| found.route.sole_pool());
+        let Some(pool) = pool else {
+            return false;
+        };
+        let room = self.directory.room(self.now, pool, model);
+        let count = u32::try_from(tasks.len()).unwrap_or(u32::MAX);
+        count <= room.free.min(limit)
+    }
+
     /// Sends an item to a target.
     fn generate(
         &mut self,
@@ -168,7 +202,7 @@
             rank: self.rank(head),
             stall_timeout,
         })));
-        Dispatch::Next
+        Dispatch::Sent
     }
 
     /// Chooses the target of an item. A text waits for a target of the software version that began
@@ -211,7 +245,7 @@
         Ok(target)
     }
 
-    /// Chooses the target of an item, at best the one that holds the prompt of its group. Targets
+    /// Chooses the target of an item, at best one that holds the prompt of its group. Targets
     /// that the item should avoid are used only if no other one has a free slot.
     fn choose_target(
         &mut self,
@@ -223,8 +257,8 @@
         let random = self.next_random();
         let pool = route.pool(random)?;
         let prefer = match self.jobs.get(id).map(|job| &job.work) {
-            Some(Work::Running(active)) => active.runner.group_target(task.group.as_ref()),
-            _ => None,
+            Some(Work::Running(active)) => active.runner.group_targets(task.group.as_ref()),
+            _ => Vec::new(),
         };
         let mut need = TargetNeeds {
             model: head.model.clone().map(|model| (model, head.min_version)),
@@ -343,6 +377,9 @@
             fields.push(("end", format!("{end:?}")));
             self.log(Event::ItemFailed, fields);
         }
-        self.dispatch_job(&batch);
+        match self.shares.is_any_short() {
+            true => self.dispatch_all(),
+            false => self.dispatch_job(&batch, u32::MAX),
+        }
     }
 }
--- a/crates/core/src/decision/gateway/jobs/mod.rs
+++ b/crates/core/src/decision/gateway/jobs/mod.rs
@@ -5,7 +5,7 @@
 //! - `load`, `routes`: what a job needs before it runs here
 //! - `homes`: where a job may run
 //! - `memory`: the bytes of submissions that are kept
-//! - `dispatch`, `scoring`: items and scoring requests sent to targets
+//! - `dispatch`, `share`, `scoring`: items and scoring requests sent to targets
 //! - `pages`, `read`: results, and their readers
 //! - `draft`: texts that are reused by another process or a later job
 
@@ -23,6 +23,7 @@
 pub(super) mod removal;
 pub(super) mod routes;
 pub(super) mod scoring;
+pub(super) mod share;
 pub(super) mod submit;
 
 use std::sync::Arc;
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -36,6 +36,7 @@
 use crate::decision::gateway::jobs::Job;
 use crate::decision::gateway::jobs::read::JobLookup;
 use crate::decision::gateway::jobs::removal::Removal;
+use crate::decision::gateway::jobs::share::Shares;
 use crate::decision::gateway::jobs::submit::Submission;
 use crate::decision::gateway::limits::limit::Permits;
 use crate::decision::gateway::membership::health::StoreHealth;
@@ -93,6 +94,7 @@
     /// Texts that ended jobs did not need.
     retained: RetainedTexts,
     peers: Peers,
+    shares: Shares,
     permits: Permits,
     suspects: Suspects,
     streams: Streams,
@@ -141,6 +143,7 @@
             lookups: BTreeMap::new(),
             retained: RetainedTexts::default(),
             peers: Peers::default(),
+            shares: Shares::default(),
             permits: Permits::default(),
             suspects: Suspects::default(),
             streams: Streams::default(),
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -223,6 +223,11 @@
     /// A submission was not accepted, because the submissions that are kept take all the memory for
     /// them. Fields: `batch`, `bytes`, `kept`, `limit`.
     BatchNoRoom = (646, Warn, "batch_no_room", "there is no room for a submission, which is not accepted"),
+    /// The slots of a pool are short, so each workspace gets its share. Fields: `pool`, `slots`, `free`,
+    /// `demand`, `share`.
+    PoolShort = (647, Info, "pool_short", "the slots of a pool are short, so each workspace gets its share of them"),
+    /// The slots of a pool suffice again. Fields: `pool`, `slots`, `demand`.
+    PoolSufficient = (648, Info, "pool_sufficient", "the slots of a pool suffice for all items"),
     /// A request was answered. Fields: `request`, `route`, `status`, `attempts`, `target`, `millis`.
     RequestAnswered = (650, Debug, "request_answered", "a request is answered"),
     /// A request was refused. Fields: `request`, `status`, `reason`, `attempts`, `millis`, `config`.
