--- a/crates/core/tests/gateway_support/effects.rs
+++ b/crates/core/tests/gateway_support/effects.rs
@@ -106,6 +106,7 @@
     /// Runs a scoring request.
     fn score(&mut self, index: usize, run: RunId, choice: Choice) {
         self.arrive(index, &choice);
+        self.scored.push(choice.name.clone());
         self.nodes[index].runs.insert(run, choice.name);
         let end = if self.crashing.scores {
             ScoreEnd::Crashed("the target crashed".to_owned())
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -137,9 +137,13 @@
     places: bool,
     /// Data centres that are evacuated, in the store.
     evacuated: BTreeSet<CentreName>,
+    /// Target of each generation.
+    generated: Vec<TargetName>,
+    /// Target of each scoring request.
+    scored: Vec<TargetName>,
     /// Target and time of each order to load weights.
     pub loads: Vec<(TargetName, u64)>,
-    /// Gateway and address of each process to which a submission may be relayed within regions.
+    /// Gateway and homes of each call to the store that carries bodies with homes.
     pub relayed: Vec<(usize, Homes)>,
     /// Request limits that the targets state, in requests a second.
     pub limits: BTreeMap<TargetName, f64>,
@@ -219,6 +223,8 @@
             fence_checked: true,
             places: false,
             evacuated: BTreeSet::new(),
+            generated: Vec::new(),
+            scored: Vec::new(),
             loads: Vec::new(),
             relayed: Vec::new(),
             limits: BTreeMap::new(),
--- a/crates/core/tests/gateway_support/places.rs
+++ b/crates/core/tests/gateway_support/places.rs
@@ -73,29 +73,38 @@
     /// Returns the requests that reached targets of a data centre after a time, each with the time and
     /// the target.
     pub fn arrivals_in(&self, centre: &str, since: u64) -> Vec<(u64, TargetName)> {
-        let inside = |name: &TargetName| {
-            let mut targets = self.targets.iter();
-            targets.any(|t| t.name == *name && t.centre.as_str() == centre)
-        };
         let arrivals = self.arrivals.iter();
         arrivals
-            .filter(|(at, name)| *at > since && inside(name))
+            .filter(|(at, name)| *at > since && self.lies_in(name, centre))
             .cloned()
             .collect()
     }
 
     /// Returns the number of orders that targets of a data centre got after a time.
     pub fn loads_in(&self, centre: &str, since: u64) -> usize {
-        let inside = |name: &TargetName| {
-            let mut targets = self.targets.iter();
-            targets.any(|t| t.name == *name && t.centre.as_str() == centre)
-        };
         let loads = self.loads.iter();
         loads
-            .filter(|(name, at)| *at > since && inside(name))
+            .filter(|(name, at)| *at > since && self.lies_in(name, centre))
             .count()
     }
 
+    /// Returns the number of generations that targets of a data centre got.
+    pub fn generated_in(&self, centre: &str) -> usize {
+        let generated = self.generated.iter();
+        generated.filter(|name| self.lies_in(name, centre)).count()
+    }
+
+    /// Returns the number of scoring requests that targets of a data centre got.
+    pub fn scored_in(&self, centre: &str) -> usize {
+        let scored = self.scored.iter();
+        scored.filter(|name| self.lies_in(name, centre)).count()
+    }
+
+    fn lies_in(&self, name: &TargetName, centre: &str) -> bool {
+        let mut targets = self.targets.iter();
+        targets.any(|t| t.name == *name && t.centre.as_str() == centre)
+    }
+
     /// Starts a process that does not get a listing of the evacuations.
     pub fn start_unlisted(&mut self, index: usize) {
         self.start(index);
