--- a/crates/core/src/decision/gateway/jobs/memory.rs
+++ b/crates/core/src/decision/gateway/jobs/memory.rs
@@ -11,12 +11,13 @@
 use crate::domain::batch::Batch;
 use crate::domain::event::Event;
 use crate::domain::name::BatchId;
+use crate::domain::table::RouteTable;
 
 impl Gateway {
     /// Makes room for a submission. Returns `false` if there is none. A submission of any size has
     /// room while no other one is kept.
     pub(in crate::decision::gateway) fn make_room(&mut self, id: &BatchId, batch: &Batch) -> bool {
-        let (needed, limit) = (batch.bytes(), self.settings.job_bytes);
+        let (needed, limit) = (batch.bytes(), self.settings.memory.jobs);
         let fits = |kept: usize| kept == 0 || kept + needed <= limit;
         if fits(self.kept_bytes()) {
             return true;
@@ -37,6 +38,23 @@
         fits(kept)
     }
 
+    /// Logs that the memory of the host does not hold one body of the size that a configuration
+    /// permits. Such a body is refused; smaller ones are served.
+    pub(in crate::decision::gateway) fn check_memory(&mut self, table: &RouteTable) {
+        let largest = self.settings.memory.largest();
+        let permitted = usize::try_from(table.limits.max_body).unwrap_or(usize::MAX);
+        if !self.settings.memory.fits(permitted) {
+            self.log(
+                Event::MemoryShort,
+                vec![
+                    ("largest", largest.to_string()),
+                    ("permitted", permitted.to_string()),
+                    ("config", table.version.to_string()),
+                ],
+            );
+        }
+    }
+
     /// Returns the size of all submissions that are kept, in bytes.
     pub fn kept_bytes(&self) -> usize {
         let jobs: usize = self.jobs.values().map(Job::kept_bytes).sum();
--- a/crates/core/src/decision/gateway/membership/watched.rs
+++ b/crates/core/src/decision/gateway/membership/watched.rs
@@ -156,6 +156,7 @@
             vec![("version", table.version.to_string())],
         );
         let before = self.table.replace(table.clone());
+        self.check_memory(&table);
         self.effects.push(Effect::Publish(table));
         self.apply_routes(before.as_deref());
         self.dispatch();
--- a/crates/core/src/decision/gateway/settings.rs
+++ b/crates/core/src/decision/gateway/settings.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::decision::lease::Terms;
+use crate::decision::memory::MemoryLimits;
 use crate::domain::fleet::Peer;
 use crate::domain::name::CentreName;
 
@@ -23,8 +24,8 @@
     pub usage_window: Option<Duration>,
     /// Time after acceptance during which an ended job can still be read.
     pub job_retention: Duration,
-    /// Largest size of all submissions that are kept in memory, in bytes.
-    pub job_bytes: usize,
+    /// Bounds on what the process holds for its callers.
+    pub memory: MemoryLimits,
     /// Time after the end of a usage window within which it must be reported.
     pub report_deadline: Duration,
     /// Seed of the random numbers that distribute requests.
--- a/crates/core/src/decision/memory/mod.rs
+++ b/crates/core/src/decision/memory/mod.rs
@@ -190,8 +190,8 @@
         if self.used + more > self.limits.bodies - reserve {
             return Some(Shortage::Process);
         }
-        let share = self.limits.share;
-        if !small && self.used_by(&holding.owner) + more > share {
+        let share = self.limits.share + if small { self.limits.reserve / 2 } else { 0 };
+        if self.used_by(&holding.owner) + more > share {
             return Some(Shortage::Owner);
         }
         None
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -233,7 +233,7 @@
     /// needed its room. Fields: `owner`, `bytes`, `used`, `bodies`, `share`.
     BodyRefused = (660, Warn, "body_refused", "there is no room for the body of a request"),
     /// The memory of the host does not hold one body of the size that the configuration permits.
-    /// Fields: `memory`, `largest`, `permitted`, `config`.
+    /// Fields: `largest`, `permitted`, `config`.
     MemoryShort = (661, Error, "memory_short", "the memory of the host does not hold the largest body that is permitted"),
     /// Log events were dropped. Fields: `count`.
     EventsLeftOut = (690, Warn, "events_left_out", "log events were dropped because there were too many"),
--- a/crates/node/src/config/entry.rs
+++ b/crates/node/src/config/entry.rs
@@ -52,6 +52,9 @@
     /// Address of the platform's list of hosts. Without it the entry knows only `entries`.
     #[serde(default)]
     pub hosts: Option<SocketAddr>,
+    /// Memory of the host in megabytes, from 64 to 1,048,576.
+    #[serde(default = "range::default_memory", deserialize_with = "range::memory")]
+    pub memory: usize,
     /// Number of traffic threads, from 1 to 64.
     #[serde(default = "default_threads", deserialize_with = "range::threads")]
     pub threads: usize,
--- a/crates/node/src/config/range.rs
+++ b/crates/node/src/config/range.rs
@@ -22,6 +22,23 @@
 /// Default length of a usage window in seconds.
 const DEFAULT_WINDOW: u64 = 300;
 
+/// Allowed memory of a host in megabytes. With less, the largest body and its copies have no room.
+const MEMORY_RANGE: RangeInclusive<u64> = 64..=1 << 20;
+
+/// Default memory of a host in megabytes.
+const DEFAULT_MEMORY: usize = 256;
+
+/// Deserializes the memory of a host in megabytes.
+pub(super) fn memory<'de, D: Deserializer<'de>>(input: D) -> Result<usize, D::Error> {
+    let number = in_range(input, &MEMORY_RANGE)?;
+    usize::try_from(number).map_err(D::Error::custom)
+}
+
+/// Returns the default memory of a host in megabytes.
+pub(super) fn default_memory() -> usize {
+    DEFAULT_MEMORY
+}
+
 /// Deserializes a number of threads.
 pub(super) fn threads<'de, D: Deserializer<'de>>(input: D) -> Result<usize, D::Error> {
     let number = in_range(input, &THREAD_RANGE)?;
--- a/crates/node/src/entry/mod.rs
+++ b/crates/node/src/entry/mod.rs
@@ -36,6 +36,7 @@
 use sardinepath_adapters::rpc::peer::PeerRpcServer;
 use sardinepath_adapters::runtime::Runtime;
 use sardinepath_adapters::runtime::Spawner;
+use sardinepath_core::decision::memory::MemoryLimits;
 use sardinepath_core::decision::traffic::Traffic;
 use sardinepath_core::domain::ids::Incarnation;
 use sardinepath_core::domain::name::HostName;
@@ -125,7 +126,7 @@
             member::start(hosts, Inbox::new(&components.control))?;
         }
         let peer_server = components.serve_peers(settings.peer)?;
-        let server = components.serve_callers(settings.listen)?;
+        let server = components.serve_callers(settings)?;
         let draining = Arc::new(AtomicBool::new(false));
         let admin_front = EntryAdmin {
             metrics: components.metrics,
@@ -171,10 +172,13 @@
     }
 
     /// Starts the server for callers.
-    fn serve_callers(&self, address: SocketAddr) -> anyhow::Result<CallerServer> {
+    fn serve_callers(&self, settings: &EntrySettings) -> anyhow::Result<CallerServer> {
         let service = Arc::new(self.service());
-        let limits = CallerLimits::default();
-        CallerServer::start(&self.spawner, listen(address)?, limits, service)
+        let limits = CallerLimits {
+            memory: MemoryLimits::for_host(settings.memory << 20),
+            ..CallerLimits::default()
+        };
+        CallerServer::start(&self.spawner, listen(settings.listen)?, limits, service)
     }
 
     /// Creates the set of report streams to the agents.
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -6,6 +6,7 @@
 use prometheus::HistogramOpts;
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -27,6 +28,21 @@
     request_time: Histogram,
     store_time: Histogram,
     panics: IntCounter,
+    held: IntGaugeVec,
+    bodies: IntCounterVec,
+}
+
+/// What a process holds for its callers, and what it did not hold.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HeldBytes {
+    /// Bytes of bodies.
+    pub bodies: usize,
+    /// Bytes of bodies that may be held.
+    pub limit: usize,
+    /// Number of bodies that were shed because they had stalled.
+    pub shed: u64,
+    /// Number of bodies that found no room.
+    pub refused: u64,
 }
 
 impl GatewayMetrics {
@@ -66,6 +82,18 @@
                 "sardinepath_panics_total",
                 "Panics of threads and tasks, each of which ended its own work only.",
             )?,
+            held: IntGaugeVec::new(
+                Opts::new(
+                    "sardinepath_held_bytes",
+                    "Bytes held for callers, by kind, and their limit.",
+                ),
+                &["kind"],
+            )?,
+            bodies: counter(
+                "sardinepath_bodies_given_up_total",
+                "Bodies that were given up for lack of memory, by reason.",
+                "reason",
+            )?,
         };
         let registry = &metrics.registry;
         registry.register(Box::new(metrics.events.clone()))?;
@@ -74,6 +102,8 @@
         registry.register(Box::new(metrics.request_time.clone()))?;
         registry.register(Box::new(metrics.store_time.clone()))?;
         registry.register(Box::new(metrics.panics.clone()))?;
+        registry.register(Box::new(metrics.held.clone()))?;
+        registry.register(Box::new(metrics.bodies.clone()))?;
         Ok(metrics)
     }
 
@@ -94,6 +124,18 @@
         self.store_time.observe(time.as_secs_f64());
     }
 
+    /// Records what the process holds for its callers.
+    pub fn record_held(&self, held: HeldBytes) {
+        let bytes = |bytes: usize| i64::try_from(bytes).unwrap_or(i64::MAX);
+        let gauge = |kind| self.held.with_label_values(&[kind]);
+        gauge("bodies").set(bytes(held.bodies));
+        gauge("bodies_limit").set(bytes(held.limit));
+        for (reason, count) in [("stalled", held.shed), ("no_room", held.refused)] {
+            let counter = self.bodies.with_label_values(&[reason]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let new = panic::count().saturating_sub(self.panics.get());
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -7,3 +7,4 @@
 pub use crate::gateway::control::ControlEnd;
 pub use crate::gateway::control::run;
 pub use crate::gateway::metrics::GatewayMetrics;
+pub use crate::gateway::metrics::HeldBytes;
