--- a/crates/core/src/decision/gateway/membership/watched.rs
+++ b/crates/core/src/decision/gateway/membership/watched.rs
@@ -171,6 +171,7 @@
         );
         self.check_homes(&table);
         let before = self.table.replace(table.clone());
+        self.check_memory(&table);
         self.effects.push(Effect::Publish(table));
         self.apply_pools();
         self.apply_routes(before.as_deref());
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -248,7 +248,7 @@
     /// needed its room. Fields: `owner`, `bytes`, `used`, `bodies`, `share`.
     BodyRefused = (660, Warn, "body_refused", "there is no room for the body of a request"),
     /// The memory of the host does not hold one body of the size that the configuration permits.
-    /// Fields: `memory`, `largest`, `permitted`, `config`.
+    /// Fields: `largest`, `permitted`, `config`.
     MemoryShort = (661, Error, "memory_short", "the memory of the host does not hold the largest body that is permitted"),
     /// A target is cold. Fields: `target`, `before`, `cold_ms`, `entry_age_ms`, `share`, `runners`.
     TargetCold = (662, Info, "target_cold", "a target is cold and gets the requests that it tolerates"),
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -29,6 +29,7 @@
 use sardinepath_core::decision::gateway::stored::StoreCall;
 use sardinepath_core::decision::gateway::stored::WatchedObject;
 use sardinepath_core::decision::lease::Terms;
+use sardinepath_core::decision::memory::MemoryLimits;
 use sardinepath_core::decision::tally::Counts;
 use sardinepath_core::domain::batch::Outcome;
 use sardinepath_core::domain::cold::ColdTolerance;
@@ -292,7 +293,7 @@
                 slack: 5.0,
             },
             paces: false,
-            job_bytes: 64 << 20,
+            memory: MemoryLimits::for_host(256 << 20),
             seed: incarnation + 77 * u64::try_from(index).unwrap(),
         };
         let node = &mut self.nodes[index];
--- a/crates/node/tests/gateway_control.rs
+++ b/crates/node/tests/gateway_control.rs
@@ -20,6 +20,7 @@
 use sardinepath_core::decision::gateway::message::Reply;
 use sardinepath_core::decision::lease::Terms;
 use sardinepath_core::domain::cold::ColdTolerance;
+use sardinepath_core::decision::memory::MemoryLimits;
 use sardinepath_core::domain::fleet::Peer;
 use sardinepath_core::domain::ids::Incarnation;
 use sardinepath_core::port::clock::Clock;
@@ -72,7 +73,7 @@
         report_deadline: Duration::from_secs(10),
         cold_tolerance: ColdTolerance::default(),
         paces: false,
-        job_bytes: 64 << 20,
+        memory: MemoryLimits::for_host(256 << 20),
         seed: 1,
     };
     Gateway::new(settings, HostClock.now())
