Let the last holder of the duty claim it at once after an outage

A usage window was missed by that, and another one because an entry of a process that was gone delayed the sums of each window until the outage.

The last holder no longer waits for its own lease. Processes that watch the store only for a while after an outage claim the duty later, and follow the watchers again at once when the store answers them.

--- a/crates/core/src/decision/gateway/duties/usage.rs
+++ b/crates/core/src/decision/gateway/duties/usage.rs
@@ -2,6 +2,7 @@
 //! sums and then reports them, so that another holder reports the same sums.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -30,6 +31,9 @@
 /// again. The sums are stored and reported in the rest, also after an outage that left little time.
 const COLLECT_PART: u32 = 3;
 
+/// Time for which a process is asked that did not answer for the window before.
+const ABSENT_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Delay before a failed report or collection is repeated.
 const REPORT_RETRY_DELAY: Duration = Duration::from_millis(400);
 
@@ -42,6 +46,8 @@
     /// Next window to open, or `None` after this process gained the duty.
     next: Option<u64>,
     open: BTreeMap<u64, OpenWindow>,
+    /// Processes that did not answer for the last window.
+    absent: BTreeSet<HostName>,
     /// Start of this process.
     start: Time,
 }
@@ -50,6 +56,8 @@
 struct OpenWindow {
     /// Time after which processes that did not answer count as missing.
     collect_until: Time,
+    /// Time after which only processes that answered for the window before are waited for.
+    absent_until: Time,
     state: WindowState,
 }
 
@@ -72,6 +80,7 @@
         Self {
             next: None,
             open: BTreeMap::new(),
+            absent: BTreeSet::new(),
             start,
         }
     }
@@ -110,6 +119,7 @@
         {
             let window = OpenWindow {
                 collect_until: now + self.collect_time(next),
+                absent_until: now + ABSENT_TIMEOUT,
                 state: WindowState::Collecting(BTreeMap::new(), now),
             };
             self.reports.open.insert(next, window);
@@ -147,7 +157,11 @@
                     .iter()
                     .filter(|p| !counts.contains_key(&p.host))
                     .collect();
-                if missing.is_empty() || now >= open.collect_until {
+                let absent = &mut self.reports.absent;
+                let awaited = missing.iter().any(|p| !absent.contains(&p.host));
+                let awaited = awaited || (now < open.absent_until && !missing.is_empty());
+                if !awaited || now >= open.collect_until {
+                    *absent = missing.iter().map(|p| p.host.clone()).collect();
                     let mut sum = self.tally.counts(window);
                     for (workspace, count) in counts.values().flatten() {
                         *sum.entry(workspace.clone()).or_default() += count;
--- a/crates/core/src/decision/gateway/membership/source.rs
+++ b/crates/core/src/decision/gateway/membership/source.rs
@@ -48,10 +48,18 @@
 /// Time after the last failed try until the failures of a process are dropped.
 const FAILURE_RETENTION: Duration = Duration::from_secs(10);
 
+/// Delay of the claim of the duty for each place behind the watchers.
+const CLAIM_DELAY: Duration = Duration::from_millis(700);
+
+/// Maximum of that delay.
+const MAX_CLAIM_DELAY: Duration = Duration::from_secs(8);
+
 /// Chosen source of watched objects and the failures of other sources.
 #[derive(Debug)]
 pub(in crate::decision::gateway) struct Feed {
     source: Source,
+    /// Time since which the source is the object API.
+    store_since: Time,
     /// Processes that did not forward objects.
     failed_peers: BTreeMap<SocketAddr, FailedPeer>,
     /// Start of the search for a process that forwards objects, or `None` while objects arrive.
@@ -79,6 +87,7 @@
     fn default() -> Self {
         Self {
             source: Source::Store,
+            store_since: Time::default(),
             failed_peers: BTreeMap::new(),
             search_start: None,
             direct_until: Time::default(),
@@ -90,9 +99,24 @@
 
 impl Gateway {
     /// Returns `true` if this process may claim the duty. Followers leave it to the watchers, which
-    /// limits the number of lease reads.
+    /// limits the number of lease reads. After an outage all processes of a large fleet watch the store
+    /// for a while, so those that are no watchers otherwise wait longer the later they come in the order.
     pub(in crate::decision::gateway) fn may_hold_duty(&self) -> bool {
-        self.feed.source == Source::Store
+        if self.feed.source != Source::Store {
+            return false;
+        }
+        let mut peers: Vec<&Peer> = self.all_peers().collect();
+        if peers.len() <= MAX_DIRECT_FLEET {
+            return true;
+        }
+        peers.sort_by_key(|peer| hash_rank("watch", &peer.host));
+        let me = &self.settings.peer.host;
+        let place = peers.iter().position(|peer| peer.host == *me);
+        let behind = place
+            .unwrap_or(peers.len())
+            .saturating_sub(WATCHER_COUNT - 1);
+        let delay = CLAIM_DELAY.saturating_mul(u32::try_from(behind).unwrap_or(u32::MAX));
+        self.now >= self.feed.store_since + delay.min(MAX_CLAIM_DELAY)
     }
 
     pub(in crate::decision::gateway) fn feed_lost(&mut self, address: SocketAddr, end: FeedEnd) {
@@ -124,7 +148,12 @@
     /// Handles the result of a direct probe of the object API.
     pub(in crate::decision::gateway) fn store_probed(&mut self, up: bool) {
         if up {
-            self.feed.outage_start = None;
+            // The watchers were excluded while they had no contact either.
+            if self.feed.outage_start.take().is_some() {
+                self.feed.failed_peers.clear();
+                self.feed.search_start = None;
+                self.feed.direct_until = self.now;
+            }
             self.store.record(self.now, true);
         } else {
             self.feed.outage_start.get_or_insert(self.now);
@@ -150,6 +179,9 @@
         if source == self.feed.source {
             return;
         }
+        if source == Source::Store {
+            self.feed.store_since = now;
+        }
         self.feed.source = source;
         self.log(Event::SourceChosen, vec![("source", format!("{source:?}"))]);
         self.effects.push(Effect::SetSource(source));
--- a/crates/core/src/decision/lease/held.rs
+++ b/crates/core/src/decision/lease/held.rs
@@ -218,8 +218,12 @@
         self.state.fence
     }
 
-    /// Becomes a challenger. A later tenure has a higher fencing token.
+    /// Becomes a challenger. A later tenure has a higher fencing token. This process acts no more under
+    /// the ended one, so it need not wait until its own lease expires if nobody has acquired it since.
     pub fn rejoin(self) -> Lease<Vacant> {
-        self.into_state(Vacant::default())
+        let incarnation = self.incarnation;
+        let mut vacant = self.into_state(Vacant::default());
+        vacant.record_ended(incarnation);
+        vacant
     }
 }
--- a/crates/core/tests/gateway_duty.rs
+++ b/crates/core/tests/gateway_duty.rs
@@ -255,3 +255,40 @@
         assert!(reports.iter().all(|(_, _, counts)| *counts == reports[0].2));
     }
 }
+
+/// Fails if a process that is gone, but whose entry is left, delays the sums of each window. They are then
+/// not stored before an outage that begins two seconds after the end of the window.
+#[test]
+fn a_process_that_is_gone_delays_one_window_only() {
+    let mut sim = Simulation::new(3);
+    sim.run(WINDOW_MS - sim.now % WINDOW_MS);
+    let idle = (0..3).find(|index| sim.report_times.iter().all(|(host, ..)| host != index));
+    sim.kill(idle.unwrap());
+
+    sim.run(3 * WINDOW_MS);
+    let end = sim.wall_time() / WINDOW_MS * WINDOW_MS;
+    sim.run(end + 2_700 - sim.wall_time());
+
+    assert!(sim.reports.contains_key(&(end / WINDOW_MS - 1)));
+}
+
+/// Fails if the last holder waits for the end of its own lease after an outage.
+#[test]
+fn the_last_holder_acts_soon_after_an_outage() {
+    let mut sim = Simulation::new(3);
+    sim.run(WINDOW_MS);
+    for node in &mut sim.nodes {
+        node.fault = StoreFault::Unavailable;
+    }
+    sim.run(LEASE_MS + 2_000);
+    for index in 0..3 {
+        sim.nodes[index].fault = StoreFault::None;
+        sim.relist(index);
+    }
+
+    name_version(&mut sim, 2);
+    sim.run(1_000);
+
+    assert!(!sim.orders.is_empty());
+    assert_one_holder(&sim.orders);
+}
