--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -212,6 +212,8 @@
     TextDiscarded = (644, Warn, "text_discarded", "the text of an item is discarded because the software version that began it does not go on"),
     /// A submission that cannot be stored is held, and its items run. Fields: `batch`, `reach`, `left_ms`, `reason`.
     BatchHeld = (645, Warn, "batch_held", "a submission is held until the object API answers, and its items run"),
+    /// Calls to the object API since the last such line. Fields: `calls`, with the number for each purpose.
+    StoreCalled = (646, Info, "store_called", "the calls to the object API in the last ten seconds"),
     /// A request was answered. Fields: `request`, `route`, `status`, `attempts`, `target`, `millis`.
     RequestAnswered = (650, Debug, "request_answered", "a request is answered"),
     /// A request was refused. Fields: `request`, `status`, `reason`, `attempts`, `millis`, `config`.
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics of a gateway. `docs/metrics.md` lists them for operators.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use prometheus::Histogram;
@@ -9,6 +10,7 @@
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
+use prometheus::core::Collector;
 use sardinepath_adapters::panic;
 use sardinepath_core::domain::event::Event;
 
@@ -106,6 +108,17 @@
         self.callers.with_label_values(&[purpose]).inc();
     }
 
+    /// Returns the number of calls to the object API for each purpose.
+    pub fn store_callers(&self) -> BTreeMap<String, f64> {
+        let families = self.callers.collect();
+        let counted = families.iter().flat_map(|family| family.get_metric());
+        let named = counted.filter_map(|metric| {
+            let label = metric.get_label().first()?;
+            Some((label.value().to_owned(), metric.get_counter().get_value()))
+        });
+        named.collect()
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub fn text(&self) -> String {
         let new = panic::count().saturating_sub(self.panics.get());
