--- a/crates/core/src/decision/gateway/settings.rs
+++ b/crates/core/src/decision/gateway/settings.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use crate::decision::lease::Terms;
-use crate::domain::cold::ColdTolerance;
 use crate::decision::memory::MemoryLimits;
+use crate::domain::cold::ColdTolerance;
 use crate::domain::fleet::Peer;
 use crate::domain::name::CentreName;
 use crate::domain::name::RegionName;
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -228,6 +228,8 @@
     PoolShort = (647, Info, "pool_short", "the slots of a pool are short, so each workspace gets its share of them"),
     /// The slots of a pool suffice again. Fields: `pool`, `slots`, `demand`.
     PoolSufficient = (648, Info, "pool_sufficient", "the slots of a pool suffice for all items"),
+    /// Calls to the object API since the last such line. Fields: `calls`, with the number for each purpose.
+    StoreCalled = (649, Info, "store_called", "the calls to the object API in the last ten seconds"),
     /// A request was answered. Fields: `request`, `route`, `status`, `attempts`, `target`, `millis`.
     RequestAnswered = (650, Debug, "request_answered", "a request is answered"),
     /// A request was refused. Fields: `request`, `status`, `reason`, `attempts`, `millis`, `config`.
