--- a/crates/core/src/decision/directory/room.rs
+++ b/crates/core/src/decision/directory/room.rs
@@ -28,7 +28,10 @@
             model: model.cloned(),
             ..TargetNeeds::default()
         };
-        let fitting = self.targets.values().filter(|t| t.fits(now, pool, &need));
+        let fitting = self
+            .targets
+            .values()
+            .filter(|t| t.fits(now, pool, &need, &self.places));
         fitting.fold(Room::default(), |room, target| {
             let slots = target.entry.slots;
             let busy = target.running.saturating_add(target.remote_running);
