--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -261,10 +261,9 @@
         self.run(1_000);
     }
 
-    /// Starts or restarts a process.
-    pub fn start(&mut self, index: usize) {
-        let incarnation = self.nodes[index].incarnation + 1;
-        let me = GatewaySettings {
+    /// Returns the settings of a run of a process.
+    fn settings(&self, index: usize, incarnation: u64) -> GatewaySettings {
+        GatewaySettings {
             peer: Peer {
                 host: host(index),
                 address: address(index),
@@ -295,7 +294,13 @@
             paces: false,
             memory: MemoryLimits::for_host(256 << 20),
             seed: incarnation + 77 * u64::try_from(index).unwrap(),
-        };
+        }
+    }
+
+    /// Starts or restarts a process.
+    pub fn start(&mut self, index: usize) {
+        let incarnation = self.nodes[index].incarnation + 1;
+        let me = self.settings(index, incarnation);
         let node = &mut self.nodes[index];
         node.incarnation = incarnation;
         node.gateway = Some(Gateway::new(me, Time(self.now)));
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -51,6 +51,7 @@
         models: vec![(ModelName::from("m"), WeightVersion(1))],
         software: SoftwareVersion::from("v1"),
         started_at: 1,
+        cold: Duration::ZERO,
     }
 }
 
