--- a/crates/core/tests/gateway_memory.rs
+++ b/crates/core/tests/gateway_memory.rs
@@ -8,6 +8,7 @@
 use sardinepath_core::decision::gateway::message::CallId;
 use sardinepath_core::decision::gateway::message::Question;
 use sardinepath_core::decision::gateway::message::Reply;
+use sardinepath_core::decision::gateway::message::SubmitRequest;
 use sardinepath_core::decision::memory::MemoryLimits;
 use sardinepath_core::domain::batch::Batch;
 use sardinepath_core::domain::batch::Item;
@@ -16,7 +17,7 @@
 
 use crate::gateway_support::Simulation;
 use crate::gateway_support::batch;
-use crate::gateway_support::route;
+use crate::gateway_support::submission;
 use crate::gateway_support::workspace;
 
 /// Number of submissions that have room at once.
@@ -37,12 +38,11 @@
 }
 
 fn submit(sim: &mut Simulation, name: &str) -> CallId {
-    let question = Question::Submit {
+    let question = Question::Submit(SubmitRequest {
         id: BatchId::from(name),
-        workspace: workspace(),
-        route: route(),
         batch: large(name),
-    };
+        ..submission(1)
+    });
     let call = sim.ask(0, question);
     sim.run(200);
     call
@@ -97,12 +97,11 @@
     let mut huge = (*large("huge")).clone();
     huge.items = (0..=ROOM * 2).map(|_| huge.items[0].clone()).collect();
 
-    let question = Question::Submit {
+    let question = Question::Submit(SubmitRequest {
         id: BatchId::from("huge"),
-        workspace: workspace(),
-        route: route(),
         batch: Arc::new(huge),
-    };
+        ..submission(1)
+    });
     let call = sim.ask(0, question);
     sim.run(200);
 
@@ -116,12 +115,11 @@
     let mut batch = (*batch(1)).clone();
     batch.source = Arc::from("x".repeat(1 << 20));
 
-    let question = Question::Submit {
+    let question = Question::Submit(SubmitRequest {
         id: BatchId::from("b0"),
-        workspace: workspace(),
-        route: route(),
         batch: Arc::new(batch),
-    };
+        ..submission(1)
+    });
     let call = sim.ask(0, question);
     sim.run(200);
 
--- a/crates/core/tests/gateway_shares.rs
+++ b/crates/core/tests/gateway_shares.rs
@@ -4,12 +4,12 @@
 mod gateway_support;
 
 use sardinepath_core::decision::gateway::message::Question;
+use sardinepath_core::decision::gateway::message::SubmitRequest;
 use sardinepath_core::domain::name::BatchId;
 use sardinepath_core::domain::name::WorkspaceName;
 
 use crate::gateway_support::Simulation;
-use crate::gateway_support::batch;
-use crate::gateway_support::route;
+use crate::gateway_support::submission;
 
 /// Slots of all targets of the simulation.
 const SLOTS: u32 = 32;
@@ -35,12 +35,11 @@
 
 /// Submits a job of a workspace at a gateway.
 fn submit(sim: &mut Simulation, index: usize, workspace: &str) {
-    let question = Question::Submit {
+    let question = Question::Submit(SubmitRequest {
         id: BatchId::from(workspace),
         workspace: Some(WorkspaceName::from(workspace)),
-        route: route(),
-        batch: batch(ITEMS),
-    };
+        ..submission(ITEMS)
+    });
     sim.ask(index, question);
 }
 
--- a/crates/core/tests/placement.rs
+++ b/crates/core/tests/placement.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
+use std::time::Duration;
 
 use sardinepath_core::decision::batch::Generation;
 use sardinepath_core::decision::batch::Journal;
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -103,19 +103,27 @@
                 "reason",
             )?,
         };
-        let registry = &metrics.registry;
-        registry.register(Box::new(metrics.events.clone()))?;
-        registry.register(Box::new(metrics.answers.clone()))?;
-        registry.register(Box::new(metrics.calls.clone()))?;
-        registry.register(Box::new(metrics.callers.clone()))?;
-        registry.register(Box::new(metrics.request_time.clone()))?;
-        registry.register(Box::new(metrics.store_time.clone()))?;
-        registry.register(Box::new(metrics.panics.clone()))?;
-        registry.register(Box::new(metrics.held.clone()))?;
-        registry.register(Box::new(metrics.bodies.clone()))?;
+        metrics.register()?;
         Ok(metrics)
     }
 
+    fn register(&self) -> prometheus::Result<()> {
+        let collectors: [Box<dyn Collector>; 9] = [
+            Box::new(self.events.clone()),
+            Box::new(self.answers.clone()),
+            Box::new(self.calls.clone()),
+            Box::new(self.callers.clone()),
+            Box::new(self.request_time.clone()),
+            Box::new(self.store_time.clone()),
+            Box::new(self.panics.clone()),
+            Box::new(self.held.clone()),
+            Box::new(self.bodies.clone()),
+        ];
+        collectors
+            .into_iter()
+            .try_for_each(|collector| self.registry.register(collector))
+    }
+
     /// Counts a decision by its log event.
     pub fn count_event(&self, event: Event) {
         self.events.with_label_values(&[event.info().name]).inc();
