--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -41,6 +41,9 @@
 /// Name of the only model of a fleet.
 pub const MODEL: &str = "m0";
 
+/// Data centre of a target that is not moved to another one.
+pub const DEFAULT_CENTRE: &str = "z";
+
 /// Time after which a process that was told that a target is leaving must not send to it.
 pub const DRAIN_TIME: Duration = Duration::from_secs(2);
 
@@ -97,6 +100,8 @@
     /// Time before the answer to a plain request.
     plain_delay: Duration,
     leaving: bool,
+    /// Data centre that the entry states.
+    centre: String,
     /// Whether each answer states that the target is leaving.
     pub(crate) says_leaving: bool,
     /// Start of this run, as the entry states it.
@@ -142,6 +147,7 @@
                 event_interval: Duration::from_millis(15),
                 plain_delay: Duration::from_millis(5),
                 leaving: false,
+                centre: DEFAULT_CENTRE.to_owned(),
                 says_leaving: false,
                 born: wall_millis(),
                 limit: None,
@@ -190,6 +196,17 @@
         self.register(pool);
     }
 
+    /// Registers the target in another data centre.
+    pub fn move_to(&self, pool: &str, centre: &str) {
+        centre.clone_into(&mut self.lock().centre);
+        self.register(pool);
+    }
+
+    /// Returns the data centre that the entry states.
+    pub fn centre(&self) -> String {
+        self.lock().centre.clone()
+    }
+
     /// Sets the request limit that each answer to a plain request states.
     pub fn set_limit(&self, limit: Option<f64>) {
         self.lock().limit = limit;
@@ -215,7 +232,8 @@
     pub fn register(&self, pool: &str) {
         let state = self.lock();
         let spec = json!({
-            "service": pool, "address": self.address.to_string(), "zone": "z", "version": self.software,
+            "service": pool, "address": self.address.to_string(), "zone": state.centre,
+            "version": self.software,
             "slots": 8, "state": if state.leaving { "draining" } else { "ready" },
             "coldRemainingMs": 0, "stage": "both", "sequence": 1, "born": state.born,
             "models": [{ "name": MODEL, "version": state.version, "adapters": [] }],
