Give up to five runners of jobs equal parts at once

Cause: a new runner had one request for each target in its first 1.3 s, and most jobs have a new runner. Change: the part of the runners is kept for five, so that the sum holds whatever they know of each other; only beyond five a new one begins with a single request.

--- a/crates/core/src/decision/opening/share.rs
+++ b/crates/core/src/decision/opening/share.rs
@@ -3,9 +3,9 @@
 //! No process sees what the others send, and none asks them. The requests of a second are divided
 //! into three parts: one for orders and the reports read before them, one for the processes that
 //! come first in a hash order of the target, and one for the processes that run batch jobs, which
-//! all know from the heads of the jobs. The heads are known late, so a process has a share of a single
-//! request for some time after it started to run jobs, counts for some time after it ended, and never
-//! has more than a third of the part, also if it knows of no other one that runs jobs.
+//! all know from the heads of the jobs. The heads are known late, so no process has
+//! more than a fifth of the part, also if it knows of no other runner. Beyond five, a new one has a
+//! share of a single request for some time. Each counts for some time after its last job ended.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -20,16 +20,14 @@
 const ORDER_DIVISOR: u32 = 8;
 
 /// Divisor of the bound that gives the number of processes that may always send a request.
-const FLOOR_DIVISOR: u32 = 4;
+const FLOOR_DIVISOR: u32 = 5;
 
-/// Divisor of the part of the runners that gives the part of those that have just joined.
-const JOIN_DIVISOR: u32 = 4;
+/// Number of runners for which a part is kept, although fewer are known. Up to this number the sum
+/// holds whatever they know of each other.
+const MIN_RUNNERS: u32 = 5;
 
-/// Number of runners for which a part is kept, although fewer are known.
-const MIN_RUNNERS: u32 = 3;
-
-/// Time after its first job in which a runner has a share of a single request. Later the others know
-/// of it, and what they sent before counts no longer.
+/// Time after its first job in which a runner beyond `MIN_RUNNERS` has a share of a single request.
+/// Later the others know of it, and what they sent before counts no longer.
 const JOIN_TIME: Duration = Duration::from_millis(1_300);
 
 /// Time for which a process counts as a runner after it was seen with a job for the first time.
@@ -149,15 +147,15 @@
             Place::Unlisted(hash) if hash.is_multiple_of(UNLISTED_RATIO) => 1,
             Place::Rank(_) | Place::Unlisted(_) => 0,
         };
-        let joins = left / JOIN_DIVISOR;
-        let part = (left - joins) / self.runners().max(MIN_RUNNERS.min(hosts));
-        let first = |count: u32| matches!(place, Place::Rank(rank) if rank < count);
+        let kept = MIN_RUNNERS.min(hosts);
+        let part = left / self.runners().max(kept);
+        let first = u32::from(matches!(place, Place::Rank(rank) if rank < left));
         floor
             + match self.role(now, me) {
                 Role::Bystander => 0,
-                Role::Joining => u32::from(first(left)),
-                Role::Established if part == 0 => u32::from(first(left - joins)),
-                Role::Established => part,
+                Role::Joining if self.runners() > kept => first,
+                Role::Joining | Role::Established if part == 0 => first,
+                Role::Joining | Role::Established => part,
             }
     }
 }
