--- a/crates/adapters/src/caller/inbound.rs
+++ b/crates/adapters/src/caller/inbound.rs
@@ -57,12 +57,11 @@
 
 /// Decides from the head of a request whether its body is read, and who is charged for it.
 fn admit_body(shared: &Shared, head: &Parts, body: &Incoming) -> Result<Owner, ErrorKind> {
-    let owner = shared.front.admit_body(&to_inbound(head, &[]))?;
     let stated = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if stated > shared.limits.max_body {
         return Err(ErrorKind::BodyTooLarge);
     }
-    Ok(owner)
+    shared.front.admit_body(&to_inbound(head, &[]))
 }
 
 fn refusal(fault: ReadFault) -> ErrorKind {
