--- a/crates/core/tests/share.rs
+++ b/crates/core/tests/share.rs
@@ -214,3 +214,16 @@
     assert_eq!(limited.len(), MAX_CLAIMS);
     assert_eq!(limited[0].claimant, claimant(1, "w999"));
 }
+
+/// Fails if the claims in a ping take more than 16 KB with names of usual length.
+#[test]
+fn told_claims_stay_small() {
+    let claims = (0..1_000).map(|index| claim(1, &format!("workspace-{index:08}"), 4_096, 4_096));
+    let limited = limit_claims(claims.collect());
+
+    let bytes = serde_json::to_vec(&limited).unwrap().len();
+
+    assert!(bytes <= 16 << 10, "{bytes} B");
+    let one = bytes / limited.len();
+    assert!(one <= 128, "{one} B a claim");
+}
