Let the soak evacuate a data centre

One evacuation in each run, stored at a drawn time among the faults and taken back after them. Targets of the data centre must get nothing once all gateways had contact to the store for 3 s. Plain callers go on for the 5 s for which the crashing request goes on.

--- a/soak/src/fleet.rs
+++ b/soak/src/fleet.rs
@@ -34,6 +34,8 @@
 use crate::proxy::Proxy;
 use crate::store::LISTENER_LIMITS;
 use crate::store::json_response;
+use crate::target::DEFAULT_CENTRE;
+use crate::target::OTHER_CENTRE;
 
 /// Range of the ports on which gateways listen.
 const GATEWAY_PORTS: Range<u16> = 20_000..32_000;
@@ -71,7 +73,8 @@
         let store = Proxy::start(store).await?;
         let (front, ready, internal) = (free_address()?, free_address()?, free_address()?);
         let settings = json!({
-            "node": format!("g{index}"), "ip": "127.0.0.1", "zone": "z",
+            "node": format!("g{index}"), "ip": "127.0.0.1", "zone": DEFAULT_CENTRE,
+            "contracts": ["places"], "zones": { DEFAULT_CENTRE: "r", OTHER_CENTRE: "r" },
             "listen": { "front": front.to_string(), "ready": ready.to_string() },
             "internalPortRange": [internal.port(), internal.port()],
             "bounds": {
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod callers;
 mod check;
 mod crash;
+mod evacuation;
 pub mod fleet;
 pub mod generation;
 mod inject;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -18,6 +18,7 @@
 use crate::callers::Callers;
 use crate::callers::KEY;
 use crate::callers::config;
+use crate::evacuation::Evacuation;
 use crate::fleet::GatewayProcess;
 use crate::fleet::Reports;
 use crate::fleet::start_usage_api;
@@ -25,6 +26,7 @@
 use crate::store::StoreFault;
 use crate::store::StoreStandIn;
 use crate::target::MODEL;
+use crate::target::OTHER_CENTRE;
 use crate::target::TargetStandIn;
 
 /// Time after the last fault within which every accepted job must complete.
@@ -71,6 +73,8 @@
 /// State of a run.
 pub(crate) struct Run {
     pub(crate) random: ChaCha8Rng,
+    /// Evacuation of a data centre, which is in force from its time to the end of the run.
+    pub(crate) evacuation: Evacuation,
     /// Random numbers for targets that leave, apart from those for the other faults.
     pub(crate) leave_random: ChaCha8Rng,
     pub(crate) store: Arc<StoreStandIn>,
@@ -103,9 +107,10 @@
     run.start = Instant::now();
     let stop = run.start + plan.time;
     let paths = ["/page/", "/page/", "/once/"];
+    let calm = stop + CRASHING_TIME;
     let plain = paths.iter().enumerate().map(|(name, path)| {
         let caller = callers.clone();
-        tokio::spawn(caller.plain(name, path, stop))
+        tokio::spawn(caller.plain(name, path, calm))
     });
     let plain: Vec<_> = plain.collect();
     let crashing = tokio::spawn(callers.clone().crashing(stop + CRASHING_TIME));
@@ -118,6 +123,7 @@
     for task in plain {
         task.await?;
     }
+    run.take_back();
     sleep(Duration::from_secs(1)).await;
     for (name, min_version) in &steps {
         if callers.observations().results.contains_key(name) {
@@ -130,6 +136,7 @@
         .clone();
     run.check_guarantees(&callers, &reports);
     run.check_crashes(healed);
+    run.check_evacuation(healed);
     let seen = callers.observations();
     let summary = format!(
         "{} answered, {} refused, {} jobs complete, {} refused, {} unclear, {} windows",
@@ -184,7 +191,11 @@
         for index in 0..5 {
             let pool = pool_of(index);
             let name = format!("{}{index}", &pool[..1]);
-            targets.push(TargetStandIn::start(store.clone(), &name, pool).await?);
+            let target = TargetStandIn::start(store.clone(), &name, pool).await?;
+            if index % 2 == 1 {
+                target.move_to(pool, OTHER_CENTRE);
+            }
+            targets.push(target);
         }
         let mut fleet = Vec::new();
         for index in 0..plan.gateways {
@@ -193,6 +204,7 @@
         }
         let run = Self {
             random: ChaCha8Rng::seed_from_u64(plan.seed),
+            evacuation: Evacuation::draw(plan.seed, plan.time),
             leave_random: ChaCha8Rng::seed_from_u64(!plan.seed),
             store,
             fleet,
@@ -225,6 +237,7 @@
     async fn inject_faults(&mut self, stop: Instant) {
         while Instant::now() < stop {
             self.recover_due(Instant::now());
+            self.evacuate_due();
             self.inject_fault();
             if self.leave_random.random_bool(LEAVE_PROBABILITY) {
                 self.leave_target();
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -44,6 +44,9 @@
 /// Data centre of a target that is not moved to another one.
 pub const DEFAULT_CENTRE: &str = "z";
 
+/// Data centre of the targets that are moved to another one.
+pub const OTHER_CENTRE: &str = "y";
+
 /// Time after which a process that was told that a target is leaving must not send to it.
 pub const DRAIN_TIME: Duration = Duration::from_secs(2);
 
