--- a/crates/core/tests/gateway_logs.rs
+++ b/crates/core/tests/gateway_logs.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use sardinepath_core::decision::gateway::Gateway;
@@ -19,12 +20,16 @@
 use sardinepath_core::domain::ids::Incarnation;
 use sardinepath_core::domain::ids::Revision;
 use sardinepath_core::domain::ids::WeightVersion;
+use sardinepath_core::domain::table::RouteTable;
 use sardinepath_core::domain::time::Time;
 
 const NOW: Time = Time(1_000);
 
-fn gateway() -> Gateway {
-    let settings = GatewaySettings {
+/// Fields of a log line.
+type Fields = Vec<(&'static str, String)>;
+
+fn settings() -> GatewaySettings {
+    GatewaySettings {
         peer: Peer {
             host: "g0".into(),
             address: SocketAddr::from(([10, 0, 0, 1], 1)),
@@ -43,10 +48,34 @@
         job_retention: Duration::from_secs(60),
         report_deadline: Duration::from_secs(10),
         seed: 1,
+    }
+}
+
+fn gateway() -> Gateway {
+    Gateway::new(settings(), NOW)
+}
+
+/// Creates a gateway of a deployment with evacuations and homes, whose data centre `c` lies in `r`.
+fn placed_gateway() -> Gateway {
+    let regions = BTreeMap::from([("c".into(), "r".into())]);
+    let settings = GatewaySettings {
+        regions,
+        places: true,
+        ..settings()
     };
     Gateway::new(settings, NOW)
 }
 
+/// Returns the events that a change of an object causes, with their fields.
+fn events(gateway: &mut Gateway, view: WatchedObject) -> Vec<(Event, Fields)> {
+    let effects = gateway.handle(NOW, Message::Changed(view));
+    let logs = effects.into_iter().filter_map(|effect| match effect {
+        Effect::Log(event, fields) => Some((event, fields)),
+        _ => None,
+    });
+    logs.collect()
+}
+
 /// Creates a gateway that holds the duty.
 fn holder() -> Gateway {
     let mut gateway = gateway();
@@ -97,3 +126,66 @@
     assert_eq!(follower, [true, false, false, true]);
     assert_eq!(holder, [true, false, true, true]);
 }
+
+/// Guards against evacuations that begin and end unseen, and against lines that repeat.
+#[test]
+fn evacuations_are_logged_once() {
+    let mut gateway = placed_gateway();
+    let _ = events(&mut gateway, WatchedObject::Target(entry(1, false)));
+    let evacuation = || WatchedObject::Evacuation("c".into());
+
+    let begun = events(&mut gateway, evacuation());
+    let again = events(&mut gateway, evacuation());
+    let ended = events(&mut gateway, WatchedObject::EvacuationGone("c".into()));
+
+    let field = |name, value: &str| (name, value.to_owned());
+    let fields = vec![
+        field("centre", "c"),
+        field("targets", "1"),
+        field("running", "0"),
+    ];
+    assert_eq!(begun, [(Event::EvacuationBegun, fields)]);
+    assert_eq!(again, []);
+    let fields = vec![field("centre", "c"), field("reason", "removed")];
+    assert_eq!(ended, [(Event::EvacuationEnded, fields)]);
+}
+
+/// Guards against an evacuation of a data centre that the settings do not name and of which nobody is
+/// told.
+#[test]
+fn an_evacuation_of_an_unknown_data_centre_is_logged() {
+    let mut gateway = placed_gateway();
+
+    let begun = events(&mut gateway, WatchedObject::Evacuation("nowhere".into()));
+
+    assert!(matches!(begun[..], [(Event::EvacuationUnknown, _)]));
+}
+
+/// Guards against homes without a known region that refuse all requests of a workspace without a word,
+/// and against lines about homes that are known.
+#[test]
+fn homes_without_a_known_region_are_logged() {
+    let mut gateway = placed_gateway();
+    let homes = |region: &str| [region.into()].into_iter().collect();
+    let table = RouteTable {
+        version: 1,
+        workspace_homes: BTreeMap::from([
+            ("lost".into(), homes("nowhere")),
+            ("sound".into(), homes("r")),
+        ]),
+        ..RouteTable::default()
+    };
+
+    let logs = events(&mut gateway, WatchedObject::Table(Arc::new(table)));
+
+    let unmet: Vec<_> = logs
+        .into_iter()
+        .filter(|(event, _)| *event == Event::HomesUnknown)
+        .map(|(_, fields)| fields)
+        .collect();
+    let expected = vec![
+        ("workspace", "lost".to_owned()),
+        ("homes", "nowhere".to_owned()),
+    ];
+    assert_eq!(unmet, [expected]);
+}
