--- a/crates/core/tests/gateway_evacuation.rs
+++ b/crates/core/tests/gateway_evacuation.rs
@@ -241,6 +241,25 @@
     assert!(matches!(reply, Reply::Target(_)), "{reply:?}");
 }
 
+/// Guards against a gateway that was cut off from the store during an evacuation, and sends to the data
+/// centre after it has contact again.
+#[test]
+fn a_gateway_that_was_cut_off_learns_of_an_evacuation_with_the_next_listing() {
+    let mut sim = fleet();
+    sim.plain_interval = Some(40);
+    sim.nodes[1].fault = StoreFault::Unavailable;
+    sim.evacuate("c1");
+    sim.run(2_000);
+    sim.nodes[1].fault = StoreFault::None;
+
+    sim.list_evacuations(1);
+    let since = sim.now + SETTLE_MS;
+    sim.run(3_000);
+
+    assert_eq!(sim.arrivals_in("c1", since), []);
+    assert!(!sim.arrivals_in("c2", since).is_empty());
+}
+
 /// Guards against orders to load weights at evacuated targets, and against targets that come back
 /// without the needed version, and either get items or no order.
 #[test]
