--- a/crates/sardinepath/tests/crowds.rs
+++ b/crates/sardinepath/tests/crowds.rs
@@ -3,6 +3,7 @@
 //! Each test guards against a process that ends, outgrows the memory or the descriptors of its host,
 //! or no longer answers ordinary callers, because of what such a crowd sends. The crowds stay open
 //! while the ordinary request is sent.
+#![allow(clippy::unwrap_used, clippy::expect_used, missing_docs)]
 
 mod crowd_support;
 
