--- a/crates/core/src/decision/gateway/jobs/draft.rs
+++ b/crates/core/src/decision/gateway/jobs/draft.rs
@@ -74,7 +74,8 @@
     pub(in crate::decision::gateway) fn write_drafts(&mut self) {
         let now = self.now;
         // Heads and pages come first after an outage, and a draft would fail during one.
-        if !self.draining && self.store.uptime(now) < DRAFT_PAUSE {
+        let away = self.store.outage_start.is_some() || now < self.store.returned_at + DRAFT_PAUSE;
+        if away && !self.draining {
             return;
         }
         let mut calls = Vec::new();
--- a/crates/core/src/decision/gateway/jobs/held.rs
+++ b/crates/core/src/decision/gateway/jobs/held.rs
@@ -284,6 +284,7 @@
     /// that were sent during an outage are lost.
     pub(in crate::decision::gateway) fn store_returned(&mut self) {
         let now = self.now;
+        self.store.returned_at = now;
         for submission in self.submissions.values_mut() {
             submission.next_write = now;
             for (_, write) in &mut submission.parts {
--- a/crates/core/src/decision/gateway/membership/health.rs
+++ b/crates/core/src/decision/gateway/membership/health.rs
@@ -14,6 +14,9 @@
     pub(in crate::decision::gateway) outage_start: Option<Time>,
     /// End of the last outage, initially the start of the process.
     restored_at: Time,
+    /// Time at which the calls that had waited in an outage were sent, initially the start of the
+    /// process.
+    pub(in crate::decision::gateway) returned_at: Time,
 }
 
 impl StoreHealth {
@@ -22,6 +25,7 @@
         Self {
             outage_start: None,
             restored_at: now,
+            returned_at: now,
         }
     }
 
--- a/crates/core/src/decision/gateway/membership/source.rs
+++ b/crates/core/src/decision/gateway/membership/source.rs
@@ -43,7 +43,7 @@
 const FEED_SEARCH_TIMEOUT: Duration = Duration::from_millis(800);
 
 /// Time for which this process watches the object API itself after an abandoned search.
-const DIRECT_WATCH_TIME: Duration = Duration::from_secs(5);
+const DIRECT_WATCH_TIME: Duration = Duration::from_secs(2);
 
 /// Time after the last failed try until the failures of a process are dropped.
 const FAILURE_RETENTION: Duration = Duration::from_secs(10);
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -73,6 +73,10 @@
 /// Time without a tick or message after which this process counts as paused.
 const MAX_TICK_DELAY: Duration = Duration::from_millis(400);
 
+/// Time after which unanswered calls to the object API count as an outage, whose end is followed by
+/// the calls that waited. A shorter one may be a single refused call, which is repeated after its delay.
+const MIN_OUTAGE: Duration = Duration::from_millis(400);
+
 /// Control state of a gateway process.
 #[derive(Debug)]
 pub struct Gateway {
@@ -161,7 +165,7 @@
     /// Processes a message and returns the resulting effects.
     pub fn handle(&mut self, now: Time, message: Message) -> Vec<Effect> {
         self.advance(now);
-        let away = self.store.outage_start.is_some();
+        let outage = self.store.outage_time(now);
         match message {
             Message::Ask(call, question) => self.handle_question(call, question),
             Message::RequestEnded(target, end) => self.directory.release(now, &target, end),
@@ -206,7 +210,7 @@
             // The control thread handles this message itself.
             Message::Stop => {}
         }
-        if away && self.store.outage_start.is_none() {
+        if outage >= MIN_OUTAGE && self.store.outage_start.is_none() {
             self.store_returned();
         }
         std::mem::take(&mut self.effects)
