--- a/crates/core/src/decision/gateway/membership/peers.rs
+++ b/crates/core/src/decision/gateway/membership/peers.rs
@@ -186,6 +186,9 @@
             .retain(|host, _| runners.contains_key(host));
         if self.peers.health.len() < before {
             self.update_peer_loads();
+            let health = &self.peers.health;
+            let runs_jobs = |host: &HostName| health.contains_key(host);
+            self.shares.told.retain(runs_jobs);
         }
         for (host, runner) in runners {
             let health = self.peers.health.entry(host).or_insert_with(|| Health {
--- a/crates/core/src/decision/share/told.rs
+++ b/crates/core/src/decision/share/told.rs
@@ -25,6 +25,11 @@
         self.hosts.insert(host, (now, limit_claims(claims)));
     }
 
+    /// Keeps only the claims of these processes. The others run no jobs any more.
+    pub fn retain(&mut self, runs_jobs: impl Fn(&HostName) -> bool) {
+        self.hosts.retain(|host, _| runs_jobs(host));
+    }
+
     /// Removes the claims that are too old.
     pub fn expire(&mut self, now: Time) {
         self.hosts
--- a/crates/core/tests/gateway_shares.rs
+++ b/crates/core/tests/gateway_shares.rs
@@ -20,6 +20,10 @@
 /// Time in milliseconds within which shares follow a change.
 const SETTLE_MS: u64 = 2_000;
 
+/// Time in milliseconds within which a gateway sees the end of a job of another one and uses its slots,
+/// less than the age to which claims are used.
+const WATCH_MS: u64 = 300;
+
 /// Duration of a generation in milliseconds.
 const GENERATION_MS: u64 = 500;
 
@@ -84,3 +88,22 @@
 
     assert!(left >= SLOTS * 9 / 10, "{left} of {SLOTS} slots are used");
 }
+
+/// Fails if the slots of a job that ended stay reserved for it, although its end is known.
+#[test]
+fn the_share_of_an_ended_job_is_used_at_once() {
+    let mut sim = simulation();
+    submit(&mut sim, 0, "left");
+    submit(&mut sim, 1, "ended");
+    sim.run(SETTLE_MS);
+
+    let end = Question::EndJob {
+        id: BatchId::from("ended"),
+        workspace: Some(WorkspaceName::from("ended")),
+    };
+    sim.ask(1, end);
+    sim.run(WATCH_MS);
+
+    let left = sim.running(0);
+    assert!(left >= SLOTS * 9 / 10, "{left} of {SLOTS} slots are used");
+}
