Divide the slots of a pool only if all of its slots are short

The room of a pool counted only targets that serve the models of the gateway's own jobs. The room is now the whole pool, and each claim is capped by the slots that can serve it.

--- a/crates/core/src/decision/gateway/jobs/share.rs
+++ b/crates/core/src/decision/gateway/jobs/share.rs
@@ -136,12 +136,11 @@
 
     /// Returns the room of a pool and the claims of the jobs of this process on it.
     fn claims_of(&self, pool: &PoolName, jobs: &[Contender]) -> Contest {
-        let mut room = Room::default();
+        // Jobs of other models may use targets that do not serve a job of this process.
+        let room = self.directory.room(self.now, pool, None);
         let mut claims: BTreeMap<&Claimant, Claim> = BTreeMap::new();
         for job in jobs.iter().filter(|job| job.pool.as_ref() == Some(pool)) {
-            let own = self.directory.room(self.now, pool, job.model.as_ref());
-            room.slots = room.slots.max(own.slots);
-            room.free = room.free.max(own.free);
+            let serving = self.directory.room(self.now, pool, job.model.as_ref());
             let claim = claims.entry(&job.claimant).or_insert_with(|| Claim {
                 pool: pool.clone(),
                 claimant: job.claimant.clone(),
@@ -149,7 +148,7 @@
                 running: 0,
             });
             // Items beyond the slots that can serve them would keep slots from others unused.
-            claim.waiting += job.waiting.min(own.slots.saturating_sub(job.running));
+            claim.waiting += job.waiting.min(serving.slots.saturating_sub(job.running));
             claim.running += job.running;
         }
         Contest {
--- a/crates/core/tests/gateway_shares.rs
+++ b/crates/core/tests/gateway_shares.rs
@@ -3,11 +3,28 @@
 
 mod gateway_support;
 
+use std::collections::BTreeMap;
+
+use sardinepath_core::decision::gateway::message::Message;
+use sardinepath_core::decision::gateway::message::Pong;
 use sardinepath_core::decision::gateway::message::Question;
+use sardinepath_core::decision::gateway::stored::WatchedObject;
+use sardinepath_core::decision::share::Claim;
+use sardinepath_core::decision::share::Claimant;
+use sardinepath_core::domain::fleet::TargetEntry;
+use sardinepath_core::domain::ids::Incarnation;
+use sardinepath_core::domain::ids::WeightVersion;
 use sardinepath_core::domain::name::BatchId;
+use sardinepath_core::domain::name::CentreName;
+use sardinepath_core::domain::name::HostName;
+use sardinepath_core::domain::name::ModelName;
+use sardinepath_core::domain::name::PoolName;
+use sardinepath_core::domain::name::SoftwareVersion;
+use sardinepath_core::domain::name::TargetName;
 use sardinepath_core::domain::name::WorkspaceName;
 
 use crate::gateway_support::Simulation;
+use crate::gateway_support::address;
 use crate::gateway_support::batch;
 use crate::gateway_support::route;
 
@@ -37,6 +54,41 @@
     sim
 }
 
+/// Creates the entry of a target that serves another model than that of the jobs.
+fn other_target(index: usize) -> TargetEntry {
+    TargetEntry {
+        name: TargetName::from(format!("t{index}")),
+        pool: PoolName::from("engines"),
+        address: address(500 + index),
+        centre: CentreName::from("c"),
+        slots: SLOTS / 4,
+        leaving: false,
+        models: vec![(ModelName::from("other"), WeightVersion(1))],
+        software: SoftwareVersion::from("v1"),
+        started_at: 2,
+    }
+}
+
+/// Creates the answer of a gateway whose jobs want so many slots.
+fn pong(waiting: u32) -> Pong {
+    Pong {
+        incarnation: Incarnation(1_001),
+        silence: 0,
+        load: BTreeMap::new(),
+        leaving: Vec::new(),
+        paces: Vec::new(),
+        claims: vec![Claim {
+            pool: PoolName::from("engines"),
+            claimant: Claimant {
+                rank: 0,
+                workspace: Some(WorkspaceName::from("other")),
+            },
+            waiting,
+            running: 0,
+        }],
+    }
+}
+
 /// Submits a job of a workspace at a gateway.
 fn submit(sim: &mut Simulation, index: usize, workspace: &str) {
     let question = Question::Submit {
@@ -107,3 +159,26 @@
     let left = sim.running(0);
     assert!(left >= SLOTS * 9 / 10, "{left} of {SLOTS} slots are used");
 }
+
+/// Fails if a job gives up slots for jobs of another model that has targets of its own.
+#[test]
+fn jobs_of_models_with_targets_of_their_own_do_not_compete() {
+    let mut sim = simulation();
+    for index in 1..4 {
+        sim.message(
+            0,
+            Message::Changed(WatchedObject::Target(other_target(index))),
+        );
+    }
+    submit(&mut sim, 1, "known");
+    sim.run(SETTLE_MS);
+    sim.nodes[0].cut = true;
+
+    submit(&mut sim, 0, "own");
+    sim.run(WATCH_MS);
+    sim.message(0, Message::PingEnded(HostName::from("g1"), Some(pong(16))));
+    sim.run(WATCH_MS);
+
+    let own = sim.running(0);
+    assert_eq!(own, SLOTS / 4, "slots of the only target of the model");
+}
