--- a/crates/core/tests/gateway_shares.rs
+++ b/crates/core/tests/gateway_shares.rs
@@ -67,6 +67,7 @@
         models: vec![(ModelName::from("other"), WeightVersion(1))],
         software: SoftwareVersion::from("v1"),
         started_at: 2,
+        cold: Duration::ZERO,
     }
 }
 
