--- a/crates/core/tests/gateway_homes.rs
+++ b/crates/core/tests/gateway_homes.rs
@@ -236,7 +236,7 @@
     sim.submit(0, 8);
     sim.run(500);
 
-    assert_eq!(sim.relayed, [(0, homes(&[HOME]))]);
+    assert_eq!(sim.places.relayed, [(0, homes(&[HOME]))]);
 }
 
 /// Guards against homes that bind in a deployment without them.
--- a/crates/core/tests/gateway_support/duty.rs
+++ b/crates/core/tests/gateway_support/duty.rs
@@ -48,7 +48,7 @@
         let allowed = permit.allows(Time(self.now));
         if allowed {
             self.orders.push((index, permit.fence.0, self.now));
-            self.loads.push((load.target.clone(), self.now));
+            self.places.loads.push((load.target.clone(), self.now));
         }
         let end = if allowed {
             OrderEnd::Accepted
--- a/crates/core/tests/gateway_support/effects.rs
+++ b/crates/core/tests/gateway_support/effects.rs
@@ -55,7 +55,7 @@
                     self.send(index, STORE_LATENCY_MS, Message::Stored(purpose, answer));
                 }
                 Effect::StoreWithin(purpose, call, homes) => {
-                    self.relayed.push((index, homes));
+                    self.places.relayed.push((index, homes));
                     let answer = self.call_store(index, call);
                     self.send(index, STORE_LATENCY_MS, Message::Stored(purpose, answer));
                 }
@@ -106,7 +106,7 @@
     /// Runs a scoring request.
     fn score(&mut self, index: usize, run: RunId, choice: Choice) {
         self.arrive(index, &choice);
-        self.scored.push(choice.name.clone());
+        self.places.scored.push(choice.name.clone());
         self.nodes[index].runs.insert(run, choice.name);
         let end = if self.crashing.scores {
             ScoreEnd::Crashed("the target crashed".to_owned())
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -11,7 +11,6 @@
 mod traffic;
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -39,7 +38,6 @@
 use sardinepath_core::domain::name::ItemId;
 use sardinepath_core::domain::name::RegionName;
 use sardinepath_core::domain::name::TargetName;
-use sardinepath_core::domain::place::Homes;
 use sardinepath_core::domain::table::RouteTable;
 use sardinepath_core::domain::time::Time;
 
@@ -60,6 +58,7 @@
 use crate::gateway_support::leaving::Leaving;
 pub use crate::gateway_support::places::AWAY;
 pub use crate::gateway_support::places::HOME;
+use crate::gateway_support::places::Places;
 use crate::gateway_support::places::regions;
 pub use crate::gateway_support::store::StoreFault;
 pub use crate::gateway_support::traffic::GENERATION_EVENTS;
@@ -133,18 +132,8 @@
     pub report_times: Vec<(usize, u64, u64)>,
     /// Whether the platform and the targets check fencing tokens.
     pub fence_checked: bool,
-    /// Whether the deployment has evacuations and homes.
-    places: bool,
-    /// Data centres that are evacuated, in the store.
-    evacuated: BTreeSet<CentreName>,
-    /// Target of each generation.
-    generated: Vec<TargetName>,
-    /// Target of each scoring request.
-    scored: Vec<TargetName>,
-    /// Target and time of each order to load weights.
-    pub loads: Vec<(TargetName, u64)>,
-    /// Gateway and homes of each call to the store that carries bodies with homes.
-    pub relayed: Vec<(usize, Homes)>,
+    /// Evacuations and homes, and what went where.
+    pub places: Places,
     /// Request limits that the targets state, in requests a second.
     pub limits: BTreeMap<TargetName, f64>,
     /// Arrival time of each request at a target.
@@ -221,12 +210,7 @@
             orders: Vec::new(),
             report_times: Vec::new(),
             fence_checked: true,
-            places: false,
-            evacuated: BTreeSet::new(),
-            generated: Vec::new(),
-            scored: Vec::new(),
-            loads: Vec::new(),
-            relayed: Vec::new(),
+            places: Places::default(),
             limits: BTreeMap::new(),
             arrivals: Vec::new(),
             senders: Vec::new(),
@@ -267,12 +251,12 @@
                 address: address(index),
                 incarnation: Incarnation(u64::try_from(index).unwrap() * 1_000 + incarnation),
                 cpu_percent: self.nodes[index].power,
-                region: self.places.then(|| self.nodes[index].region.clone()),
+                region: self.places.on.then(|| self.nodes[index].region.clone()),
             },
             centre: CentreName::from("c"),
             region: self.nodes[index].region.clone(),
             regions: regions(),
-            places: self.places,
+            places: self.places.on,
             epoch: EPOCH_MS,
             lease: Terms {
                 length: Duration::from_secs(3),
--- a/crates/core/tests/gateway_support/traffic.rs
+++ b/crates/core/tests/gateway_support/traffic.rs
@@ -174,7 +174,7 @@
         starts.push(self.now);
         self.begun.insert(run.item.id.clone(), run.partial.events);
         self.arrive(index, &run.target);
-        self.generated.push(run.target.name.clone());
+        self.places.generated.push(run.target.name.clone());
         let target = run.target.name.clone();
         self.nodes[index].runs.insert(run.id, target);
         let mut partial = run.partial.clone();
