--- a/crates/core/src/decision/gateway/membership/starts.rs
+++ b/crates/core/src/decision/gateway/membership/starts.rs
@@ -1,7 +1,6 @@
 //! Starts of targets: what entries, jobs and other processes say about the requests they may get.
 
 use crate::decision::gateway::Gateway;
-use crate::decision::opening::RunningJob;
 use crate::decision::opening::StartChange;
 use crate::decision::opening::State;
 use crate::domain::event::Event;
@@ -48,11 +47,7 @@
         let jobs = self.jobs.iter().filter(|(_, job)| !job.head.ended);
         let runners = jobs.filter_map(|(id, job)| {
             let runner = job.head.runner.as_ref()?;
-            Some(RunningJob {
-                id: id.clone(),
-                runner: runner.host.clone(),
-                model: job.head.model.clone(),
-            })
+            Some((id.clone(), runner.host.clone()))
         });
         let runners = runners.collect();
         self.directory.starts.set_jobs(self.now, runners);
--- a/crates/core/src/decision/opening/mod.rs
+++ b/crates/core/src/decision/opening/mod.rs
@@ -20,7 +20,6 @@
 pub use crate::decision::opening::sends::SEND_SPAN;
 pub use crate::decision::opening::sends::Sends;
 use crate::decision::opening::share::Place;
-pub use crate::decision::opening::share::RunningJob;
 pub use crate::decision::opening::share::Users;
 use crate::decision::opening::start::Start;
 pub use crate::decision::opening::start::State;
@@ -30,8 +29,8 @@
 use crate::domain::fleet::UNREADABLE_COLD_TIME;
 use crate::domain::hash::OFFSET_BASIS;
 use crate::domain::hash::fnv1a;
+use crate::domain::name::BatchId;
 use crate::domain::name::HostName;
-use crate::domain::name::ModelName;
 use crate::domain::name::PoolName;
 use crate::domain::name::TargetName;
 use crate::domain::time::Time;
@@ -58,7 +57,6 @@
 #[derive(Debug)]
 struct Known {
     pool: PoolName,
-    models: Vec<ModelName>,
     started_at: u64,
     state: State,
     /// Time of the last entry.
@@ -82,7 +80,7 @@
     pub age: Duration,
     /// Number of requests that this process may send to the target within a second.
     pub share: u32,
-    /// Number of known processes that run jobs of the models of the target.
+    /// Number of known processes that run jobs.
     pub runners: u32,
 }
 
@@ -128,10 +126,10 @@
         }
     }
 
-    /// Sets the jobs that have not ended.
-    pub fn set_jobs(&mut self, now: Time, mut jobs: Vec<RunningJob>) {
+    /// Sets the jobs that have not ended, each with the host of its runner.
+    pub fn set_jobs(&mut self, now: Time, mut jobs: Vec<(BatchId, HostName)>) {
         if now.since(self.since) < SEND_SPAN {
-            jobs.retain(|job| job.runner != self.me);
+            jobs.retain(|(_, runner)| *runner != self.me);
         }
         self.users.set_jobs(now, &self.me, jobs);
     }
@@ -145,8 +143,6 @@
             return;
         }
         let cold = cold_time(entry.cold, settings);
-        let models = entry.models.iter().map(|(model, _)| model.clone());
-        let models: Vec<ModelName> = models.collect();
         let before = self.known.get(&entry.name).map(|known| known.state);
         if let Some(known) = self.known.get_mut(&entry.name) {
             let restarted = entry.started_at > known.started_at;
@@ -155,12 +151,10 @@
                 false => known.state.at(now).after_entry(now, cold),
             };
             known.started_at = entry.started_at;
-            known.models = models;
             known.seen = now;
         } else {
             let known = Known {
                 pool: entry.pool.clone(),
-                models,
                 started_at: entry.started_at,
                 state: State::first(now, cold),
                 seen: now,
@@ -241,7 +235,7 @@
             true => rate.tolerated(),
             false => rate.most(self.tolerance),
         };
-        self.users.share(now, bound, known.place, &known.models)
+        self.users.share(now, &self.me, bound, known.place)
     }
 
     /// Records a change of a target's state for the log. New targets that are not cold are none.
@@ -264,7 +258,7 @@
             cold,
             age: now.since(known.seen),
             share: self.share(now, known),
-            runners: self.users.runners(&known.models),
+            runners: self.users.runners(),
         });
     }
 }
--- a/crates/core/src/decision/opening/sends.rs
+++ b/crates/core/src/decision/opening/sends.rs
@@ -6,14 +6,14 @@
 use crate::domain::time::Time;
 
 /// Time for which a choice of a target whose requests are counted is valid.
-pub const COUNTED_VALIDITY: Duration = Duration::from_millis(250);
+pub const COUNTED_VALIDITY: Duration = Duration::from_millis(400);
 
 /// Longest time that a request needs to its target once it is sent.
 const TRANSIT_TIME: Duration = Duration::from_millis(100);
 
 /// Time for which a request counts after its target was chosen. Requests that arrive within any one
 /// second were chosen within this time.
-pub const SEND_SPAN: Duration = Duration::from_millis(1_350);
+pub const SEND_SPAN: Duration = Duration::from_millis(1_500);
 
 const _: () = assert!(
     SEND_SPAN.as_millis() == 1_000 + COUNTED_VALIDITY.as_millis() + TRANSIT_TIME.as_millis()
