Give the owner of a model most of the bound at its targets

Change: the process that runs the newest job of a model owns it and has most of the bound at the model's targets. A new owner has a tenth of it until the one before it has noticed; one without contact for 2 s goes back to a single request, except in an outage that other processes share. The settings field that nothing read is gone. Measured: gateway_cold and sliding_windows pass.

--- a/crates/core/src/decision/gateway/membership/peers.rs
+++ b/crates/core/src/decision/gateway/membership/peers.rs
@@ -259,6 +259,13 @@
         self.update_peer_loads();
     }
 
+    /// Returns `true` if the object API does not answer another process either, so that no job can
+    /// have changed hands.
+    pub(in crate::decision::gateway) fn shares_outage(&self) -> bool {
+        let mut known = self.peers.health.values();
+        known.any(|h| self.now.since(h.last_pong) < SUSPICION_LIMIT && h.last_healthy < h.last_pong)
+    }
+
     /// Passes the load of the other processes on targets to the directory. Only processes that run
     /// a job are included.
     fn update_peer_loads(&mut self) {
--- a/crates/core/src/decision/gateway/membership/starts.rs
+++ b/crates/core/src/decision/gateway/membership/starts.rs
@@ -1,6 +1,8 @@
 //! Starts of targets: what entries, jobs and other processes say about the requests they may get.
 
 use crate::decision::gateway::Gateway;
+use crate::decision::opening::KnownJob;
+use crate::decision::opening::MAX_SILENCE;
 use crate::decision::opening::StartChange;
 use crate::decision::opening::State;
 use crate::domain::event::Event;
@@ -44,13 +46,18 @@
 
     /// Learns which processes run jobs.
     pub(in crate::decision::gateway) fn update_users(&mut self) {
-        let jobs = self.jobs.iter().filter(|(_, job)| !job.head.ended);
-        let runners = jobs.filter_map(|(id, job)| {
+        let known = self.jobs.values().filter_map(|job| {
             let runner = job.head.runner.as_ref()?;
-            Some((id.clone(), runner.host.clone()))
+            Some(KnownJob {
+                model: job.head.model.clone(),
+                runner: runner.host.clone(),
+                accepted: job.head.accepted,
+            })
         });
-        let runners = runners.collect();
-        self.directory.starts.set_jobs(self.now, runners);
+        let known = known.collect();
+        let in_contact =
+            self.target_watch.was_up_within(self.now, MAX_SILENCE) || self.shares_outage();
+        self.directory.starts.set_jobs(self.now, known, in_contact);
     }
 
     /// Logs the changes of the states of targets' starts.
--- a/crates/core/src/decision/gateway/membership/target_watch.rs
+++ b/crates/core/src/decision/gateway/membership/target_watch.rs
@@ -71,6 +71,15 @@
         }
     }
 
+    /// Returns `true` if entries are watched, or were within a time.
+    pub(in crate::decision::gateway) fn was_up_within(&self, now: Time, limit: Duration) -> bool {
+        match self.contact {
+            Contact::Up { .. } => true,
+            Contact::Lost { since } => now.since(since) < limit,
+            Contact::Never => false,
+        }
+    }
+
     /// Returns `true` if the entries have been watched for long enough to be complete.
     pub(in crate::decision::gateway) fn is_settled(&self, now: Time) -> bool {
         self.start()
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -136,7 +136,7 @@
         let window = settings.usage_window.unwrap_or(Duration::from_secs(5));
         let host = settings.peer.host.clone();
         let mut directory = Directory::with_places(known_places(&settings));
-        directory.starts = Starts::new(now, host, settings.cold_tolerance);
+        directory.starts = Starts::new(host, settings.cold_tolerance);
         let mut gateway = Self {
             table: None,
             directory,
--- a/crates/core/src/decision/gateway/settings.rs
+++ b/crates/core/src/decision/gateway/settings.rs
@@ -41,8 +41,6 @@
     pub report_deadline: Duration,
     /// Number of requests that a cold target may get above the rate that it tolerates.
     pub cold_tolerance: ColdTolerance,
-    /// Whether targets that have started or recovered are opened by how they answer.
-    pub paces: bool,
     /// Seed of the random numbers that distribute requests.
     pub seed: u64,
 }
--- a/crates/core/src/decision/opening/mod.rs
+++ b/crates/core/src/decision/opening/mod.rs
@@ -19,6 +19,8 @@
 pub use crate::decision::opening::sends::COUNTED_VALIDITY;
 pub use crate::decision::opening::sends::SEND_SPAN;
 pub use crate::decision::opening::sends::Sends;
+pub use crate::decision::opening::share::KnownJob;
+pub use crate::decision::opening::share::MAX_SILENCE;
 use crate::decision::opening::share::Place;
 pub use crate::decision::opening::share::Users;
 use crate::decision::opening::start::Start;
@@ -29,8 +31,8 @@
 use crate::domain::fleet::UNREADABLE_COLD_TIME;
 use crate::domain::hash::OFFSET_BASIS;
 use crate::domain::hash::fnv1a;
-use crate::domain::name::BatchId;
 use crate::domain::name::HostName;
+use crate::domain::name::ModelName;
 use crate::domain::name::PoolName;
 use crate::domain::name::TargetName;
 use crate::domain::time::Time;
@@ -49,8 +51,6 @@
     known: BTreeMap<TargetName, Known>,
     /// Changes of states that were not reported yet.
     changes: Vec<StartChange>,
-    /// Start of this process. An earlier run may have sent requests shortly before.
-    since: Time,
 }
 
 /// Start of a target, and the requests that this process sent to it.
@@ -62,6 +62,8 @@
     /// Time of the last entry.
     seen: Time,
     place: Place,
+    /// Models of the target.
+    models: Vec<ModelName>,
     sends: Sends,
 }
 
@@ -86,15 +88,14 @@
 
 impl Default for Starts {
     fn default() -> Self {
-        Self::new(Time(0), HostName::from(""), ColdTolerance::default())
+        Self::new(HostName::from(""), ColdTolerance::default())
     }
 }
 
 impl Starts {
     /// Creates the state of a process that starts now and knows no targets.
-    pub fn new(now: Time, me: HostName, tolerance: ColdTolerance) -> Self {
+    pub fn new(me: HostName, tolerance: ColdTolerance) -> Self {
         Self {
-            since: now,
             me,
             tolerance,
             pools: BTreeMap::new(),
@@ -126,12 +127,10 @@
         }
     }
 
-    /// Sets the jobs that have not ended, each with the host of its runner.
-    pub fn set_jobs(&mut self, now: Time, mut jobs: Vec<(BatchId, HostName)>) {
-        if now.since(self.since) < SEND_SPAN {
-            jobs.retain(|(_, runner)| *runner != self.me);
-        }
-        self.users.set_jobs(now, &self.me, jobs);
+    /// Sets the known jobs, also those that have ended, and whether this process hears of new ones.
+    pub fn set_jobs(&mut self, now: Time, jobs: Vec<KnownJob>, in_contact: bool) {
+        self.users.set_contact(now, in_contact);
+        self.users.set_jobs(now, jobs);
     }
 
     /// Handles an entry of a target.
@@ -151,6 +150,7 @@
                 false => known.state.at(now).after_entry(now, cold),
             };
             known.started_at = entry.started_at;
+            known.models = models(entry);
             known.seen = now;
         } else {
             let known = Known {
@@ -161,6 +161,7 @@
                 place: self
                     .users
                     .place(&self.me, |host| place_hash(&entry.name, host)),
+                models: models(entry),
                 sends: Sends::default(),
             };
             self.known.insert(entry.name.clone(), known);
@@ -235,7 +236,8 @@
             true => rate.tolerated(),
             false => rate.most(self.tolerance),
         };
-        self.users.share(now, &self.me, bound, known.place)
+        let models = &known.models;
+        self.users.share(now, &self.me, bound, known.place, models)
     }
 
     /// Records a change of a target's state for the log. New targets that are not cold are none.
@@ -263,6 +265,10 @@
     }
 }
 
+fn models(entry: &TargetEntry) -> Vec<ModelName> {
+    entry.models.iter().map(|(name, _)| name.clone()).collect()
+}
+
 /// Returns the cold time that counts for a target: no longer than its pool states, and the longest
 /// one if its entry cannot be read.
 fn cold_time(stated: Duration, settings: &PoolSettings) -> Duration {
--- a/crates/core/src/decision/opening/share.rs
+++ b/crates/core/src/decision/opening/share.rs
@@ -1,75 +1,89 @@
 //! Shares of the processes in the requests that a target may get from all of them together.
 //!
-//! No process sees what the others send, and none asks them. The requests of a second are divided
-//! into three parts: one for orders and the reports read before them, one for the processes that
-//! come first in a hash order of the target, and one for the processes that run batch jobs, which
-//! all know from the heads of the jobs. The heads are known late, so a process has a share of a single
-//! request for some time after it started to run jobs, counts for some time after it ended, and never
-//! has more than a third of the part, also if it knows of no other one that runs jobs.
+//! Answers jobs whose items all go out at once to the few targets of a model, while any of these may
+//! turn cold. No process sees what the others send, and none asks them. One process, the owner, runs
+//! the newest job of a model, which all know from the heads of the jobs, and has most of the bound at
+//! the targets of that model. The rest is kept for orders, for the processes that come first in a hash
+//! order of the target, and for a change of the owner: a new one has a small part until the one before
+//! it has noticed, and one that has lost contact goes back to a single request.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::decision::opening::sends::SEND_SPAN;
-use crate::domain::name::BatchId;
 use crate::domain::name::HostName;
+use crate::domain::name::ModelName;
 use crate::domain::time::Time;
+use crate::domain::time::WallTime;
 
 /// Divisor of the bound that gives the part of the orders and reports.
 const ORDER_DIVISOR: u32 = 8;
 
 /// Divisor of the bound that gives the number of processes that may always send a request.
-const FLOOR_DIVISOR: u32 = 4;
+const FLOOR_DIVISOR: u32 = 5;
 
-/// Divisor of the part of the runners that gives the part of those that have just joined.
-const JOIN_DIVISOR: u32 = 4;
+/// Divisor of the bound that gives the part of an owner that has just begun.
+const BEGINNER_DIVISOR: u32 = 10;
 
-/// Number of runners for which a part is kept, although fewer are known.
-const MIN_RUNNERS: u32 = 3;
+/// Part of an owner that has lost contact, in requests.
+const LOST_PART: u32 = 1;
 
-/// Time after its first job in which a runner has a share of a single request. Later the others know
-/// of it, and what they sent before counts no longer.
-const JOIN_TIME: Duration = Duration::from_millis(1_300);
+/// Time without contact after which an owner may have been replaced. When it is back in contact, it
+/// takes the time for which a request counts to learn so.
+pub const MAX_SILENCE: Duration = Duration::from_millis(2_000);
 
-/// Time for which a process counts as a runner after it was seen with a job for the first time.
-/// Jobs that callers never end do not take shares for ever.
-const RUNNER_TIME: Duration = Duration::from_secs(30);
+/// Time after which an owner has its whole part if there was another one before it, which may have
+/// lost contact. What that one sent counts no longer then.
+const HANDOVER_TIME: Duration = Duration::from_millis(2_000 + SEND_SPAN.as_millis() as u64);
 
-/// Time for which this process counts itself as a runner. It ends before the other processes stop to
-/// count it.
-const OWN_RUNNER_TIME: Duration = Duration::from_secs(25);
+/// Time after which the first owner of a model has its whole part. All processes in touch know it then.
+const FIRST_TIME: Duration = Duration::from_millis(400);
 
 /// Ratio of all targets to those that a process may send to before it knows the other processes.
 const UNLISTED_RATIO: u64 = 5;
 
+/// A known job.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownJob {
+    /// Model that generates its items, or `None` if it names none.
+    pub model: Option<ModelName>,
+    /// Host of the process that runs it.
+    pub runner: HostName,
+    /// Time of its acceptance.
+    pub accepted: WallTime,
+}
+
 /// Processes among which the requests to a target are divided, as this one knows them.
 #[derive(Debug, Default)]
 pub struct Users {
     /// Hosts of all processes, empty before they were listed.
     hosts: BTreeSet<HostName>,
-    /// Runner of each job that has not ended, with the time at which it was first seen.
-    jobs: BTreeMap<BatchId, (HostName, Time)>,
-    /// Processes that run jobs, or did so until a moment ago.
-    runners: BTreeMap<HostName, Tenure>,
+    /// Last owner of each model, also while no job of the model has a runner.
+    owners: BTreeMap<Option<ModelName>, Owner>,
+    /// Time since which this process hears which jobs there are, or `None` while it does not.
+    contact_since: Option<Time>,
 }
 
-/// Time during which a process has run jobs.
-#[derive(Clone, Copy, Debug)]
-struct Tenure {
-    since: Time,
-    last: Time,
+/// Process that runs the newest job of a model.
+#[derive(Clone, Debug)]
+struct Owner {
+    host: HostName,
+    /// Time from which it may have its whole part.
+    whole_from: Time,
 }
 
-/// Part of this process in the requests of the runners.
+/// Part of this process in the requests to a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Role {
-    /// It runs no job.
+    /// It owns no model of the target.
     Bystander,
-    /// It has run jobs for a short time only.
-    Joining,
-    /// The other processes know that it runs jobs.
-    Established,
+    /// It owns a model, but may have been replaced.
+    Lost,
+    /// It owns a model since a moment ago.
+    Beginner,
+    /// It owns a model.
+    Owner,
 }
 
 /// Place of this process in the order of processes of a target.
@@ -89,42 +103,68 @@
         changed
     }
 
-    /// Replaces the jobs that have not ended, each with its runner.
-    pub fn set_jobs(&mut self, now: Time, me: &HostName, jobs: Vec<(BatchId, HostName)>) {
-        let before = std::mem::take(&mut self.jobs);
-        for (id, host) in jobs {
-            let known = before.get(&id).filter(|(runner, _)| *runner == host);
-            let since = known.map_or(now, |(_, since)| *since);
-            let limit = if host == *me {
-                OWN_RUNNER_TIME
-            } else {
-                RUNNER_TIME
-            };
-            if now.since(since) < limit {
-                let begun = Tenure {
-                    since: now,
-                    last: now,
-                };
-                let tenure = self.runners.entry(host.clone()).or_insert(begun);
-                tenure.last = now;
+    /// Records whether this process hears which jobs there are.
+    pub fn set_contact(&mut self, now: Time, in_contact: bool) {
+        match in_contact {
+            true => drop(self.contact_since.get_or_insert(now)),
+            false => self.contact_since = None,
+        }
+    }
+
+    /// Returns `true` if this process knows which jobs there are.
+    fn knows_jobs(&self, now: Time) -> bool {
+        self.contact_since
+            .is_some_and(|since| now.since(since) >= SEND_SPAN)
+    }
+
+    /// Replaces the known jobs, also those that have ended.
+    pub fn set_jobs(&mut self, now: Time, jobs: Vec<KnownJob>) {
+        let mut newest: BTreeMap<Option<ModelName>, KnownJob> = BTreeMap::new();
+        for job in jobs {
+            let known = newest.get(&job.model);
+            let order = |job: &KnownJob| (job.accepted, job.runner.clone());
+            if known.is_none_or(|known| order(known) < order(&job)) {
+                newest.insert(job.model.clone(), job);
             }
-            self.jobs.insert(id, (host, since));
         }
-        // What a former runner sent counts for some time.
-        self.runners
-            .retain(|_, tenure| now.since(tenure.last) < SEND_SPAN);
+        for (model, job) in newest {
+            let known = self.owners.get(&model);
+            if known.is_some_and(|owner| owner.host == job.runner) {
+                continue;
+            }
+            let wait = match known {
+                Some(_) => HANDOVER_TIME,
+                None => FIRST_TIME,
+            };
+            let owner = Owner {
+                host: job.runner,
+                whole_from: now + wait,
+            };
+            self.owners.insert(model, owner);
+        }
     }
 
-    /// Returns the number of known processes that run jobs, including this one if it does.
+    /// Returns the number of known processes that own a model.
     pub fn runners(&self) -> u32 {
-        u32::try_from(self.runners.len()).unwrap_or(u32::MAX)
+        let hosts: BTreeSet<&HostName> = self.owners.values().map(|owner| &owner.host).collect();
+        u32::try_from(hosts.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the owners of any of these models, and of jobs without a model.
+    fn owners_of<'a>(&'a self, models: &'a [ModelName]) -> impl Iterator<Item = &'a Owner> {
+        let named = models.iter().cloned().map(Some);
+        named
+            .chain([None])
+            .filter_map(|model| self.owners.get(&model))
     }
 
-    fn role(&self, now: Time, me: &HostName) -> Role {
-        match self.runners.get(me) {
+    fn role(&self, now: Time, me: &HostName, models: &[ModelName]) -> Role {
+        let own = self.owners_of(models).filter(|owner| owner.host == *me);
+        match own.map(|owner| owner.whole_from).min() {
             None => Role::Bystander,
-            Some(tenure) if now.since(tenure.since) < JOIN_TIME => Role::Joining,
-            Some(_) => Role::Established,
+            Some(_) if !self.knows_jobs(now) => Role::Lost,
+            Some(from) if now < from => Role::Beginner,
+            Some(_) => Role::Owner,
         }
     }
 
@@ -138,26 +178,33 @@
         Place::Rank(u32::try_from(before.count()).unwrap_or(u32::MAX))
     }
 
-    /// Returns the number of requests that this process may send within a second to a target, which
-    /// gets at most `bound` from all processes.
-    pub fn share(&self, now: Time, me: &HostName, bound: u32, place: Place) -> u32 {
+    /// Returns the number of requests that this process may send within a second to a target with
+    /// these models, which gets at most `bound` from all processes.
+    pub fn share(
+        &self,
+        now: Time,
+        me: &HostName,
+        bound: u32,
+        place: Place,
+        models: &[ModelName],
+    ) -> u32 {
         let floors = (bound / FLOOR_DIVISOR).max(1);
-        let left = bound.saturating_sub(floors + bound / ORDER_DIVISOR);
         let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX).max(1);
         let floor = match place {
             Place::Rank(rank) if rank < floors => (floors / hosts).max(1),
             Place::Unlisted(hash) if hash.is_multiple_of(UNLISTED_RATIO) => 1,
             Place::Rank(_) | Place::Unlisted(_) => 0,
         };
-        let joins = left / JOIN_DIVISOR;
-        let part = (left - joins) / self.runners().max(MIN_RUNNERS.min(hosts));
-        let first = |count: u32| matches!(place, Place::Rank(rank) if rank < count);
+        let beginner = (bound / BEGINNER_DIVISOR).max(1);
+        let kept = floors + bound / ORDER_DIVISOR + beginner + LOST_PART;
+        let owners: BTreeSet<&HostName> = self.owners_of(models).map(|o| &o.host).collect();
+        let count = u32::try_from(owners.len()).unwrap_or(u32::MAX).max(1);
         floor
-            + match self.role(now, me) {
+            + match self.role(now, me, models) {
                 Role::Bystander => 0,
-                Role::Joining => u32::from(first(left)),
-                Role::Established if part == 0 => u32::from(first(left - joins)),
-                Role::Established => part,
+                Role::Lost => LOST_PART,
+                Role::Beginner => beginner,
+                Role::Owner => (bound.saturating_sub(kept) / count).max(1),
             }
     }
 }
