--- a/crates/core/src/decision/gateway/membership/starts.rs
+++ b/crates/core/src/decision/gateway/membership/starts.rs
@@ -52,6 +52,8 @@
                 model: job.head.model.clone(),
                 runner: runner.host.clone(),
                 accepted: job.head.accepted,
+                least: job.head.min_version,
+                ended: job.head.ended,
             })
         });
         let known = known.collect();
--- a/crates/core/src/decision/opening/mod.rs
+++ b/crates/core/src/decision/opening/mod.rs
@@ -22,6 +22,7 @@
 pub use crate::decision::opening::share::KnownJob;
 pub use crate::decision::opening::share::MAX_SILENCE;
 use crate::decision::opening::share::Place;
+use crate::decision::opening::share::ServedModel;
 pub use crate::decision::opening::share::Users;
 use crate::decision::opening::start::Start;
 pub use crate::decision::opening::start::State;
@@ -32,7 +33,6 @@
 use crate::domain::hash::OFFSET_BASIS;
 use crate::domain::hash::fnv1a;
 use crate::domain::name::HostName;
-use crate::domain::name::ModelName;
 use crate::domain::name::PoolName;
 use crate::domain::name::TargetName;
 use crate::domain::time::Time;
@@ -63,7 +63,7 @@
     seen: Time,
     place: Place,
     /// Models of the target.
-    models: Vec<ModelName>,
+    models: Vec<ServedModel>,
     sends: Sends,
 }
 
@@ -150,7 +150,7 @@
                 false => known.state.at(now).after_entry(now, cold),
             };
             known.started_at = entry.started_at;
-            known.models = models(entry);
+            known.models.clone_from(&entry.models);
             known.seen = now;
         } else {
             let known = Known {
@@ -161,7 +161,7 @@
                 place: self
                     .users
                     .place(&self.me, |host| place_hash(&entry.name, host)),
-                models: models(entry),
+                models: entry.models.clone(),
                 sends: Sends::default(),
             };
             self.known.insert(entry.name.clone(), known);
@@ -265,10 +265,6 @@
     }
 }
 
-fn models(entry: &TargetEntry) -> Vec<ModelName> {
-    entry.models.iter().map(|(name, _)| name.clone()).collect()
-}
-
 /// Returns the cold time that counts for a target: no longer than its pool states, and the longest
 /// one if its entry cannot be read.
 fn cold_time(stated: Duration, settings: &PoolSettings) -> Duration {
--- a/crates/core/src/decision/opening/share.rs
+++ b/crates/core/src/decision/opening/share.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use crate::decision::opening::sends::SEND_SPAN;
+use crate::domain::ids::WeightVersion;
 use crate::domain::name::HostName;
 use crate::domain::name::ModelName;
 use crate::domain::time::Time;
@@ -43,6 +44,9 @@
 /// Ratio of all targets to those that a process may send to before it knows the other processes.
 const UNLISTED_RATIO: u64 = 5;
 
+/// A model of a target with the version of its weights.
+pub type ServedModel = (ModelName, WeightVersion);
+
 /// A known job.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KnownJob {
@@ -52,6 +56,10 @@
     pub runner: HostName,
     /// Time of its acceptance.
     pub accepted: WallTime,
+    /// Oldest version of the model from which its texts may come.
+    pub least: WeightVersion,
+    /// Whether it has ended.
+    pub ended: bool,
 }
 
 /// Processes among which the requests to a target are divided, as this one knows them.
@@ -69,6 +77,9 @@
 #[derive(Clone, Debug)]
 struct Owner {
     host: HostName,
+    /// Oldest version of the model that any of its jobs uses. Targets with older ones get no requests
+    /// of the owner.
+    least: WeightVersion,
     /// Time from which it may have its whole part.
     whole_from: Time,
 }
@@ -120,7 +131,12 @@
     /// Replaces the known jobs, also those that have ended.
     pub fn set_jobs(&mut self, now: Time, jobs: Vec<KnownJob>) {
         let mut newest: BTreeMap<Option<ModelName>, KnownJob> = BTreeMap::new();
+        let mut least: BTreeMap<Option<ModelName>, WeightVersion> = BTreeMap::new();
         for job in jobs {
+            if !job.ended {
+                let known = least.entry(job.model.clone()).or_insert(job.least);
+                *known = job.least.min(*known);
+            }
             let known = newest.get(&job.model);
             let order = |job: &KnownJob| (job.accepted, job.runner.clone());
             if known.is_none_or(|known| order(known) < order(&job)) {
@@ -128,17 +144,16 @@
             }
         }
         for (model, job) in newest {
-            let known = self.owners.get(&model);
-            if known.is_some_and(|owner| owner.host == job.runner) {
-                continue;
-            }
-            let wait = match known {
-                Some(_) => HANDOVER_TIME,
-                None => FIRST_TIME,
+            let least = least.get(&model).copied().unwrap_or(job.least);
+            let whole_from = match self.owners.get(&model) {
+                Some(owner) if owner.host == job.runner => owner.whole_from,
+                Some(_) => now + HANDOVER_TIME,
+                None => now + FIRST_TIME,
             };
             let owner = Owner {
                 host: job.runner,
-                whole_from: now + wait,
+                least,
+                whole_from,
             };
             self.owners.insert(model, owner);
         }
@@ -150,16 +165,18 @@
         u32::try_from(hosts.len()).unwrap_or(u32::MAX)
     }
 
-    /// Returns the owners of any of these models, and of jobs without a model.
-    fn owners_of<'a>(&'a self, models: &'a [ModelName]) -> impl Iterator<Item = &'a Owner> {
-        let named = models.iter().cloned().map(Some);
-        named
-            .chain([None])
-            .filter_map(|model| self.owners.get(&model))
+    /// Returns the owners of the models that a target serves, and of jobs without a model. A target names
+    /// many models, but its weights are new enough for the jobs of a few of them only.
+    fn owners_of<'a>(&'a self, served: &'a [ServedModel]) -> impl Iterator<Item = &'a Owner> {
+        let named = served.iter().filter_map(|(model, version)| {
+            let owner = self.owners.get(&Some(model.clone()));
+            owner.filter(|owner| *version >= owner.least)
+        });
+        named.chain(self.owners.get(&None))
     }
 
-    fn role(&self, now: Time, me: &HostName, models: &[ModelName]) -> Role {
-        let own = self.owners_of(models).filter(|owner| owner.host == *me);
+    fn role(&self, now: Time, me: &HostName, served: &[ServedModel]) -> Role {
+        let own = self.owners_of(served).filter(|owner| owner.host == *me);
         match own.map(|owner| owner.whole_from).min() {
             None => Role::Bystander,
             Some(_) if !self.knows_jobs(now) => Role::Lost,
@@ -178,15 +195,15 @@
         Place::Rank(u32::try_from(before.count()).unwrap_or(u32::MAX))
     }
 
-    /// Returns the number of requests that this process may send within a second to a target with
-    /// these models, which gets at most `bound` from all processes.
+    /// Returns the number of requests that this process may send within a second to a target that
+    /// serves these models, which gets at most `bound` from all processes.
     pub fn share(
         &self,
         now: Time,
         me: &HostName,
         bound: u32,
         place: Place,
-        models: &[ModelName],
+        served: &[ServedModel],
     ) -> u32 {
         let floors = (bound / FLOOR_DIVISOR).max(1);
         let hosts = u32::try_from(self.hosts.len()).unwrap_or(u32::MAX).max(1);
@@ -197,10 +214,10 @@
         };
         let beginner = (bound / BEGINNER_DIVISOR).max(1);
         let kept = floors + bound / ORDER_DIVISOR + beginner + LOST_PART;
-        let owners: BTreeSet<&HostName> = self.owners_of(models).map(|o| &o.host).collect();
+        let owners: BTreeSet<&HostName> = self.owners_of(served).map(|o| &o.host).collect();
         let count = u32::try_from(owners.len()).unwrap_or(u32::MAX).max(1);
         floor
-            + match self.role(now, me, models) {
+            + match self.role(now, me, served) {
                 Role::Bystander => 0,
                 Role::Lost => LOST_PART,
                 Role::Beginner => beginner,
