--- a/crates/core/tests/gateway_cold.rs
+++ b/crates/core/tests/gateway_cold.rs
@@ -172,10 +172,9 @@
     assert!(after > 44, "the targets stay cold for ever: {after}");
 }
 
-/// Fails if gateways that are cut off, or restart without a memory of what they sent, add to the
-/// requests of the others.
-#[test]
-fn the_bound_holds_while_gateways_are_cut_off_and_restart() {
+/// Cuts gateways off, restarts one without a memory of what it sent, and fails if they add to the
+/// requests of the others. The watches of those that are cut off say so if they are `reported`.
+fn cut_off_and_restart(reported: bool) {
     for seed in 0..6 {
         let mut sim = loaded(9);
         let since = sim.now;
@@ -188,7 +187,9 @@
             let index = (2 * gateway + seed) % 9;
             sim.nodes[index].cut = true;
             sim.nodes[index].fault = StoreFault::Unavailable;
-            sim.message(index, Message::WatchContact(Kind::Targets, false));
+            if reported {
+                sim.message(index, Message::WatchContact(Kind::Targets, false));
+            }
         }
         sim.run(1_500);
         sim.kill(seed);
@@ -199,7 +200,9 @@
         for index in 0..9 {
             sim.nodes[index].cut = false;
             sim.nodes[index].fault = StoreFault::None;
-            sim.message(index, Message::WatchContact(Kind::Targets, true));
+            if reported {
+                sim.message(index, Message::WatchContact(Kind::Targets, true));
+            }
         }
         sim.run(4_000);
 
@@ -207,6 +210,20 @@
     }
 }
 
+/// Fails if gateways that are cut off while their watches stay silent, or that restart, add to the
+/// requests of the others.
+#[test]
+fn the_bound_holds_while_gateways_are_cut_off_and_restart() {
+    cut_off_and_restart(false);
+}
+
+/// Fails if gateways whose watches report that they are cut off, or that restart, add to the requests
+/// of the others.
+#[test]
+fn the_bound_holds_while_gateways_know_that_they_are_cut_off() {
+    cut_off_and_restart(true);
+}
+
 /// Fails if the bound keeps a job from its targets although they could serve it.
 #[test]
 fn a_job_ends_under_the_bound() {
