Show with a case that the second copy of a failure makes an accepted item be given up

The copy of an answer of 500 arrives when the item is sent again on the same channel and counts as a second failure.

--- a/review/harness-2/json.rs
+++ b/review/harness-2/json.rs
@@ -37,6 +37,14 @@
         }
     }
 
+    /// Returns the elements of a list, none if it is not a list.
+    pub fn list(&self) -> &[Json] {
+        match self {
+            Json::List(items) => items,
+            _ => &[],
+        }
+    }
+
     /// Sets a field of a table.
     pub fn set(&mut self, name: &str, value: Json) {
         if let Json::Table(fields) = self {
--- a/review/harness-2/main.rs
+++ b/review/harness-2/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod doubled;
 mod fleet;
+mod given_up;
 mod http;
 mod json;
 mod store;
@@ -43,6 +44,7 @@
         exit(2);
     });
     let result = match case.as_str() {
+        "given-up" => given_up::run(record, trouble),
         "budget" => budget::run(record, trouble),
         "doubled" => doubled::run(record, trouble),
         _ => Err(format!("there is no case {case}").into()),
