Split the HTTP client by subject

Idle connections, new connections, responses and errors get files of their own, so that what a connection has carried can be kept with it. No change of behaviour; the tests of the crate pass unchanged.

--- a/crates/adapters/src/web/mod.rs
+++ b/crates/adapters/src/web/mod.rs
@@ -1,7 +1,11 @@
 //! HTTP/1.1 client and server with persistent connections, for calls to and from the gateway.
 
 mod buffer;
+mod connect;
+mod error;
+mod idle;
 mod pool;
+mod response;
 mod serve;
 mod streamed;
 
@@ -9,10 +13,10 @@
 use http_body_util::Full;
 use tokio::net::TcpStream;
 
+pub use crate::web::connect::is_refused;
+pub use crate::web::error::SendError;
 pub use crate::web::pool::Pool;
-pub use crate::web::pool::SendError;
-pub use crate::web::pool::UnreadResponse;
-pub use crate::web::pool::is_refused;
+pub use crate::web::response::UnreadResponse;
 pub use crate::web::serve::Listener;
 pub use crate::web::serve::ServerLimits;
 pub use crate::web::serve::Shutdown;
