Wait for the server of a test before its port counts as closed

Seen: a_connection_that_ends_differs_from_a_server_that_is_gone failed once, with (false, false) in place of (false, true).

Cause: the server's thread holds a second descriptor of the listener, and may drop it only after the test has dropped its own.

Change: the test joins the thread before it drops its listener. What it checks is the same.

--- a/crates/adapters/tests/pool.rs
+++ b/crates/adapters/tests/pool.rs
@@ -104,17 +104,17 @@
 }
 
 /// Starts a server that reads a request and ends the connection without an answer. It goes on
-/// listening for as long as the second value lives.
-fn closing_server() -> (SocketAddr, TcpListener) {
+/// listening for as long as the second value lives, once the third one has ended.
+fn closing_server() -> (SocketAddr, TcpListener, JoinHandle<()>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let accepting = listener.try_clone().unwrap();
-    thread::spawn(move || {
+    let server = thread::spawn(move || {
         let (mut stream, _) = accepting.accept().unwrap();
         let mut buffer = [0; 4096];
         let _ = stream.read(&mut buffer).unwrap();
     });
-    (address, listener)
+    (address, listener, server)
 }
 
 /// Guards against a crash of the server that is taken for a timeout or a malformed answer, and against
@@ -122,12 +122,13 @@
 #[test]
 fn a_connection_that_ends_differs_from_a_server_that_is_gone() {
     const LIMIT: Duration = Duration::from_secs(2);
-    let (address, listener) = closing_server();
+    let (address, listener, server) = closing_server();
     let runtime = Runtime::new().unwrap();
     let pool = Pool::default();
 
     let end = runtime.block_on(pool.call(address, get("r1"), LIMIT, 1024));
     let before = runtime.block_on(is_refused(address, LIMIT));
+    server.join().unwrap();
     drop(listener);
     let after = runtime.block_on(is_refused(address, LIMIT));
 
