--- a/crates/adapters/src/web/idle.rs
+++ b/crates/adapters/src/web/idle.rs
@@ -10,6 +10,8 @@
 use hyper::client::conn::http1::SendRequest;
 
 use crate::web::Body;
+use crate::web::carried::CarriedIds;
+use crate::web::carried::SentId;
 
 /// Maximum number of idle connections to one address.
 const MAX_IDLE_CONNECTIONS: usize = 16;
@@ -22,18 +24,24 @@
 #[derive(Debug)]
 pub(super) struct IdleConnection {
     pub(super) sender: SendRequest<Body>,
+    /// Ids that the connection has carried, if its server repeats them.
+    pub(super) carried: CarriedIds,
     /// Time after which the connection is not reused.
     pub(super) expiry: Instant,
 }
 
 impl IdleConnections {
-    /// Takes the connection to an address that was used last.
-    pub(super) fn take(&self, address: SocketAddr) -> Option<SendRequest<Body>> {
+    /// Takes the connection to an address that was used last, of those that have not carried this id.
+    pub(super) fn take(&self, address: SocketAddr, id: Option<&SentId>) -> Option<IdleConnection> {
         let mut idle = self.lock();
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
         connections.retain(|connection| connection.is_usable(now));
-        connections.pop().map(|connection| connection.sender)
+        let last = connections.iter().rposition(|connection| {
+            let repeats = id.is_some_and(|id| connection.carried.contains(id));
+            !repeats
+        })?;
+        Some(connections.remove(last))
     }
 
     /// Keeps a connection, unless enough to its address are idle.
--- a/crates/adapters/src/web/mod.rs
+++ b/crates/adapters/src/web/mod.rs
@@ -1,7 +1,9 @@
 //! HTTP/1.1 client and server with persistent connections, for calls to and from the gateway.
 
 mod buffer;
+mod carried;
 mod connect;
+mod counts;
 mod error;
 mod idle;
 mod pool;
@@ -14,6 +16,7 @@
 use tokio::net::TcpStream;
 
 pub use crate::web::connect::is_refused;
+pub use crate::web::counts::ExchangeCounts;
 pub use crate::web::error::SendError;
 pub use crate::web::pool::Pool;
 pub use crate::web::response::UnreadResponse;
--- a/crates/adapters/src/web/pool.rs
+++ b/crates/adapters/src/web/pool.rs
@@ -6,7 +6,6 @@
 
 use bytes::Bytes;
 use http::HeaderName;
-use http::HeaderValue;
 use http::response::Parts;
 use hyper::Request;
 use hyper::Response;
@@ -18,7 +17,14 @@
 
 use crate::web::Body;
 use crate::web::buffer::BufferBudget;
+use crate::web::carried::CarriedIds;
+use crate::web::carried::IdHeader;
+use crate::web::carried::Origin;
+use crate::web::carried::SentId;
 use crate::web::connect::connect;
+use crate::web::counts::ExchangeCounters;
+use crate::web::counts::ExchangeCounts;
+use crate::web::counts::count;
 use crate::web::error::SendError;
 use crate::web::idle::IdleConnections;
 use crate::web::response::PooledConnection;
@@ -35,16 +41,21 @@
     /// Memory for the bodies of responses.
     buffers: BufferBudget,
     /// Header in which a response repeats the id of its request, if there is one.
-    id_header: Option<HeaderName>,
+    id_header: Option<IdHeader>,
+    counters: Arc<ExchangeCounters>,
 }
 
 impl Pool {
     /// Creates a client of servers that repeat the value of a header in their responses. A response
     /// with another value belongs to another request, such as the late second copy of an answer. The
     /// call then fails with `MayHaveArrived`, and the connection is not used again.
+    ///
+    /// A value is sent only once on a connection, since a copy of the answer to its first sending
+    /// cannot be told from the answer to the second one. The same holds for requests without the
+    /// header. A connection whose response names no request is not used again.
     pub fn with_id_header(name: HeaderName) -> Self {
         Self {
-            id_header: Some(name),
+            id_header: Some(IdHeader::new(name)),
             ..Self::default()
         }
     }
@@ -88,6 +99,11 @@
         })
     }
 
+    /// Returns the number of requests so far.
+    pub fn counts(&self) -> ExchangeCounts {
+        self.counters.read()
+    }
+
     /// Closes the idle connections to an address.
     pub fn close_idle(&self, address: SocketAddr) {
         self.idle.close(address);
@@ -98,57 +114,89 @@
         address: SocketAddr,
         mut request: Request<Body>,
     ) -> Result<UnreadResponse, SendError> {
-        let id = self.request_id(&request);
+        let id = self.id_header.as_ref();
+        let id = id.map(|header| header.sent_id(request.headers()));
         let ready_by = Instant::now() + READY_TIMEOUT;
-        while let Some(mut sender) = self.idle.take(address) {
+        while let Some(idle) = self.idle.take(address, id.as_ref()) {
+            let (mut sender, carried) = (idle.sender, idle.carried);
             if !is_ready(&mut sender, ready_by).await {
                 continue;
             }
             match sender.try_send_request(request).await {
-                Ok(response) => return self.unread_response(address, id, sender, response),
+                Ok(response) => {
+                    count(&self.counters.reused);
+                    let connection = self.pooled(address, sender, carried);
+                    return self.unread_response(connection, id.as_ref(), response);
+                }
                 Err(mut e) => match e.take_message() {
                     // The connection closed while it was idle.
                     Some(unsent) => request = unsent,
-                    None => return Err(SendError::of_reused(&e.into_error())),
+                    None => {
+                        count(&self.counters.reused);
+                        return Err(self.lost(SendError::of_reused(&e.into_error())));
+                    }
                 },
             }
         }
         let mut sender = connect(address).await?;
+        count(&self.counters.opened);
         match sender.try_send_request(request).await {
-            Ok(response) => self.unread_response(address, id, sender, response),
+            Ok(response) => {
+                let connection = self.pooled(address, sender, CarriedIds::default());
+                self.unread_response(connection, id.as_ref(), response)
+            }
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::NotSent(e.into_error().to_string())),
-                None => Err(SendError::of_new(&e.into_error())),
+                None => Err(self.lost(SendError::of_new(&e.into_error()))),
             },
         }
     }
 
-    /// Returns the value by which the response to a request is recognized.
-    fn request_id(&self, request: &Request<Body>) -> Option<HeaderValue> {
-        let name = self.id_header.as_ref()?;
-        request.headers().get(name).cloned()
+    /// Counts the error of a request that was sent, if its connection ended.
+    fn lost(&self, error: SendError) -> SendError {
+        if matches!(error, SendError::Closed(_) | SendError::Dropped(_)) {
+            count(&self.counters.lost);
+        }
+        error
     }
 
-    /// Returns the response, or an error if it belongs to another request than the one with this id.
-    fn unread_response(
+    /// Returns a connection that can return to the idle ones.
+    fn pooled(
         &self,
         address: SocketAddr,
-        id: Option<HeaderValue>,
         sender: SendRequest<Body>,
+        carried: CarriedIds,
+    ) -> PooledConnection {
+        PooledConnection {
+            idle: self.idle.clone(),
+            address,
+            sender,
+            carried,
+            reusable: true,
+        }
+    }
+
+    /// Returns the response to the request with this id, or an error if it may belong to an earlier
+    /// request on the connection.
+    fn unread_response(
+        &self,
+        mut connection: PooledConnection,
+        id: Option<&SentId>,
         response: Response<Incoming>,
     ) -> Result<UnreadResponse, SendError> {
         let (head, body) = response.into_parts();
-        let name = self.id_header.as_ref();
-        let repeated = name.and_then(|name| head.headers.get(name));
-        if repeated.is_some() && repeated != id.as_ref() {
-            let reason = "the response belongs to another request";
-            return Err(SendError::MayHaveArrived(reason.to_owned()));
+        if let Some(id) = id {
+            match id.origin(&connection.carried, &head.headers) {
+                Origin::Named => {}
+                Origin::First => connection.reusable = false,
+                Origin::Foreign => {
+                    count(&self.counters.foreign);
+                    let reason = "the response belongs to another request";
+                    return Err(SendError::MayHaveArrived(reason.to_owned()));
+                }
+            }
+            connection.carried.insert(id);
         }
-        let connection = PooledConnection {
-            idle: self.idle.clone(),
-            address,
-            sender,
-        };
         Ok(UnreadResponse {
             head,
             body,
--- a/crates/adapters/src/web/response.rs
+++ b/crates/adapters/src/web/response.rs
@@ -15,6 +15,7 @@
 use crate::web::Body;
 use crate::web::buffer::BodyFault;
 use crate::web::buffer::BufferBudget;
+use crate::web::carried::CarriedIds;
 use crate::web::error::SendError;
 use crate::web::idle::IdleConnection;
 use crate::web::idle::IdleConnections;
@@ -45,6 +46,10 @@
     pub(super) idle: Arc<IdleConnections>,
     pub(super) address: SocketAddr,
     pub(super) sender: SendRequest<Body>,
+    /// Ids that the connection has carried, if its server repeats them.
+    pub(super) carried: CarriedIds,
+    /// Whether a later response can be told from a copy of this one.
+    pub(super) reusable: bool,
 }
 
 impl UnreadResponse {
@@ -75,7 +80,8 @@
 impl PooledConnection {
     /// Returns the connection to the pool after a complete response, unless the server closes it.
     fn release(self, headers: &HeaderMap) {
-        if states_close(headers) || self.sender.is_closed() {
+        let reusable = self.reusable && !self.carried.is_full() && !self.sender.is_closed();
+        if !reusable || states_close(headers) {
             return;
         }
         let timeout = stated_timeout(headers).unwrap_or(DEFAULT_IDLE_TIMEOUT);
@@ -83,6 +89,7 @@
         if !keep.is_zero() {
             let connection = IdleConnection {
                 sender: self.sender,
+                carried: self.carried,
                 expiry: Instant::now() + keep,
             };
             self.idle.put(self.address, connection);
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -13,6 +13,7 @@
 use prometheus::TextEncoder;
 use prometheus::core::Collector;
 use sardinepath_adapters::panic;
+use sardinepath_adapters::web::ExchangeCounts;
 use sardinepath_core::domain::event::Event;
 
 /// Upper bounds of the latency buckets in seconds.
@@ -33,6 +34,7 @@
     panics: IntCounter,
     held: IntGaugeVec,
     bodies: IntCounterVec,
+    exchanges: IntCounterVec,
 }
 
 /// What a process holds for its callers, and what it did not hold.
@@ -102,13 +104,18 @@
                 "Bodies that were given up for lack of memory, by reason.",
                 "reason",
             )?,
+            exchanges: counter(
+                "sardinepath_target_exchanges_total",
+                "Requests sent to targets, by what their connections did with them.",
+                "kind",
+            )?,
         };
         metrics.register()?;
         Ok(metrics)
     }
 
     fn register(&self) -> prometheus::Result<()> {
-        let collectors: [Box<dyn Collector>; 9] = [
+        let collectors: [Box<dyn Collector>; 10] = [
             Box::new(self.events.clone()),
             Box::new(self.answers.clone()),
             Box::new(self.calls.clone()),
@@ -118,6 +125,7 @@
             Box::new(self.panics.clone()),
             Box::new(self.held.clone()),
             Box::new(self.bodies.clone()),
+            Box::new(self.exchanges.clone()),
         ];
         collectors
             .into_iter()
@@ -158,6 +166,20 @@
         }
     }
 
+    /// Records the requests that were sent to targets so far.
+    pub fn record_exchanges(&self, counts: ExchangeCounts) {
+        let kinds = [
+            ("opened", counts.opened),
+            ("reused", counts.reused),
+            ("lost", counts.lost),
+            ("foreign", counts.foreign),
+        ];
+        for (kind, count) in kinds {
+            let counter = self.exchanges.with_label_values(&[kind]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+    }
+
     /// Returns the number of calls to the object API for each purpose.
     pub fn store_callers(&self) -> BTreeMap<String, f64> {
         let families = self.callers.collect();
