--- a/crates/core/src/decision/gateway/jobs/dispatch.rs
+++ b/crates/core/src/decision/gateway/jobs/dispatch.rs
@@ -367,10 +367,11 @@
             ("item", ended.item.to_string()),
             ("target", ended.target.to_string()),
             ("events", events.to_string()),
+            // Answers of 500 before this run.
+            ("failures", ended.failures.to_string()),
         ];
         if *end == RunEnd::Complete {
             fields.push(("moves", ended.moves.to_string()));
-            fields.push(("failures", ended.failures.to_string()));
             fields.push(("millis", ended.spent.as_millis().to_string()));
             self.log(Event::ItemWhole, fields);
         } else {
--- a/soak/src/generation.rs
+++ b/soak/src/generation.rs
@@ -5,21 +5,19 @@
 use bytes::Bytes;
 use http::HeaderMap;
 use http::Response;
-use http::StatusCode;
 use hyper::Request;
 use hyper::body::Incoming;
 use sardinepath_adapters::web::ResponseBody;
 use sardinepath_adapters::web::streamed_body;
 use sardinepath_adapters::web::whole_body;
 use sardinepath_platform::names;
-use serde_json::json;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 use crate::body;
-use crate::store::json_response;
+use crate::refusal::misdirected;
 use crate::target::TargetStandIn;
 use crate::target::header;
 
@@ -41,7 +39,7 @@
     // The request body has no effect.
     let _ = body::json(body).await;
     if header(&head.headers, names::EXPECT_TARGET).is_some_and(|name| name != target.name) {
-        return json_response(StatusCode::MISDIRECTED_REQUEST, &json!({})).map(whole_body);
+        return misdirected(&head.headers).map(whole_body);
     }
     let id = target.record_start(&head.headers);
     let last_event = last_event(&head.headers);
@@ -85,17 +83,21 @@
         let state = target.lock();
         (state.busy, state.event_interval, state.version)
     };
+    let id = header(&headers, names::REQUEST_ID).unwrap_or_default();
+    let named = format!("{}: {id}\r\n", names::REQUEST_ID);
     if header(&headers, names::EXPECT_TARGET).is_some_and(|expected| expected != target.name) {
         let statements = statement_lines(&target);
-        let refusal =
-            format!("HTTP/1.1 421 Misdirected Request\r\n{statements}content-length: 0\r\n\r\n");
+        let refusal = format!(
+            "HTTP/1.1 421 Misdirected Request\r\n{named}{statements}content-length: 0\r\n\r\n"
+        );
         let _ = stream.write_all(refusal.as_bytes()).await;
         return;
     }
     if busy {
-        let refusal =
-            b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\ncontent-length: 0\r\n\r\n";
-        let _ = stream.write_all(refusal).await;
+        let refusal = format!(
+            "HTTP/1.1 503 Service Unavailable\r\n{named}X-Not-Run: 1\r\ncontent-length: 0\r\n\r\n"
+        );
+        let _ = stream.write_all(refusal.as_bytes()).await;
         return;
     }
     let id = target.record_start(&headers);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod generation;
 mod inject;
 pub mod proxy;
+mod refusal;
 pub mod run;
 pub mod store;
 pub mod target;
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -33,6 +33,7 @@
 use crate::body;
 use crate::generation::serve_generation;
 use crate::generation::serve_stream;
+use crate::refusal::misdirected;
 use crate::store::StoreStandIn;
 use crate::store::json_response;
 use crate::told::LateRequest;
@@ -361,7 +362,7 @@
     let body = body::json(body).await;
     let expected = header(&head.headers, names::EXPECT_TARGET);
     if expected.is_some_and(|expected| expected != target.name) {
-        return json_response(StatusCode::MISDIRECTED_REQUEST, &json!({})).map(whole_body);
+        return misdirected(&head.headers).map(whole_body);
     }
     let response = match head.uri.path() {
         "/report" => target.report(),
