Count the loss of a reused connection as a run (BUDGET)

Callers saw: requests that ran on two and three targets though their route allows one.

Cause: the loss of a connection that was used before was taken for a server that had closed it while it was idle, and counted as a refusal: not in the budget of targets, not as a request that a workspace started, not in the state of the target.

Change: the client and the attempts have no `Dropped` any more. Once a byte of a request is written, its loss counts as a run. Items and scores are not repeated by the client after such a loss, since nobody counted the second run; the runner sends them again. The field of a choice that told when they may be repeated has no use any more and is removed.

Tests: two tests of the attempts named `Dropped`. The first checks the crash of a target in its place, the second an attempt that may have run; their bounds are unchanged.

--- a/crates/adapters/src/peer/mod.rs
+++ b/crates/adapters/src/peer/mod.rs
@@ -218,9 +218,7 @@
             _ => Forwarded::Unsure,
         },
         Err(SendError::NotSent(_)) => Forwarded::NotSent,
-        Err(SendError::Dropped(_) | SendError::Closed(_) | SendError::MayHaveArrived(_)) => {
-            Forwarded::Unsure
-        }
+        Err(SendError::Closed(_) | SendError::MayHaveArrived(_)) => Forwarded::Unsure,
     }
 }
 
--- a/crates/adapters/src/web/error.rs
+++ b/crates/adapters/src/web/error.rs
@@ -7,29 +7,29 @@
 pub enum SendError {
     /// The request was not sent.
     NotSent(String),
-    /// A reused connection closed before any response. The request may have arrived.
-    Dropped(String),
-    /// The connection ended after the request was sent and before the whole response.
+    /// The connection ended after the request was sent and before the whole response. The server may
+    /// have run the request, also if the connection was used before.
     Closed(String),
     /// The request was sent, at least in part, and may have arrived.
     MayHaveArrived(String),
 }
 
-impl SendError {
-    /// Returns the error of a request that was written to a new connection.
-    pub(super) fn of_new(error: &hyper::Error) -> Self {
-        match error.is_parse() {
-            true => Self::MayHaveArrived(error.to_string()),
-            false => Self::Closed(error.to_string()),
-        }
-    }
+/// Whether a connection was used before.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConnectionUse {
+    /// The request is its first one.
+    New,
+    /// It carried other requests before.
+    Reused,
+}
 
-    /// Returns the error of a request that was written to a reused connection. A malformed response
-    /// shows that the server received the request, so only other errors count as a closed connection.
-    pub(super) fn of_reused(error: &hyper::Error) -> Self {
-        match Self::of_new(error) {
-            Self::Closed(reason) => Self::Dropped(reason),
-            other => other,
+impl SendError {
+    /// Returns the error of a request that was written, at least in part, to a connection.
+    pub(super) fn of_sent(error: &hyper::Error, connection: ConnectionUse) -> Self {
+        match (error.is_parse(), connection) {
+            (true, _) => Self::MayHaveArrived(error.to_string()),
+            (false, ConnectionUse::New) => Self::Closed(error.to_string()),
+            (false, ConnectionUse::Reused) => Self::Closed(format!("{error} (reused)")),
         }
     }
 }
@@ -38,7 +38,6 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(reason) => write!(f, "not sent: {reason}"),
-            Self::Dropped(reason) => write!(f, "reused connection closed: {reason}"),
             Self::Closed(reason) => write!(f, "connection closed: {reason}"),
             Self::MayHaveArrived(reason) => write!(f, "no response: {reason}"),
         }
--- a/crates/adapters/src/web/pool.rs
+++ b/crates/adapters/src/web/pool.rs
@@ -25,6 +25,7 @@
 use crate::web::counts::ExchangeCounters;
 use crate::web::counts::ExchangeCounts;
 use crate::web::counts::count;
+use crate::web::error::ConnectionUse;
 use crate::web::error::SendError;
 use crate::web::idle::IdleConnections;
 use crate::web::response::PooledConnection;
@@ -133,7 +134,7 @@
                     Some(unsent) => request = unsent,
                     None => {
                         count(&self.counters.reused);
-                        return Err(self.lost(SendError::of_reused(&e.into_error())));
+                        return Err(self.lost(&e.into_error(), ConnectionUse::Reused));
                     }
                 },
             }
@@ -147,14 +148,15 @@
             }
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(SendError::NotSent(e.into_error().to_string())),
-                None => Err(self.lost(SendError::of_new(&e.into_error()))),
+                None => Err(self.lost(&e.into_error(), ConnectionUse::New)),
             },
         }
     }
 
-    /// Counts the error of a request that was sent, if its connection ended.
-    fn lost(&self, error: SendError) -> SendError {
-        if matches!(error, SendError::Closed(_) | SendError::Dropped(_)) {
+    /// Returns the error of a request that was sent, and counts it if its connection ended.
+    fn lost(&self, error: &hyper::Error, connection: ConnectionUse) -> SendError {
+        let error = SendError::of_sent(error, connection);
+        if matches!(error, SendError::Closed(_)) {
             count(&self.counters.lost);
         }
         error
--- a/crates/core/src/decision/attempts.rs
+++ b/crates/core/src/decision/attempts.rs
@@ -46,8 +46,6 @@
     suspect: bool,
     /// `true` if the request must not be sent any more.
     stopped: bool,
-    /// `true` if an attempt may have run that does not count against the limit of targets.
-    uncertain: bool,
     /// Start of the last attempt, or the arrival of the request before the first one.
     last_start: Time,
     /// Earliest time of the next attempt.
@@ -59,9 +57,6 @@
 pub enum AttemptEnd {
     /// The target did not run it, or nothing was sent.
     NotRun,
-    /// A reused connection closed before any answer, so the target most likely did not read the
-    /// request.
-    Dropped,
     /// The target ran it or may have run it.
     MayHaveRun,
     /// The target crashed while it ran it.
@@ -92,7 +87,6 @@
             refusals: 0,
             suspect: false,
             stopped: false,
-            uncertain: false,
             last_start: limits.arrival,
             next_start: limits.arrival,
             limits,
@@ -172,10 +166,6 @@
                 self.refusals += 1;
                 self.next_start = now + RETRY_DELAY;
             }
-            AttemptEnd::Dropped => {
-                self.refusals += 1;
-                self.uncertain = true;
-            }
             AttemptEnd::MayHaveRun => self.ran += 1,
             AttemptEnd::Crashed => {
                 self.ran += 1;
@@ -194,6 +184,6 @@
 
     /// Returns `true` if no ended attempt can have run.
     fn has_not_run(&self) -> bool {
-        self.ran == 0 && !self.uncertain
+        self.ran == 0
     }
 }
--- a/crates/core/src/decision/directory/choice.rs
+++ b/crates/core/src/decision/directory/choice.rs
@@ -78,8 +78,6 @@
     pub valid_until: Time,
     /// True if the target limits its requests.
     pub limited: bool,
-    /// True if the requests to the target are counted, so that the choice covers a single one.
-    pub single: bool,
 }
 
 impl Choice {
--- a/crates/core/src/decision/directory/mod.rs
+++ b/crates/core/src/decision/directory/mod.rs
@@ -259,7 +259,6 @@
                     false => CHOICE_VALIDITY,
                 },
             limited,
-            single: limited || counted,
         })
     }
 
--- a/crates/core/tests/attempts.rs
+++ b/crates/core/tests/attempts.rs
@@ -22,7 +22,7 @@
 /// Fails if a request that may have run is sent again although it must not run twice.
 #[test]
 fn an_unsafe_request_is_not_repeated_after_it_may_have_run() {
-    for end in [AttemptEnd::MayHaveRun, AttemptEnd::Dropped] {
+    for end in [AttemptEnd::MayHaveRun, AttemptEnd::Crashed] {
         let mut attempts = Attempts::new(terms(false, 3));
         attempts.started(Time(1_000));
 
@@ -68,19 +68,19 @@
     assert_eq!(attempts.next(Time(1_020)), AttemptStep::Fail);
 }
 
-/// Fails if a refusal says "not run" although a dropped connection may have delivered the request.
+/// Fails if a refusal says "not run" although a connection that was lost may have delivered the request.
 #[test]
 fn a_refusal_is_given_only_if_nothing_may_have_run() {
     let mut refused = Attempts::new(terms(true, 2));
-    let mut dropped = Attempts::new(terms(true, 2));
-    dropped.started(Time(1_000));
-    dropped.ended(Time(1_001), AttemptEnd::Dropped);
-    for attempts in [&mut refused, &mut dropped] {
+    let mut lost = Attempts::new(terms(true, 2));
+    lost.started(Time(1_000));
+    lost.ended(Time(1_001), AttemptEnd::MayHaveRun);
+    for attempts in [&mut refused, &mut lost] {
         attempts.record_no_target(Time(1_002));
     }
 
     assert_eq!(refused.next(Time(1_200)), AttemptStep::Refuse);
-    assert_eq!(dropped.next(Time(1_200)), AttemptStep::Fail);
+    assert_eq!(lost.next(Time(1_200)), AttemptStep::Fail);
 }
 
 /// Fails if a request without a target is held until its deadline.
