Let reports share connections with other requests without an id

Cause: since a connection carries one request without an id, each load order opened two connections, one for the report before it.

Change: a request may be marked as one that copes with the answer to an earlier request. Orders still take a connection that has carried no request without an id.

--- a/crates/adapters/src/web/carried.rs
+++ b/crates/adapters/src/web/carried.rs
@@ -6,6 +6,7 @@
 use http::HeaderMap;
 use http::HeaderName;
 use http::HeaderValue;
+use hyper::Request;
 
 /// Number of requests after which a connection is not used again, which bounds the ids kept for it.
 const MAX_REQUESTS: usize = 1_024;
@@ -24,8 +25,15 @@
     name: HeaderName,
     value: Option<HeaderValue>,
     hash: IdHash,
+    /// Whether the response may be the one to an earlier request.
+    stale_allowed: bool,
 }
 
+/// Marks a request, in its extensions, whose response may be the one to an earlier request on the
+/// connection. The caller has to cope with it.
+#[derive(Clone, Copy, Debug)]
+pub struct StaleAllowed;
+
 /// Hash of the id of a request. Requests without an id share one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct IdHash(u64);
@@ -53,12 +61,15 @@
         Self { name, hasher }
     }
 
-    /// Returns the id of a request with these headers.
-    pub(super) fn sent_id(&self, headers: &HeaderMap) -> SentId {
-        let value = headers.get(&self.name).cloned();
-        let hash = IdHash(self.hasher.hash_one(&value));
-        let name = self.name.clone();
-        SentId { name, value, hash }
+    /// Returns the id of a request.
+    pub(super) fn sent_id<B>(&self, request: &Request<B>) -> SentId {
+        let value = request.headers().get(&self.name).cloned();
+        SentId {
+            name: self.name.clone(),
+            hash: IdHash(self.hasher.hash_one(&value)),
+            value,
+            stale_allowed: request.extensions().get::<StaleAllowed>().is_some(),
+        }
     }
 }
 
@@ -88,9 +99,9 @@
         self.0.len() >= MAX_REQUESTS
     }
 
-    /// Returns `true` if the connection has carried this id.
-    pub(super) fn contains(&self, id: &SentId) -> bool {
-        self.0.contains(&id.hash)
+    /// Returns `true` if a request with this id may be sent on the connection.
+    pub(super) fn allow(&self, id: &SentId) -> bool {
+        id.stale_allowed || !self.0.contains(&id.hash)
     }
 
     /// Records that the connection has carried this id.
--- a/crates/adapters/src/web/idle.rs
+++ b/crates/adapters/src/web/idle.rs
@@ -37,10 +37,8 @@
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
         connections.retain(|connection| connection.is_usable(now));
-        let last = connections.iter().rposition(|connection| {
-            let repeats = id.is_some_and(|id| connection.carried.contains(id));
-            !repeats
-        })?;
+        let allowed = |known: &IdleConnection| id.is_none_or(|id| known.carried.allow(id));
+        let last = connections.iter().rposition(allowed)?;
         Some(connections.remove(last))
     }
 
--- a/crates/adapters/src/web/mod.rs
+++ b/crates/adapters/src/web/mod.rs
@@ -15,6 +15,7 @@
 use http_body_util::Full;
 use tokio::net::TcpStream;
 
+pub use crate::web::carried::StaleAllowed;
 pub use crate::web::connect::is_refused;
 pub use crate::web::counts::ExchangeCounts;
 pub use crate::web::error::SendError;
--- a/crates/adapters/src/web/pool.rs
+++ b/crates/adapters/src/web/pool.rs
@@ -53,7 +53,8 @@
     ///
     /// A value is sent only once on a connection, since a copy of the answer to its first sending
     /// cannot be told from the answer to the second one. The same holds for requests without the
-    /// header. A connection whose response names no request is not used again.
+    /// header, unless they are marked with [`StaleAllowed`](crate::web::StaleAllowed). A connection
+    /// whose response names no request is not used again.
     pub fn with_id_header(name: HeaderName) -> Self {
         Self {
             id_header: Some(IdHeader::new(name)),
@@ -116,7 +117,7 @@
         mut request: Request<Body>,
     ) -> Result<UnreadResponse, SendError> {
         let id = self.id_header.as_ref();
-        let id = id.map(|header| header.sent_id(request.headers()));
+        let id = id.map(|header| header.sent_id(&request));
         let ready_by = Instant::now() + READY_TIMEOUT;
         while let Some(idle) = self.idle.take(address, id.as_ref()) {
             let (mut sender, carried) = (idle.sender, idle.carried);
--- a/crates/adapters/tests/pool.rs
+++ b/crates/adapters/tests/pool.rs
@@ -19,6 +19,7 @@
 use sardinepath_adapters::web::Body;
 use sardinepath_adapters::web::Pool;
 use sardinepath_adapters::web::SendError;
+use sardinepath_adapters::web::StaleAllowed;
 use sardinepath_adapters::web::is_refused;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -223,6 +224,30 @@
     assert_eq!(connections.load(Ordering::Relaxed), 3);
 }
 
+/// Guards against a new connection for each request whose answer may be an earlier one, and against
+/// a connection that such a request used and that carries another one without an id.
+#[test]
+fn only_requests_that_allow_earlier_answers_share_a_connection() {
+    let runtime = Runtime::new().unwrap();
+    let (address, connections) = numbering_server(&runtime, |stream, answer, _| {
+        put(stream, answer);
+    });
+    let pool = Pool::with_id_header(HeaderName::from_static(ID));
+    let call = |stale_allowed: bool| {
+        let mut request = Request::get("/").body(Body::new(Bytes::new())).unwrap();
+        if stale_allowed {
+            request.extensions_mut().insert(StaleAllowed);
+        }
+        let call = pool.call(address, request, Duration::from_secs(5), 1024);
+        runtime.block_on(call).unwrap();
+        connections.load(Ordering::Relaxed)
+    };
+
+    let opened = [call(true), call(true), call(false), call(true), call(false)];
+
+    assert_eq!(opened, [1, 1, 2, 2, 3]);
+}
+
 /// Guards against a new connection for each request, which is charged and takes time, and against
 /// ids that are kept for ever.
 #[test]
