--- a/crates/adapters/src/target/http.rs
+++ b/crates/adapters/src/target/http.rs
@@ -38,6 +38,7 @@
 use crate::runtime::timeout;
 use crate::target::body::EventSplitter;
 use crate::target::body::body_metadata;
+use crate::web::is_final;
 
 /// Longest time between two events of a stream, or two parts of another response.
 const READ_TIMEOUT: Duration = Duration::from_secs(30);
@@ -226,8 +227,17 @@
     }
 }
 
-/// Returns an error if the response belongs to another request or says that the call did not run.
+/// Returns an error if the response belongs to another request, is no final one or says that the call
+/// did not run.
 fn check_head(head: &Parts, call: &Call) -> Result<(), Failure> {
+    if !is_final(head.status) {
+        log::error!(
+            "the target responded to request {} with status {}",
+            call.request,
+            head.status.as_u16()
+        );
+        return Err(Failure::from(ErrorKind::TargetFailed));
+    }
     if let Some(id) = head.headers.get(REQUEST_ID)
         && id.as_bytes() != call.request.to_string().as_bytes()
     {
--- a/crates/adapters/src/web/counts.rs
+++ b/crates/adapters/src/web/counts.rs
@@ -14,6 +14,8 @@
     pub lost: u64,
     /// Requests that got a response which may belong to another one.
     pub foreign: u64,
+    /// Requests that got bytes which are no response.
+    pub malformed: u64,
 }
 
 /// Counters of a client, which its clones share.
@@ -23,6 +25,7 @@
     pub(super) reused: AtomicU64,
     pub(super) lost: AtomicU64,
     pub(super) foreign: AtomicU64,
+    pub(super) malformed: AtomicU64,
 }
 
 impl ExchangeCounters {
@@ -34,6 +37,7 @@
             reused: read(&self.reused),
             lost: read(&self.lost),
             foreign: read(&self.foreign),
+            malformed: read(&self.malformed),
         }
     }
 }
--- a/crates/adapters/src/web/mod.rs
+++ b/crates/adapters/src/web/mod.rs
@@ -21,6 +21,7 @@
 pub use crate::web::error::SendError;
 pub use crate::web::pool::Pool;
 pub use crate::web::response::UnreadResponse;
+pub use crate::web::response::is_final;
 pub use crate::web::serve::Listener;
 pub use crate::web::serve::ServerLimits;
 pub use crate::web::serve::Shutdown;
--- a/crates/adapters/src/web/pool.rs
+++ b/crates/adapters/src/web/pool.rs
@@ -30,6 +30,7 @@
 use crate::web::idle::IdleConnections;
 use crate::web::response::PooledConnection;
 use crate::web::response::UnreadResponse;
+use crate::web::response::is_final;
 
 /// Time limit for the reused connections to become ready. The task of each still has to finish the
 /// last exchange, unless the server answered before it had read the whole request.
@@ -154,12 +155,13 @@
         }
     }
 
-    /// Returns the error of a request that was sent, and counts it if its connection ended.
+    /// Returns the error of a request that was sent and got no response, and counts it.
     fn lost(&self, error: &hyper::Error, connection: ConnectionUse) -> SendError {
         let error = SendError::of_sent(error, connection);
-        if matches!(error, SendError::Closed(_)) {
-            count(&self.counters.lost);
-        }
+        count(match error {
+            SendError::Closed(_) => &self.counters.lost,
+            _ => &self.counters.malformed,
+        });
         error
     }
 
@@ -188,6 +190,11 @@
         response: Response<Incoming>,
     ) -> Result<UnreadResponse, SendError> {
         let (head, body) = response.into_parts();
+        if !is_final(head.status) {
+            count(&self.counters.malformed);
+            let reason = format!("the status {} ends no request", head.status.as_u16());
+            return Err(SendError::MayHaveArrived(reason));
+        }
         if let Some(id) = id {
             match id.origin(&connection.carried, &head.headers) {
                 Origin::Named => {}
--- a/crates/adapters/src/web/response.rs
+++ b/crates/adapters/src/web/response.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
+use http::StatusCode;
 use http::header::CONNECTION;
 use http::response::Parts;
 use hyper::body::Incoming;
@@ -97,6 +98,12 @@
     }
 }
 
+/// Returns `true` if a response with this status ends its request. Classes without a meaning in the
+/// protocol and the statuses before the final one do not.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Returns `true` if the server closes the connection after the response.
 fn states_close(headers: &HeaderMap) -> bool {
     headers.get_all(CONNECTION).iter().any(|value| {
--- a/crates/adapters/tests/pool.rs
+++ b/crates/adapters/tests/pool.rs
@@ -300,6 +300,55 @@
     assert_eq!(connections.load(Ordering::Relaxed), 1);
 }
 
+/// Starts a server that answers each request with this status line, as soon as it was read.
+fn status_server(line: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.unwrap();
+            let mut buffer = [0; 4096];
+            while stream.read(&mut buffer).is_ok_and(|read| read > 0) {
+                put(&mut stream, &format!("{line}\r\n{ID}: r1\r\n\r\n"));
+            }
+        }
+    });
+    address
+}
+
+/// Guards against an answer whose status has no meaning in the protocol, which would be passed on to a
+/// caller or be believed by its class.
+#[test]
+fn a_status_that_ends_no_request_is_no_answer() {
+    let lines = [
+        "HTTP/1.1 000 None",
+        "HTTP/1.1 099 None",
+        "HTTP/1.1 100 Continue",
+        "HTTP/1.1 101 Switching Protocols",
+        "HTTP/1.1 199 None",
+        "HTTP/1.1 600 None",
+        "HTTP/1.1 999 None",
+        "HTTP/1.1 20 Short",
+        "HTTP/1.1 2000 Long",
+        "HTTP/1.1 +20 Signed",
+        "HTTP/1.1 -20 Signed",
+        "HTTP/1.1 2x0 Letters",
+    ];
+    let runtime = Runtime::new().unwrap();
+    for line in lines {
+        let address = status_server(line);
+        let pool = Pool::with_id_header(HeaderName::from_static(ID));
+
+        let call = pool.call(address, get("r1"), Duration::from_millis(300), 1024);
+        let end = runtime.block_on(call);
+
+        assert!(
+            matches!(end, Err(SendError::MayHaveArrived(_))),
+            "{line}: {end:?}"
+        );
+    }
+}
+
 /// Starts a server that reads a request and ends the connection without an answer. It goes on
 /// listening for as long as the second value lives, once the third one has ended.
 fn closing_server() -> (SocketAddr, TcpListener, JoinHandle<()>) {
--- a/crates/adapters/tests/target_faults.rs
+++ b/crates/adapters/tests/target_faults.rs
@@ -118,6 +118,33 @@
     assert!(matches!(last, TargetEvent::End), "{last:?}");
 }
 
+/// Guards against an answer whose status has no meaning in the protocol and reaches the caller.
+#[test]
+fn a_status_without_meaning_fails_the_call() {
+    let servers: [fn(TcpStream); 4] = [
+        |connection| answer_with(connection, "000 None"),
+        |connection| answer_with(connection, "101 Switching Protocols"),
+        |connection| answer_with(connection, "600 None"),
+        |connection| answer_with(connection, "999 None"),
+    ];
+    for answer in servers {
+        let address = serve(answer);
+
+        let last = last_event(address);
+
+        let TargetEvent::Failed(failure) = last else {
+            panic!("{last:?}");
+        };
+        assert_eq!(failure.kind, ErrorKind::TargetFailed);
+    }
+}
+
+/// Answers with a status and a body of two bytes.
+fn answer_with(mut connection: TcpStream, status: &str) {
+    let answer = format!("HTTP/1.1 {status}\r\ncontent-length: 2\r\n\r\n{{}}");
+    let _ = connection.write_all(answer.as_bytes());
+}
+
 /// Guards against the late second copy of the response to a call that is taken for the state of the
 /// target.
 #[test]
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -173,6 +173,7 @@
             ("reused", counts.reused),
             ("lost", counts.lost),
             ("foreign", counts.foreign),
+            ("malformed", counts.malformed),
         ];
         for (kind, count) in kinds {
             let counter = self.exchanges.with_label_values(&[kind]);
