Open a connection for each request of an agent to its target

Could be seen: an agent that reports an old state of its target, or a load of weights that failed as done, after the target sent an answer twice.

Cause: the agent kept connections for idempotent calls, status requests and loads, and took an answer without an id for its own.

Evidence: a_copy_of_a_status_answers_no_later_request failed before the fix: the second of three status requests got the answer to the first one. The load behind them is checked by the same test.

Change: no connection to a target is used again, as it was for calls that must not run twice.

--- a/crates/adapters/src/target/http.rs
+++ b/crates/adapters/src/target/http.rs
@@ -69,10 +69,10 @@
 pub struct HttpTarget {
     spawner: Spawner,
     address: SocketAddr,
+    /// Client that opens a connection for each request. On a connection that was used before, the
+    /// late second copy of an answer could be taken for the answer to the request, and a target could
+    /// close it while the request is on its way.
     client: Client<HttpConnector, Full<Bytes>>,
-    /// Client without pooling, for calls that must not run twice. A target may close an idle
-    /// connection at any moment, and a call already written to it may have run.
-    unpooled: Client<HttpConnector, Full<Bytes>>,
     /// Longest time between two events of a stream, or two parts of another response.
     read_timeout: Duration,
 }
@@ -86,8 +86,7 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(Duration::from_secs(1)));
         connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new()).build(connector.clone());
-        let unpooled = Client::builder(TokioExecutor::new())
+        let client = Client::builder(TokioExecutor::new())
             .pool_max_idle_per_host(0)
             .retry_canceled_requests(false)
             .build(connector);
@@ -95,7 +94,6 @@
             spawner,
             address,
             client,
-            unpooled,
             read_timeout: READ_TIMEOUT,
         }
     }
@@ -120,12 +118,7 @@
 
     async fn forward(&self, call: &Call, events: &EventSender) -> Result<(), Failure> {
         let request = self.build_request(call)?;
-        let client = if call.idempotent {
-            &self.client
-        } else {
-            &self.unpooled
-        };
-        let response = client.request(request).await.map_err(|e| {
+        let response = self.client.request(request).await.map_err(|e| {
             if e.is_connect() {
                 Failure::from(ErrorKind::Unreachable)
             } else {
--- a/crates/adapters/tests/target_faults.rs
+++ b/crates/adapters/tests/target_faults.rs
@@ -7,6 +7,8 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -17,7 +19,9 @@
 use sardinepath_core::domain::declare::Priority;
 use sardinepath_core::domain::error::ErrorKind;
 use sardinepath_core::domain::ids::Attempt;
+use sardinepath_core::domain::ids::Fence;
 use sardinepath_core::domain::ids::RequestId;
+use sardinepath_core::domain::ids::WeightVersion;
 use sardinepath_core::domain::name::WorkspaceId;
 use sardinepath_core::port::target::TargetEvent;
 use sardinepath_core::port::target::TargetPort;
@@ -164,3 +168,47 @@
 
     assert_eq!(status.unwrap_err().kind, ErrorKind::TargetFailed);
 }
+
+/// Starts a server that sends the second copy of each answer late, when the next request of the
+/// connection has arrived. Status requests are answered with their number, all others fail.
+fn copying_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let requests = Arc::new(AtomicU64::new(0));
+    thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (mut stream, requests) = (stream.unwrap(), requests.clone());
+            thread::spawn(move || {
+                let (mut copy, mut buffer) = (String::new(), [0; 4096]);
+                while let Ok(read @ 1..) = stream.read(&mut buffer) {
+                    let number = requests.fetch_add(1, Ordering::Relaxed);
+                    let line = match buffer[..read].starts_with(b"GET /status") {
+                        true => "200 OK",
+                        false => "500 Failed",
+                    };
+                    let body = format!("{{\"version\":{number}}}");
+                    let length = body.len();
+                    let answer =
+                        format!("HTTP/1.1 {line}\r\ncontent-length: {length}\r\n\r\n{body}");
+                    let _ = stream.write_all(format!("{copy}{answer}").as_bytes());
+                    copy = answer;
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Guards against an earlier state of the target that is taken for its present one, and against a
+/// load that failed and counts as done, because the copy of an answer comes in its place.
+#[test]
+fn a_copy_of_a_status_answers_no_later_request() {
+    let runtime = Runtime::start(1).unwrap();
+    let target = HttpTarget::new(runtime.spawner(), copying_server());
+
+    let versions = [(); 3].map(|()| target.status(0).unwrap().version);
+    let load = target.load(&"m0".into(), WeightVersion(9), Fence(1));
+
+    assert_eq!(versions, [0, 1, 2].map(WeightVersion));
+    assert!(load.is_err());
+}
