Split a request and its ticket off the entry's service

A request on the traffic threads and the guard that reports its end get files of their own. No change of behaviour.

--- a/crates/node/src/entry/service.rs
+++ b/crates/node/src/entry/service.rs
@@ -1,18 +1,16 @@
 //! Runs requests on the traffic threads of an entry.
 
+mod job;
 mod sample;
+mod ticket;
 
 use std::sync::Arc;
 use std::sync::OnceLock;
-use std::time::Duration;
 
 use flume::Receiver;
 use flume::Sender;
-use futures_util::future::Either;
-use futures_util::future::select;
 use sardinepath_adapters::rpc::client::RpcClient;
 use sardinepath_adapters::runtime::Spawner;
-use sardinepath_adapters::runtime::sleep;
 use sardinepath_core::decision::admission::authorize_body;
 use sardinepath_core::decision::admission::authorize_request;
 use sardinepath_core::decision::answer::AnswerBuffer;
@@ -28,17 +26,10 @@
 use sardinepath_core::decision::request::Request;
 use sardinepath_core::decision::traffic::AdmissionRequest;
 use sardinepath_core::decision::traffic::Choice;
-use sardinepath_core::decision::traffic::Outcome;
-use sardinepath_core::decision::traffic::TicketKey;
-use sardinepath_core::domain::call::AnswerSummary;
-use sardinepath_core::domain::call::Call;
 use sardinepath_core::domain::call::CallEvent;
-use sardinepath_core::domain::call::Counter;
 use sardinepath_core::domain::error::ErrorKind;
 use sardinepath_core::domain::error::Failure;
-use sardinepath_core::domain::error::RunState;
 use sardinepath_core::domain::ids::RequestId;
-use sardinepath_core::domain::time::Time;
 use sardinepath_core::port::agent::AgentPort;
 use sardinepath_core::port::clock::Clock;
 use sardinepath_core::port::front::CallerFront;
@@ -48,6 +39,8 @@
 use crate::entry::inbox::Inbox;
 use crate::entry::request::Decision;
 use crate::entry::request::RequestMessage;
+use crate::entry::service::job::Job;
+use crate::entry::service::ticket::Ticket;
 use crate::entry::snapshot::SharedSnapshot;
 use crate::metrics::Metrics;
 
@@ -76,33 +69,6 @@
     metrics: Arc<Metrics>,
 }
 
-/// One authorized request.
-struct Job {
-    id: RequestId,
-    authorized: Authorized,
-    inbound: Inbound,
-    deadline: Time,
-    clock: Arc<dyn Clock>,
-    streamed: bool,
-    /// `true` if the target streams the answer but it is forwarded only once it is complete.
-    buffered: bool,
-    decisions: Receiver<Decision>,
-    events: Sender<CallEvent>,
-    /// Usage counter of the agent, set by the end of a complete answer.
-    counter: OnceLock<Counter>,
-}
-
-/// Guard that reports the end of a request to the control thread when it is dropped, also if its
-/// task is cancelled or its key is withdrawn between two attempts.
-struct Ticket<'a> {
-    key: TicketKey,
-    control: &'a Inbox<RequestMessage>,
-    counter: &'a OnceLock<Counter>,
-    outcome: Outcome,
-    /// `false` once the control thread has closed the ticket.
-    open: bool,
-}
-
 /// Continuation of a request after an attempt.
 enum NextStep {
     Retry(Request<Admitted>, Failure),
@@ -253,7 +219,7 @@
                     return request.refuse(failure).failure();
                 }
             };
-            let ticket = held.get_or_insert_with(|| Ticket::new(key, &self.control, job));
+            let ticket = held.get_or_insert_with(|| Ticket::new(key, &self.control, &job.counter));
             if let Err(failure) = job.wait_delay(delay).await {
                 let answered = request.refuse(failure);
                 ticket.set_outcome(&answered, 0);
@@ -304,133 +270,6 @@
     }
 }
 
-impl Job {
-    /// Builds the call of one attempt.
-    fn call(&self, request: &Request<Dispatched>, time_left: Duration) -> Call {
-        Call {
-            request: request.id(),
-            attempt: request.attempt(),
-            workspace: self.authorized.workspace.clone(),
-            method: self.inbound.method.clone(),
-            path: self.authorized.path.clone(),
-            fields: self.authorized.fields.clone(),
-            body: self.inbound.body.clone(),
-            idempotent: self.authorized.idempotent,
-            deadline: time_left,
-            priority: self.authorized.priority,
-            streamed: self.streamed,
-        }
-    }
-
-    /// Returns the time left until the deadline.
-    fn time_left(&self) -> Duration {
-        self.deadline.since(self.clock.now())
-    }
-
-    /// Waits for the delay before an attempt. Fails if the request is revoked meanwhile.
-    async fn wait_delay(&self, delay: Duration) -> Result<(), Failure> {
-        let decision = Box::pin(self.decisions.recv_async());
-        match select(decision, Box::pin(sleep(delay))).await {
-            Either::Left((Ok(Decision::Revoked(failure) | Decision::Refused(failure)), _)) => {
-                Err(failure)
-            }
-            Either::Left((Err(_), _)) => Err(Failure::from(ErrorKind::Draining)),
-            // A request is dispatched only once per attempt, so no second dispatch can come.
-            Either::Left((Ok(Decision::Dispatch { .. }), _)) | Either::Right(_) => Ok(()),
-        }
-    }
-
-    /// Runs a part of an attempt. Fails if the request is revoked or its deadline passes meanwhile.
-    ///
-    /// The revocation is polled first, so that a steady stream of events cannot delay it.
-    async fn until_stopped<T>(&self, work: impl Future<Output = T>) -> Result<T, Failure> {
-        let decision = self.decisions.recv_async();
-        let work = select(Box::pin(work), Box::pin(sleep(self.time_left())));
-        match select(decision, work).await {
-            Either::Right((Either::Left((done, _)), _)) => Ok(done),
-            Either::Right((Either::Right(_), _)) => Err(Failure::from(ErrorKind::DeadlinePassed)),
-            Either::Left((Ok(Decision::Revoked(failure)), _)) => Err(failure),
-            // The control thread stopped while the target was running the request.
-            Either::Left(_) => Err(Failure {
-                run: RunState::MayHaveRun,
-                ..Failure::from(ErrorKind::Draining)
-            }),
-        }
-    }
-
-    /// Waits for the next event of an attempt. A lost agent counts as a failed attempt.
-    async fn next_event(&self, events: &Receiver<CallEvent>) -> Result<CallEvent, Failure> {
-        let event = self.until_stopped(events.recv_async()).await?;
-        let lost = CallEvent::Failed(Failure::from(ErrorKind::AgentLost));
-        Ok(event.unwrap_or(lost))
-    }
-
-    /// Stores the usage counter, which is counted even if the caller disconnects before it has read
-    /// the answer.
-    fn store_counter(&self, ending: &AnswerSummary) {
-        if let Some(counter) = &ending.counter {
-            // A request has one complete answer, so the cell is empty.
-            let _ = self.counter.set(counter.clone());
-        }
-    }
-
-    /// Forwards an event to the caller.
-    async fn forward(&self, event: CallEvent) -> Result<(), Failure> {
-        let sent = self.until_stopped(self.events.send_async(event)).await?;
-        sent.map_err(|_| Failure::from(ErrorKind::Cancelled))
-    }
-}
-
-impl<'a> Ticket<'a> {
-    fn new(key: TicketKey, control: &'a Inbox<RequestMessage>, job: &'a Job) -> Self {
-        Self {
-            key,
-            control,
-            counter: &job.counter,
-            outcome: Outcome::Failed(Failure::from(ErrorKind::Cancelled)),
-            open: true,
-        }
-    }
-
-    /// Asks for another target after a failed attempt. The ticket stays open.
-    async fn retry(&self, failure: Failure) {
-        // If the control thread has ended, the request sees a closed channel of decisions.
-        let message = RequestMessage::Retry {
-            ticket: self.key,
-            failure,
-        };
-        let _ = self.control.send_async(message).await;
-    }
-
-    /// Marks the ticket as closed by the control thread.
-    fn close(&mut self) {
-        self.open = false;
-    }
-
-    /// Sets the result of the request, which is reported on drop.
-    fn set_outcome(&mut self, answered: &Request<Answered>, tokens: u64) {
-        self.outcome = match answered.failure() {
-            None => Outcome::Complete(tokens),
-            Some(failure) => Outcome::Failed(failure),
-        };
-    }
-}
-
-impl Drop for Ticket<'_> {
-    fn drop(&mut self) {
-        if !self.open {
-            return;
-        }
-        let outcome = self.outcome.clone();
-        // The result does not matter once the control thread has stopped.
-        let _ = self.control.send(RequestMessage::Ended {
-            ticket: self.key,
-            outcome,
-            counter: self.counter.get().cloned(),
-        });
-    }
-}
-
 /// Relays the events of an attempt to the caller until it ends.
 async fn relay(
     job: &Job,
--- a/crates/node/src/entry/service/sample.rs
+++ b/crates/node/src/entry/service/sample.rs
@@ -16,8 +16,8 @@
 use sardinepath_core::port::target::CallGuard;
 
 use crate::entry::service::EntryService;
-use crate::entry::service::Job;
 use crate::entry::service::Shared;
+use crate::entry::service::job::Job;
 
 /// Request for one sample of a trainer's step.
 #[derive(Clone, Debug)]
