Bound pages of results by their encoded size

Cause: pages, drafts and answers were bounded by the length of their texts, plus the last result. Stored as JSON, quotes, backslashes and control characters take two or six bytes.

Change: the sizes of results and drafts are upper bounds of their stored size, and a further result is added only if it fits.

Open: one result that alone is larger than an object when it is encoded is still refused.

--- a/crates/core/src/decision/batch/journal.rs
+++ b/crates/core/src/decision/batch/journal.rs
@@ -3,11 +3,11 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
+use crate::decision::batch::EncodedPage;
 use crate::domain::batch::Outcome;
 use crate::domain::name::ItemId;
 
-/// Size of the results in one answer in bytes, above which no further result is added. An answer
-/// holds at most one megabyte.
+/// Maximum encoded size of the results in one answer, in bytes. An answer holds at most one megabyte.
 const MAX_ANSWER_BYTES: usize = 900 * 1024;
 
 /// Contiguous prefix of the stored results of a job.
@@ -53,13 +53,9 @@
 
     /// Returns the results from a position on, up to the size of one answer.
     pub fn page(&self, after: usize) -> Vec<Arc<Outcome>> {
-        let mut remaining = MAX_ANSWER_BYTES;
+        let mut page = EncodedPage::new(MAX_ANSWER_BYTES);
         let rest = self.outcomes.iter().skip(after);
-        let fitting = rest.take_while(|outcome| {
-            let fits = remaining > 0;
-            remaining = remaining.saturating_sub(outcome.encoded_size());
-            fits
-        });
+        let fitting = rest.take_while(|outcome| page.add(outcome.encoded_size()));
         fitting.cloned().collect()
     }
 }
--- a/crates/core/src/decision/batch/results.rs
+++ b/crates/core/src/decision/batch/results.rs
@@ -4,6 +4,7 @@
 use std::mem;
 use std::sync::Arc;
 
+use crate::decision::batch::EncodedPage;
 use crate::decision::batch::RunId;
 use crate::decision::batch::runner::Runner;
 use crate::decision::batch::runner::Slot;
@@ -14,8 +15,8 @@
 use crate::domain::name::ItemId;
 use crate::domain::name::TargetName;
 
-/// Size of the results in one page in bytes, above which no further result is added. An object
-/// holds at most one megabyte.
+/// Maximum encoded size of the results or drafts in one object, in bytes. An object holds at most one
+/// megabyte.
 const MAX_PAGE_BYTES: usize = 700 * 1024;
 
 /// Kind of finished results, in ascending order of urgency.
@@ -34,16 +35,12 @@
 impl Runner {
     /// Returns the finished results for the next page, up to its size limit.
     pub fn finished(&self) -> Vec<Arc<Outcome>> {
-        let mut remaining = MAX_PAGE_BYTES;
+        let mut page = EncodedPage::new(MAX_PAGE_BYTES);
         let finished = self.slots.iter().filter_map(|slot| match slot {
             Slot::Finished(outcome) => Some(outcome.clone()),
             _ => None,
         });
-        let fitting = finished.take_while(|outcome| {
-            let fits = remaining > 0;
-            remaining = remaining.saturating_sub(outcome.encoded_size());
-            fits
-        });
+        let fitting = finished.take_while(|outcome| page.add(outcome.encoded_size()));
         fitting.collect()
     }
 
@@ -66,9 +63,10 @@
         let mut drafts: Vec<Draft> = drafts.filter(|d| d.partial.events > 0).collect();
         drafts.sort_by_key(|d| std::cmp::Reverse(d.partial.events));
         let mut remaining = MAX_PAGE_BYTES;
-        drafts.retain(|d| {
-            let fits = remaining > d.partial.text.len();
-            remaining = remaining.saturating_sub(d.partial.text.len());
+        drafts.retain(|draft| {
+            let size = draft.encoded_size();
+            let fits = remaining > size;
+            remaining = remaining.saturating_sub(size);
             fits
         });
         drafts
--- a/crates/core/src/domain/batch.rs
+++ b/crates/core/src/domain/batch.rs
@@ -19,6 +19,9 @@
 use crate::domain::name::WorkspaceName;
 use crate::domain::time::WallTime;
 
+/// Size of the names and separators of the fields of a stored result or draft, in bytes.
+const FIELDS_BYTES: usize = 160;
+
 /// Memory of an item beside its texts, in bytes.
 const ITEM_BYTES: usize = 512;
 
@@ -205,6 +208,15 @@
 }
 
 impl Draft {
+    /// Returns the largest size that the draft has when it is stored, in bytes.
+    pub fn encoded_size(&self) -> usize {
+        let software = self.partial.software.as_ref();
+        let software = software.map_or(0, |version| escaped_size(version.as_str()));
+        let names = escaped_size(self.id.as_str()) + software;
+        let versions = versions_size(&self.partial.versions);
+        escaped_size(&self.partial.text) + names + versions + FIELDS_BYTES
+    }
+
     /// Returns the text of a complete result as a draft, which is never continued.
     pub fn of_outcome(outcome: &Outcome) -> Self {
         Self {
@@ -221,9 +233,26 @@
 }
 
 impl Outcome {
-    /// Returns the approximate encoded size of the result, in bytes.
+    /// Returns the largest size that the result has when it is stored, in bytes.
     pub fn encoded_size(&self) -> usize {
-        const FIELDS_BYTES: usize = 160;
-        self.text.len() + FIELDS_BYTES
+        let score = self.score.as_deref().map_or(0, escaped_size);
+        let names = escaped_size(self.id.as_str()) + score;
+        escaped_size(&self.text) + names + versions_size(&self.versions) + FIELDS_BYTES
     }
 }
+
+/// Returns the size of a text as a JSON string without its quotes, in bytes.
+fn escaped_size(text: &str) -> usize {
+    let size = |byte: u8| match byte {
+        b'"' | b'\\' | b'\n' | b'\r' | b'\t' | 0x08 | 0x0c => 2,
+        0x00..0x20 => 6,
+        _ => 1,
+    };
+    text.bytes().map(size).sum()
+}
+
+/// Returns the largest size of a list of versions, in bytes.
+fn versions_size(versions: &[u64]) -> usize {
+    const VERSION_BYTES: usize = 21;
+    versions.len() * VERSION_BYTES
+}
--- a/crates/core/tests/runner.rs
+++ b/crates/core/tests/runner.rs
@@ -16,6 +16,7 @@
 use sardinepath_core::domain::batch::Batch;
 use sardinepath_core::domain::batch::Draft;
 use sardinepath_core::domain::batch::Item;
+use sardinepath_core::domain::batch::Page;
 use sardinepath_core::domain::batch::PartialText;
 use sardinepath_core::domain::ids::WeightVersion;
 use sardinepath_core::domain::name::GroupName;
@@ -112,8 +113,13 @@
 
 /// Ends the run of an item with a complete text.
 fn finish(runner: &mut Runner, index: u64) {
+    finish_with(runner, index, "text");
+}
+
+/// Ends the run of an item with this complete text.
+fn finish_with(runner: &mut Runner, index: u64, text: &str) {
     let text = PartialText {
-        text: "text".to_owned(),
+        text: text.to_owned(),
         events: 1,
         versions: vec![1],
         software: Some(SoftwareVersion::from("v1")),
@@ -125,6 +131,24 @@
     runner.tasks(START);
 }
 
+/// Guards against pages that the store refuses for their size, again and again, so that no result is
+/// ever listed: two thirds of each text are characters that are encoded in two bytes.
+#[test]
+fn pages_of_texts_that_grow_when_encoded_fit_into_an_object() {
+    const VALUE_BYTES: usize = 1 << 20;
+    let mut runner = runner(&[1; 100]);
+    send_all(&mut runner, &TargetName::from("t0"));
+    for index in 0..100 {
+        finish_with(&mut runner, index, &"\"\\x".repeat(2_700));
+    }
+
+    let outcomes = runner.finished();
+
+    let stored = serde_json::to_string(&Page { outcomes }).unwrap().len();
+    assert!(stored <= VALUE_BYTES, "{stored} bytes");
+    assert!(stored > VALUE_BYTES / 2, "{stored} bytes");
+}
+
 /// Fails if results that complete a group cannot be distinguished from others, which are written
 /// later.
 #[test]
