Count a removal that a new process sees as the end of its target (DRAIN)

Cause: the first listing of a process counted as the end of an outage in which entries lapse, so an entry that was removed within two seconds of it was kept for two more.

Change: only an interruption that the process has seen makes a removed entry doubtful.

--- a/crates/core/src/decision/gateway/membership/target_watch.rs
+++ b/crates/core/src/decision/gateway/membership/target_watch.rs
@@ -54,7 +54,8 @@
     pub(in crate::decision::gateway) fn regained(&mut self, now: Time) {
         let after_lapse = match self.contact {
             Contact::Up { .. } => return,
-            Contact::Never => true,
+            // Entries that are removed after the first listing are seen without a gap.
+            Contact::Never => false,
             Contact::Lost { since } => now.since(since) >= self.lapse_time,
         };
         self.contact = Contact::Up {
--- a/crates/core/tests/gateway_entries.rs
+++ b/crates/core/tests/gateway_entries.rs
@@ -8,6 +8,7 @@
 use sardinepath_core::decision::gateway::message::FeedEnd;
 use sardinepath_core::decision::gateway::message::Message;
 use sardinepath_core::decision::gateway::stored::Kind;
+use sardinepath_core::decision::gateway::stored::WatchedObject;
 
 /// Interruption in which no entry of a living target can lapse, in milliseconds.
 const SHORT_MS: u64 = 600;
@@ -21,6 +22,9 @@
 /// Time until a listing has been read, in milliseconds.
 const LISTING_MS: u64 = 50;
 
+/// Time after the start of a gateway at which it knows its targets, in milliseconds.
+const JUST_STARTED_MS: u64 = 600;
+
 /// Time for which a choice of a target is valid, in milliseconds.
 const CHOICE_MS: u64 = 1_000;
 
@@ -34,10 +38,15 @@
 
 /// Returns the target that the gateway uses most.
 fn most_used(sim: &Simulation) -> &'static str {
+    most_used_since(sim, 0)
+}
+
+/// Returns the target that the gateway has used most since a time.
+fn most_used_since(sim: &Simulation, since: u64) -> &'static str {
     let targets = ["t0", "t1", "t2", "t3"];
     let used = targets
         .into_iter()
-        .max_by_key(|t| sim.arrivals_from(0, t, 0));
+        .max_by_key(|t| sim.arrivals_from(0, t, since));
     used.unwrap()
 }
 
@@ -64,6 +73,22 @@
     assert_eq!(arrivals(&mut sim, target, CHOICE_MS), 0);
 }
 
+/// Guards against a gateway that has just started and goes on sending to a target whose entry it saw
+/// removed, as if the entry had lapsed in an outage.
+#[test]
+fn a_target_that_leaves_after_the_first_listing_gets_nothing() {
+    let mut sim = loaded();
+    sim.start(0);
+    let since = sim.now;
+    sim.run(JUST_STARTED_MS);
+    let target = most_used_since(&sim, since);
+
+    let gone = WatchedObject::TargetGone(target.into());
+    sim.message(0, Message::Changed(gone));
+
+    assert_eq!(arrivals(&mut sim, target, CHOICE_MS), 0);
+}
+
 /// Fails if a target whose entry lapsed in an outage gets nothing although it lives, or still gets
 /// requests when its entry has not come back in time.
 #[test]
