--- a/crates/adapters/src/web/carried.rs
+++ b/crates/adapters/src/web/carried.rs
@@ -100,7 +100,7 @@
     }
 
     /// Returns `true` if a request with this id may be sent on the connection.
-    pub(super) fn allow(&self, id: &SentId) -> bool {
+    pub(super) fn allows(&self, id: &SentId) -> bool {
         id.stale_allowed || !self.0.contains(&id.hash)
     }
 
--- a/crates/adapters/src/web/idle.rs
+++ b/crates/adapters/src/web/idle.rs
@@ -37,7 +37,7 @@
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
         connections.retain(|connection| connection.is_usable(now));
-        let allowed = |known: &IdleConnection| id.is_none_or(|id| known.carried.allow(id));
+        let allowed = |known: &IdleConnection| id.is_none_or(|id| known.carried.allows(id));
         let last = connections.iter().rposition(allowed)?;
         Some(connections.remove(last))
     }
