--- a/review/stand3/membership.rs
+++ b/review/stand3/membership.rs
@@ -241,12 +241,12 @@
     if listed.len() == items.len() {
         return Verdict::Held;
     }
-    judge(&items, runs, record, start, end)
+    judge_lost(&items, runs, record, start, end)
 }
 
 /// The rule: a step runs out of time while an item that no replica has finished has been at no replica
 /// for 5 s, others had begun, and the replicas were under half full.
-fn judge(
+pub fn judge_lost(
     items: &[(String, String)],
     runs: &Runs,
     record: &Record,
