--- a/review/stand3/orders.rs
+++ b/review/stand3/orders.rs
@@ -25,8 +25,11 @@
 use crate::replica::Runs;
 use crate::store::Store;
 
+/// Time that a lost packet costs: it is sent again after 200 ms.
+const REPORT_HELD_UP: Duration = Duration::from_millis(200);
+
 /// Time that two lost packets in a row cost: the first is sent again after 200 ms, the second after 400 ms.
-const HELD_UP: Duration = Duration::from_millis(600);
+const ORDER_HELD_UP: Duration = Duration::from_millis(600);
 
 /// Number of versions that are named, each while another holder has the duty.
 const ROUNDS: u64 = 12;
@@ -79,15 +82,21 @@
     thread::sleep(Duration::from_secs(8));
     for round in 0..ROUNDS {
         let version = round + 2;
-        let named = Instant::now();
+        let holder = gateways.iter().position(holds);
+        let Some(holder) = holder else {
+            record.say("no gateway has the duty now");
+            thread::sleep(REST);
+            continue;
+        };
         if trouble {
-            hold_up(&gateways, &store, &orders, record);
+            hold_up(&gateways[holder], &orders, record);
         }
+        let named = Instant::now();
         let spec = vec![("model", text(MODEL)), ("version", num(version))];
         store.put("versions", MODEL, obj(spec));
         record.say(format!("version {version} is named"));
         if trouble {
-            stop_holder(&mut gateways, &orders, record, named);
+            stop_holder(&mut gateways[holder], &orders, record, named);
         } else {
             thread::sleep(Duration::from_secs(3));
         }
@@ -104,51 +113,48 @@
 }
 
 /// Makes the link of the holder of the duty lose packets.
-fn hold_up(gateways: &[Gateway], store: &Store, orders: &Orders, record: &Record) {
-    let lease = store.get("sardinepath-leases", "fleet");
+fn hold_up(holder: &Gateway, orders: &Orders, record: &Record) {
     record.say(format!(
-        "the lease is {}",
-        lease.map_or(String::new(), |lease| lease.to_string())
+        "the link of {}, the holder, loses packets",
+        holder.name
     ));
-    let names = gateways.iter().map(|gateway| gateway.name.clone());
-    let holder = names.into_iter().find(|name| holds(gateways, name));
-    let held = holder.map(|name| (name, HELD_UP));
-    record.say(format!("the link of this holder loses packets: {held:?}"));
+    let held = Some((holder.name.clone(), ORDER_HELD_UP));
     *orders.held_up.lock().unwrap_or_else(|e| e.into_inner()) = held;
+    *orders.reports.lock().unwrap_or_else(|e| e.into_inner()) = Some(REPORT_HELD_UP);
 }
 
 /// Returns `true` if the last word of a gateway on the duty is that it has it.
-fn holds(gateways: &[Gateway], name: &str) -> bool {
-    let gateway = gateways.iter().find(|gateway| gateway.name == *name);
-    let log = gateway.map_or(String::new(), Gateway::log_text);
+fn holds(gateway: &Gateway) -> bool {
+    let log = gateway.log_text();
     let acquired = log.rfind("duty_acquired");
     let ended = log.rfind("duty_lost").max(log.rfind("duty_released"));
     acquired.is_some() && acquired > ended
 }
 
-/// Stops the holder of the duty as soon as it has sent an order, and starts it again.
-fn stop_holder(gateways: &mut [Gateway], orders: &Orders, record: &Record, named: Instant) {
+/// Stops the holder of the duty as soon as it turns to a replica, and starts it again.
+fn stop_holder(holder: &mut Gateway, orders: &Orders, record: &Record, named: Instant) {
     let until = Instant::now() + Duration::from_secs(4);
-    let holder = loop {
-        let sent = orders
-            .sent
-            .lock()
-            .unwrap_or_else(|e| e.into_inner())
-            .clone();
-        match sent {
-            Some((holder, at)) if at > named => break holder,
-            _ if Instant::now() > until => return record.say("no order was sent"),
-            _ => thread::sleep(Duration::from_millis(2)),
+    while orders
+        .asked
+        .lock()
+        .unwrap_or_else(|e| e.into_inner())
+        .is_none_or(|at| at < named)
+    {
+        if Instant::now() > until {
+            return record.say("no replica was asked for its report");
         }
-    };
-    let Some(gateway) = gateways.iter_mut().find(|gateway| gateway.name == holder) else {
-        return;
-    };
-    record.say(format!("SIGTERM for {holder}, which has sent an order"));
-    gateway.signal("TERM");
-    gateway.wait_end(Duration::from_secs(8));
+        thread::sleep(Duration::from_millis(2));
+    }
+    record.say(format!(
+        "SIGTERM for {}, whose first order is on its way",
+        holder.name
+    ));
+    holder.signal("TERM");
+    // The next holder has another link.
+    *orders.reports.lock().unwrap_or_else(|e| e.into_inner()) = None;
+    holder.wait_end(Duration::from_secs(8));
     thread::sleep(Duration::from_millis(100));
-    gateway.spawn();
+    holder.spawn();
 }
 
 /// The rule: where replicas do not check tokens, none gets an order with a lower one after a higher one.
--- a/review/stand3/replica.rs
+++ b/review/stand3/replica.rs
@@ -89,8 +89,10 @@
     pub seen: Arc<Mutex<Vec<Order>>>,
     /// Holder whose link loses packets, with the time that this costs.
     pub held_up: Arc<Mutex<Option<(String, Duration)>>>,
-    /// Last holder that sent an order, with the time of sending.
-    pub sent: Arc<Mutex<Option<(String, Instant)>>>,
+    /// Time for which the link holds up the reports, which only the holder asks for.
+    pub reports: Arc<Mutex<Option<Duration>>>,
+    /// Time at which a report was last asked for.
+    pub asked: Arc<Mutex<Option<Instant>>>,
 }
 
 /// What a model replica knows of its weights.
@@ -174,7 +176,12 @@
         let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
         // The address is known only after the start, so the handler learns it from the channel.
         replica.address = http::serve(ip, move |request, stream| match request.route() {
-            "/report" => Next::Answer(200, vec![], served.report().to_string().into_bytes()),
+            "/report" => {
+                *orders.asked.lock().unwrap_or_else(|e| e.into_inner()) = Some(Instant::now());
+                let held_up = *orders.reports.lock().unwrap_or_else(|e| e.into_inner());
+                thread::sleep(held_up.unwrap_or_default());
+                Next::Answer(200, vec![], served.report().to_string().into_bytes())
+            }
             "/order" => {
                 let mut own = served.clone();
                 own.address = stream.local_addr().unwrap_or(own.address);
@@ -201,8 +208,6 @@
             "{holder} sends an order with token {fence} to {}",
             self.name
         ));
-        *orders.sent.lock().unwrap_or_else(|e| e.into_inner()) =
-            Some((holder.clone(), Instant::now()));
         let held_up = orders
             .held_up
             .lock()
