--- a/review/stand3/http.rs
+++ b/review/stand3/http.rs
@@ -9,9 +9,14 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
+/// Interval at which a listener looks for new channels.
+const ACCEPT_INTERVAL: Duration = Duration::from_millis(1);
+
 /// A request or a response.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
@@ -62,15 +67,31 @@
 
 /// Serves requests on a free port of an address. Returns the address.
 pub fn serve<F>(ip: IpAddr, handle: F) -> SocketAddr
+where
+    F: Fn(&Message, &mut TcpStream) -> Next + Send + Sync + 'static,
+{
+    serve_until(ip, Arc::default(), handle)
+}
+
+/// The same until `gone` is set, from which on new channels are refused.
+pub fn serve_until<F>(ip: IpAddr, gone: Arc<AtomicBool>, handle: F) -> SocketAddr
 where
     F: Fn(&Message, &mut TcpStream) -> Next + Send + Sync + 'static,
 {
     let listener = TcpListener::bind((ip, 0)).expect("a free loopback port");
     let address = listener.local_addr().expect("the address of a listener");
     let handle = Arc::new(handle);
+    listener
+        .set_nonblocking(true)
+        .expect("a listener that does not block");
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        while !gone.load(Ordering::Relaxed) {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(ACCEPT_INTERVAL);
+                continue;
+            };
             let handle = handle.clone();
+            let _ = stream.set_nonblocking(false);
             thread::spawn(move || serve_connection(stream, &*handle));
         }
     });
--- a/review/stand3/removal.rs
+++ b/review/stand3/removal.rs
@@ -34,10 +34,13 @@
 const CONTACT: Duration = Duration::from_millis(3_000);
 
 /// Time for which the replica serves after its entry is gone.
-const SERVE_TIME: Duration = Duration::from_secs(15);
+const SERVE_TIME: Duration = Duration::from_secs(10);
+
+/// Time that a request takes, within what the sheet of the deployment gives.
+const WORK: Duration = Duration::from_millis(190);
 
 /// Interval between the requests to each gateway.
-const INTERVAL: Duration = Duration::from_millis(100);
+const INTERVAL: Duration = Duration::from_millis(60);
 
 /// Time between the starts of two gateways. All machines start within 0.3 s of each other.
 const STAGGER: Duration = Duration::from_millis(90);
@@ -52,11 +55,13 @@
         Next::Answer(200, vec![], vec![])
     });
     let runs: Runs = Arc::default();
+    let mut replicas = Vec::new();
     for index in 0..3 {
-        let rule = |_: &http::Message| Course::Plain(Duration::from_millis(25));
+        let rule = |_: &http::Message| Course::Plain(WORK);
         let name = format!("w-{index}");
         let replica = Replica::start(&name, "works-app", 6, &runs, record, Arc::new(rule));
         store.put("servers", &name, replica.entry("ready"));
+        replicas.push(replica);
     }
     let site = Site {
         store: store.address,
@@ -73,10 +78,10 @@
     }
     thread::sleep(Duration::from_secs(4));
     let stop = AtomicBool::new(false);
-    let answered: Mutex<(u64, u64)> = Mutex::default();
+    let lost: Mutex<Vec<(String, u16)>> = Mutex::default();
     let (removed, in_touch) = thread::scope(|scope| {
         for (number, gateway) in gateways.iter().enumerate() {
-            let (stop, answered) = (&stop, &answered);
+            let (stop, lost) = (&stop, &lost);
             scope.spawn(move || {
                 let mut count = 0;
                 while !stop.load(Ordering::Relaxed) {
@@ -85,12 +90,21 @@
                     let (front, name) = (gateway.front, &gateway.name);
                     scope.spawn(move || {
                         let limit = Duration::from_secs(2);
-                        let answer = consumer::plain(front, "/lohu930/2f", &id, limit);
+                        // Every other request is one that must not be repeated.
+                        let path = if count % 2 == 0 {
+                            "/lohu930/2f"
+                        } else {
+                            "/dise118/2f"
+                        };
+                        let answer = consumer::plain(front, path, &id, limit);
                         let status = answer.map_or(0, |answer| answer.status);
-                        record.add(format!("request {id} to {name} was answered {status}"));
-                        let mut answered = answered.lock().unwrap_or_else(|e| e.into_inner());
-                        answered.0 += 1;
-                        answered.1 += u64::from(status == 200);
+                        record.add(format!(
+                            "request {id} {path} to {name} was answered {status}"
+                        ));
+                        if status != 200 {
+                            let mut lost = lost.lock().unwrap_or_else(|e| e.into_inner());
+                            lost.push((format!("{id} {path}"), status));
+                        }
                     });
                     thread::sleep(INTERVAL);
                 }
@@ -111,13 +125,14 @@
         }
         let cut = Instant::now();
         thread::sleep(SERVE_TIME - SECOND_CUT);
+        replicas[0].exit();
+        record.say("w-0 ends");
+        thread::sleep(Duration::from_secs(1));
         stop.store(true, Ordering::Relaxed);
         (removed, cut + CONTACT)
     });
-    let (sent, served) = *answered.lock().unwrap_or_else(|e| e.into_inner());
-    record.say(format!(
-        "{sent} requests were sent, {served} were answered 200"
-    ));
+    let lost = lost.lock().unwrap_or_else(|e| e.into_inner()).clone();
+    record.say(format!("requests that were not answered 200: {lost:?}"));
     for gateway in &gateways {
         for line in gateway
             .log_text()
--- a/review/stand3/replica.rs
+++ b/review/stand3/replica.rs
@@ -8,6 +8,8 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -120,6 +122,7 @@
     born: u64,
     slots: u32,
     weights: Arc<Mutex<Weights>>,
+    gone: Arc<AtomicBool>,
 }
 
 impl Replica {
@@ -171,24 +174,30 @@
             born: born.map_or(0, |time| time.as_millis() as u64),
             slots,
             weights,
+            gone: Arc::default(),
         };
         let served = replica.clone();
         let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
         // The address is known only after the start, so the handler learns it from the channel.
-        replica.address = http::serve(ip, move |request, stream| match request.route() {
-            "/report" => {
-                *orders.asked.lock().unwrap_or_else(|e| e.into_inner()) = Some(Instant::now());
-                let held_up = *orders.reports.lock().unwrap_or_else(|e| e.into_inner());
-                thread::sleep(held_up.unwrap_or_default());
-                Next::Answer(200, vec![], served.report().to_string().into_bytes())
-            }
-            "/order" => {
-                let mut own = served.clone();
-                own.address = stream.local_addr().unwrap_or(own.address);
-                own.order(request, stream, &orders, &record, store.as_ref())
-            }
-            _ => answer(&own, &runs, &record, &rule, request, stream),
-        });
+        let gone = replica.gone.clone();
+        replica.address =
+            http::serve_until(ip, gone, move |request, stream| match request.route() {
+                "/report" => {
+                    *orders.asked.lock().unwrap_or_else(|e| e.into_inner()) = Some(Instant::now());
+                    let held_up = *orders.reports.lock().unwrap_or_else(|e| e.into_inner());
+                    thread::sleep(held_up.unwrap_or_default());
+                    Next::Answer(200, vec![], served.report().to_string().into_bytes())
+                }
+                "/order" => {
+                    let mut own = served.clone();
+                    own.address = stream.local_addr().unwrap_or(own.address);
+                    own.order(request, stream, &orders, &record, store.as_ref())
+                }
+                _ => match answer(&own, &runs, &record, &rule, request, stream) {
+                    Next::Answer(..) if served.gone.load(Ordering::Relaxed) => Next::Close,
+                    next => next,
+                },
+            });
         replica
     }
 
@@ -288,6 +297,11 @@
         ])
     }
 
+    /// Ends the replica. What it works on is lost, and new channels are refused.
+    pub fn exit(&self) {
+        self.gone.store(true, Ordering::Relaxed);
+    }
+
     /// Returns the entry of the replica in the store.
     pub fn entry(&self, state: &str) -> Json {
         let models = match self.service.as_str() {
