Split the known gateways, their pings and the takeover of jobs

Entries and removals of gateways reached the control thread without their revision, and an object could only be deleted at any revision.

Change: three modules. Entries and removals of gateways carry the revision of the entry, and `StoreCall::DeleteAt` deletes an object at a revision. Nothing uses either yet. The simulation tells gateways of removed entries, as the store does, and the stand-in of the store takes a revision in the query of a deletion.

--- a/crates/core/src/decision/gateway/membership/mod.rs
+++ b/crates/core/src/decision/gateway/membership/mod.rs
@@ -3,8 +3,10 @@
 pub(super) mod evacuations;
 pub(super) mod health;
 pub(super) mod peers;
+pub(super) mod pings;
 pub(super) mod source;
 pub(super) mod starts;
+pub(super) mod takeover;
 pub(super) mod target_watch;
 pub(super) mod watched;
 pub(super) mod witness;
--- /dev/null
+++ b/crates/core/src/decision/gateway/membership/pings.rs
@@ -0,0 +1,155 @@
+//! Health of the processes that run jobs, as their answers to pings show it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::decision::gateway::Gateway;
+use crate::decision::gateway::message::CallId;
+use crate::decision::gateway::message::Effect;
+use crate::decision::gateway::message::PingRequest;
+use crate::decision::gateway::message::Pong;
+use crate::decision::gateway::message::Reply;
+use crate::domain::batch::Runner;
+use crate::domain::fleet::Peer;
+use crate::domain::name::HostName;
+use crate::domain::name::TargetName;
+use crate::domain::time::Time;
+
+/// Interval between pings of a process that runs a job.
+const PING_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time after which the jobs of a process are taken over if it answers no pings or the object API
+/// does not answer it.
+pub(super) const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
+
+/// Time after which a process that answers no pings is suspected, so that it is known by the end of the
+/// silence limit whether it still writes.
+pub(super) const SUSPICION_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Health of a process that runs a job.
+#[derive(Debug)]
+pub(super) struct Health {
+    /// Time of the last pong, initially of the first ping.
+    pub(super) last_pong: Time,
+    /// Time of the last pong that reported contact to the object API, initially of the first ping.
+    pub(super) last_healthy: Time,
+    next_ping: Time,
+    awaiting_pong: bool,
+    /// Process that sent the last pong. Its incarnation differs from the runner's after a restart.
+    pub(super) responder: Option<Peer>,
+    load: BTreeMap<TargetName, u32>,
+}
+
+impl Gateway {
+    pub(in crate::decision::gateway) fn tick_peers(&mut self) {
+        let now = self.now;
+        if !self.peers.announced && !self.draining && now >= self.peers.next_announce {
+            self.announce();
+        }
+        let mut runners: BTreeMap<HostName, Runner> = BTreeMap::new();
+        for job in self.jobs.values().filter(|job| !job.head.ended) {
+            if let Some(runner) = &job.head.runner
+                && runner.host != self.settings.peer.host
+            {
+                runners.insert(runner.host.clone(), runner.clone());
+            }
+        }
+        let runs_jobs = !self.runs.is_empty();
+        let before = self.peers.health.len();
+        self.peers
+            .health
+            .retain(|host, _| runners.contains_key(host));
+        if self.peers.health.len() < before {
+            self.update_peer_loads();
+            let health = &self.peers.health;
+            let runs_jobs = |host: &HostName| health.contains_key(host);
+            self.shares.told.retain(runs_jobs);
+        }
+        for (host, runner) in runners {
+            let health = self.peers.health.entry(host).or_insert_with(|| Health {
+                last_pong: now,
+                last_healthy: now,
+                next_ping: now,
+                awaiting_pong: false,
+                responder: None,
+                load: BTreeMap::new(),
+            });
+            if !health.awaiting_pong && now >= health.next_ping {
+                health.awaiting_pong = true;
+                health.next_ping = now + PING_INTERVAL;
+                let ping = PingRequest {
+                    leaving: self.directory.recent_leaves(now),
+                    paces: runs_jobs,
+                };
+                self.effects.push(Effect::Ping(runner, ping));
+            }
+        }
+    }
+
+    /// Answers the ping of another process with the state of this one.
+    pub(in crate::decision::gateway) fn answer_ping(&mut self, call: CallId, ping: &PingRequest) {
+        let now = self.now;
+        self.leaves_told(&ping.leaving);
+        let (paces, claims) = match ping.paces {
+            true => (self.directory.recent_paces(now), self.own_claims()),
+            false => (Vec::new(), Vec::new()),
+        };
+        let outage = self.store.outage_time(now);
+        let pong = Pong {
+            incarnation: self.settings.peer.incarnation,
+            silence: u64::try_from(outage.as_millis()).unwrap_or(0),
+            load: self.directory.own_load(),
+            leaving: self.directory.recent_leaves(now),
+            paces,
+            claims,
+        };
+        self.reply(call, Reply::Pong(pong));
+    }
+
+    pub(in crate::decision::gateway) fn ping_ended(&mut self, host: HostName, pong: Option<Pong>) {
+        let now = self.now;
+        let Some(health) = self.peers.health.get_mut(&host) else {
+            return;
+        };
+        health.awaiting_pong = false;
+        let mut leaving = Vec::new();
+        if let Some(pong) = pong {
+            leaving = pong.leaving;
+            self.directory.learn_paces(now, &pong.paces);
+            self.shares.told.record(now, host.clone(), pong.claims);
+            health.last_pong = now;
+            let limit = u64::try_from(SILENCE_LIMIT.as_millis()).unwrap_or(u64::MAX);
+            if pong.silence < limit {
+                health.last_healthy = now;
+            }
+            health.load = pong.load;
+            health.responder = self.peers.known.get(&host).cloned().map(|peer| Peer {
+                incarnation: pong.incarnation,
+                ..peer
+            });
+        } else {
+            health.load.clear();
+        }
+        self.leaves_told(&leaving);
+        self.update_peer_loads();
+    }
+
+    /// Returns `true` if the object API does not answer another process either, so that no job can
+    /// have changed hands.
+    pub(in crate::decision::gateway) fn shares_outage(&self) -> bool {
+        let mut known = self.peers.health.values();
+        known.any(|h| self.now.since(h.last_pong) < SUSPICION_LIMIT && h.last_healthy < h.last_pong)
+    }
+
+    /// Passes the load of the other processes on targets to the directory. Only processes that run
+    /// a job are included.
+    fn update_peer_loads(&mut self) {
+        let mut loads: BTreeMap<TargetName, u32> = BTreeMap::new();
+        for health in self.peers.health.values() {
+            for (target, load) in &health.load {
+                *loads.entry(target.clone()).or_default() += load;
+            }
+        }
+        self.directory.set_remote_load(&loads);
+    }
+}
--- /dev/null
+++ b/crates/core/src/decision/gateway/membership/takeover.rs
@@ -0,0 +1,157 @@
+//! Takeover of jobs whose runner is gone.
+
+use std::time::Duration;
+
+use crate::decision::gateway::Gateway;
+use crate::decision::gateway::jobs::place::placement_rank;
+use crate::decision::gateway::membership::pings::SILENCE_LIMIT;
+use crate::decision::gateway::membership::pings::SUSPICION_LIMIT;
+use crate::decision::gateway::membership::witness::Witness;
+use crate::decision::gateway::membership::witness::WitnessStep;
+use crate::decision::gateway::stored::Purpose;
+use crate::domain::batch::Head;
+use crate::domain::batch::Runner;
+use crate::domain::event::Event;
+use crate::domain::fleet::Peer;
+use crate::domain::name::BatchId;
+
+/// Delay of each takeover candidate behind the one before it.
+const CANDIDATE_DELAY: Duration = Duration::from_millis(500);
+
+/// Base delay for the takeover of a job without a runner, so that only the first candidate claims
+/// it.
+const VACANT_JOB_DELAY: Duration = Duration::from_millis(20);
+
+/// What is known of the process that runs a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Presence {
+    /// It answers pings and reaches the object API, as far as is known.
+    Alive,
+    /// It has answered no pings for a moment, but may go on.
+    Silent,
+    /// It has ended, or cannot list results.
+    Gone,
+}
+
+impl Gateway {
+    /// Takes over a job if its runner is gone and the delay of this candidate has passed.
+    pub(in crate::decision::gateway) fn check_runner(&mut self, id: &BatchId) {
+        let now = self.now;
+        if self.draining || !self.peers.listed || self.store.outage_start.is_some() {
+            return;
+        }
+        let Some(job) = self.jobs.get(id) else {
+            return;
+        };
+        if job.head.ended || job.changing_runner || job.is_run_by(&self.settings.peer) {
+            return;
+        }
+        // Without its route the job could not run here.
+        if self.job_route(&job.head).is_none() || !self.may_take_over(&job.head) {
+            return;
+        }
+        let presence = match &job.head.runner {
+            Some(runner) => self.presence(runner),
+            None => Presence::Gone,
+        };
+        let delay = self.takeover_delay(&job.head);
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if presence == Presence::Alive {
+            job.suspected_since = None;
+            job.witness = Witness::Unknown;
+            return;
+        }
+        let since = *job.suspected_since.get_or_insert(now);
+        let due = since + delay;
+        let step = match presence {
+            Presence::Silent => job
+                .witness
+                .next(now, due + (SILENCE_LIMIT - SUSPICION_LIMIT)),
+            _ if now >= due => WitnessStep::TakeOver,
+            _ => WitnessStep::Wait,
+        };
+        match step {
+            WitnessStep::Read => return self.read_witness(id),
+            WitnessStep::Wait => return,
+            WitnessStep::TakeOver => {}
+        }
+        job.changing_runner = true;
+        let runner = Runner::from(&self.settings.peer);
+        let before = job.head.runner.as_ref().map(|r| r.host.to_string());
+        let head = Head {
+            runner: Some(runner),
+            ..job.head.clone()
+        };
+        let revision = job.revision;
+        self.log(
+            Event::BatchTaken,
+            vec![
+                ("batch", id.to_string()),
+                ("before", before.unwrap_or_default()),
+                ("suspected_ms", now.since(since).as_millis().to_string()),
+                ("revision", revision.to_string()),
+            ],
+        );
+        self.update_head(Purpose::TakeOver(id.clone()), id, head, revision);
+    }
+
+    /// Returns what is known of the process that runs a job.
+    fn presence(&self, runner: &Runner) -> Presence {
+        if runner.host == self.settings.peer.host {
+            // The runner is an earlier run of this process.
+            return Presence::Gone;
+        }
+        let Some(known) = self.peer(&runner.host) else {
+            return Presence::Gone;
+        };
+        let health = self.peers.health.get(&runner.host);
+        let replaced = health
+            .and_then(|h| h.responder.as_ref())
+            .is_some_and(|peer| peer.incarnation != runner.incarnation);
+        if replaced || known.incarnation != runner.incarnation {
+            return Presence::Gone;
+        }
+        let Some(health) = health else {
+            return Presence::Alive;
+        };
+        // After an outage of the object API a live process needs time to notice that it is back.
+        let store_settled = self.store.uptime(self.now) >= SILENCE_LIMIT;
+        if self.now.since(health.last_pong) >= SUSPICION_LIMIT {
+            Presence::Silent
+        } else if store_settled && self.now.since(health.last_healthy) >= SILENCE_LIMIT {
+            // It says itself that the object API does not answer it.
+            Presence::Gone
+        } else {
+            Presence::Alive
+        }
+    }
+
+    /// Returns the delay before this process takes over a job. Candidates have the same order as
+    /// for new jobs of the route.
+    fn takeover_delay(&self, head: &Head) -> Duration {
+        let me = &self.settings.peer;
+        let runner = head.runner.as_ref();
+        if runner.is_some_and(|r| r.host == me.host) {
+            return Duration::ZERO;
+        }
+        let subject = head.route.as_str();
+        let max_power = self.max_power();
+        let own = placement_rank(subject, me, max_power);
+        let homes = self.job_homes(head);
+        let is_home = |peer: &&Peer| homes.as_ref().is_none_or(|h| h.allow(peer.region.as_ref()));
+        let ahead = self
+            .all_peers()
+            .filter(is_home)
+            .filter(|peer| runner.is_none_or(|r| r.host != peer.host))
+            .filter(|peer| placement_rank(subject, peer, max_power) < own)
+            .count();
+        let ahead = u32::try_from(ahead).unwrap_or(u32::MAX);
+        let base = match runner {
+            Some(_) => Duration::ZERO,
+            None => VACANT_JOB_DELAY,
+        };
+        base + CANDIDATE_DELAY.saturating_mul(ahead)
+    }
+}
--- a/crates/core/src/decision/gateway/membership/watched.rs
+++ b/crates/core/src/decision/gateway/membership/watched.rs
@@ -26,7 +26,7 @@
             Kind::Targets => self.targets_listed(views),
             Kind::Peers => {
                 let peers = views.into_iter().filter_map(|view| match view {
-                    WatchedObject::Peer(peer) => Some(peer),
+                    WatchedObject::Peer(revision, peer) => Some((revision, peer)),
                     _ => None,
                 });
                 let peers = peers.collect();
@@ -93,8 +93,8 @@
                 self.update_users();
             }
             WatchedObject::HeadGone(id) => self.drop_job(&id),
-            WatchedObject::Peer(peer) => self.insert_peer(peer),
-            WatchedObject::PeerGone(host) => self.remove_peer(&host),
+            WatchedObject::Peer(revision, peer) => self.insert_peer(revision, peer),
+            WatchedObject::PeerGone(host, revision) => self.remove_peer(&host, revision),
             WatchedObject::Limit(target, stored) => self.limit_watched(&target, stored),
             WatchedObject::Software(pool, revision, software) => {
                 self.software_settled(pool, revision, software)
--- a/crates/core/src/decision/gateway/stored.rs
+++ b/crates/core/src/decision/gateway/stored.rs
@@ -222,8 +222,11 @@
     Create(Kind, Arc<str>, Record),
     /// Replace an object. Fails unless it is at this revision.
     Update(Kind, Arc<str>, Record, Revision),
-    /// Delete an object at any revision.
+    /// Delete an object at any revision. A call without an answer may take effect late, so this is
+    /// only for names that are not used again.
     Delete(Kind, Arc<str>),
+    /// Delete an object. Fails unless it is at this revision.
+    DeleteAt(Kind, Arc<str>, Revision),
 }
 
 /// Successful answer of the object API.
@@ -252,10 +255,10 @@
     Head(BatchId, Revision, Head),
     /// Batch job whose head was deleted.
     HeadGone(BatchId),
-    /// Gateway process.
-    Peer(Peer),
-    /// Gateway process whose entry was deleted.
-    PeerGone(HostName),
+    /// Gateway process, with the revision of its entry.
+    Peer(Revision, Peer),
+    /// Gateway process whose entry was deleted, with the last revision of the entry if it is known.
+    PeerGone(HostName, Option<Revision>),
     /// Request limit of a target.
     Limit(TargetName, StoredLimit),
     /// Software version of the streams of a pool that have no record.
--- a/crates/core/tests/gateway_support/leaving.rs
+++ b/crates/core/tests/gateway_support/leaving.rs
@@ -89,7 +89,8 @@
         ping: PingRequest,
     ) -> Option<Pong> {
         let index = (0..self.nodes.len()).find(|i| host(*i) == *name)?;
-        if self.nodes[asker].cut || self.nodes[index].cut {
+        let unreached = self.nodes[asker].unreached.contains(&index);
+        if unreached || self.nodes[asker].cut || self.nodes[index].cut {
             return None;
         }
         let load = self.load(index);
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -12,6 +12,7 @@
 mod traffic;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -51,7 +52,7 @@
 pub use crate::gateway_support::fixtures::address;
 pub use crate::gateway_support::fixtures::batch;
 pub use crate::gateway_support::fixtures::batch_id;
-use crate::gateway_support::fixtures::host;
+pub use crate::gateway_support::fixtures::host;
 pub use crate::gateway_support::fixtures::route;
 pub use crate::gateway_support::fixtures::score_route;
 pub use crate::gateway_support::fixtures::submission;
@@ -96,6 +97,8 @@
     pub frozen: bool,
     /// Whether calls between this gateway and the others get no answer.
     pub cut: bool,
+    /// Gateways that this one does not reach.
+    pub unreached: BTreeSet<usize>,
     /// Additional time in milliseconds until this gateway learns of changes in the store.
     pub watch_lag: u64,
     /// CPU allowance of the host, in percent of a core.
@@ -124,6 +127,8 @@
     /// Delayed calls with the time at which they take effect.
     delayed: Vec<(u64, StoreCall)>,
     next_call: u64,
+    /// Times at which the runner of a job changed in the store.
+    pub runner_changes: Vec<u64>,
     /// Start times of the generations of each item.
     pub starts: BTreeMap<ItemId, Vec<u64>>,
     /// Number of events with which the last generation of each item began.
@@ -189,6 +194,7 @@
             fault: StoreFault::None,
             frozen: false,
             cut: false,
+            unreached: BTreeSet::new(),
             watch_lag: 0,
             power: *power,
             region: RegionName::from(HOME),
@@ -208,6 +214,7 @@
             revision: 1,
             delayed: Vec::new(),
             next_call: 0,
+            runner_changes: Vec::new(),
             starts: BTreeMap::new(),
             begun: BTreeMap::new(),
             reports: BTreeMap::new(),
--- a/crates/core/tests/gateway_support/store.rs
+++ b/crates/core/tests/gateway_support/store.rs
@@ -9,14 +9,17 @@
 use sardinepath_core::decision::gateway::stored::StoreCall;
 use sardinepath_core::decision::gateway::stored::WatchedObject;
 use sardinepath_core::domain::crash::Crash;
+use sardinepath_core::domain::fleet::Peer;
 use sardinepath_core::domain::ids::Revision;
 use sardinepath_core::domain::name::BatchId;
+use sardinepath_core::domain::name::HostName;
 use sardinepath_core::domain::name::PoolName;
 use sardinepath_core::domain::name::TargetName;
 use sardinepath_core::port::object::ObjectError;
 
 use crate::gateway_support::STORE_LATENCY_MS;
 use crate::gateway_support::Simulation;
+use crate::gateway_support::fixtures::host;
 
 /// Fault of the store for the calls of one gateway.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,22 +88,56 @@
                 }
             }
             StoreCall::Delete(kind, name) => {
-                self.store.remove(&(kind, name.clone()));
-                let gone = match kind {
-                    Kind::Heads => Some(WatchedObject::HeadGone(BatchId::from(name.as_ref()))),
-                    Kind::Crashes => Crash::from_object_name(&name).map(WatchedObject::CrashGone),
-                    _ => None,
-                };
-                if let Some(gone) = gone {
-                    for index in 0..self.nodes.len() {
-                        self.send(index, STORE_LATENCY_MS, Message::Changed(gone.clone()));
+                self.remove(kind, &name);
+                Ok(Answer::Written(Revision(0)))
+            }
+            StoreCall::DeleteAt(kind, name, revision) => {
+                match self.store.get(&(kind, name.clone())) {
+                    Some((at, _)) if *at != revision.0 => conflict(*at),
+                    _ => {
+                        self.remove(kind, &name);
+                        Ok(Answer::Written(Revision(0)))
                     }
                 }
-                Ok(Answer::Written(Revision(0)))
             }
         }
     }
 
+    /// Removes an object, whoever asked for it, and tells the gateways.
+    pub fn remove(&mut self, kind: Kind, name: &str) {
+        let Some((at, _)) = self.store.remove(&(kind, Arc::from(name))) else {
+            return;
+        };
+        let gone = match kind {
+            Kind::Heads => Some(WatchedObject::HeadGone(BatchId::from(name))),
+            Kind::Peers => {
+                let revision = Some(Revision(at));
+                Some(WatchedObject::PeerGone(HostName::from(name), revision))
+            }
+            Kind::Crashes => Crash::from_object_name(name).map(WatchedObject::CrashGone),
+            _ => None,
+        };
+        if let Some(gone) = gone {
+            for index in 0..self.nodes.len() {
+                self.send(index, STORE_LATENCY_MS, Message::Changed(gone.clone()));
+            }
+        }
+    }
+
+    /// Returns the stored entry of a gateway with its revision.
+    pub fn peer_entry(&self, index: usize) -> Option<(Revision, Peer)> {
+        let name = Arc::from(host(index).as_str());
+        match self.store.get(&(Kind::Peers, name)) {
+            Some((at, Record::Peer(peer))) => Some((Revision(*at), peer.clone())),
+            _ => None,
+        }
+    }
+
+    /// Returns `true` if the store holds an object.
+    pub fn holds(&self, kind: Kind, name: &str) -> bool {
+        self.store.contains_key(&(kind, Arc::from(name)))
+    }
+
     pub(super) fn put(
         &mut self,
         kind: Kind,
@@ -110,6 +147,12 @@
         self.revision += 1;
         let revision = self.revision;
         let view = view(kind, &name, revision, &record);
+        let before = self.store.get(&(kind, name.clone()));
+        if let (Some((_, Record::Head(before))), Record::Head(after)) = (before, &record)
+            && before.runner != after.runner
+        {
+            self.runner_changes.push(self.now);
+        }
         self.store.insert((kind, name), (revision, record));
         for index in 0..self.nodes.len() {
             let fault = self.nodes[index].fault;
@@ -147,7 +190,7 @@
             Revision(revision),
             head.clone(),
         )),
-        Record::Peer(peer) => Some(WatchedObject::Peer(peer.clone())),
+        Record::Peer(peer) => Some(WatchedObject::Peer(Revision(revision), peer.clone())),
         Record::Software(record) if kind == Kind::Software => {
             let pool = PoolName::from(name);
             let software = record.software.clone();
--- a/soak/src/store.rs
+++ b/soak/src/store.rs
@@ -203,6 +203,7 @@
         kind: &str,
         name: Option<&str>,
         body: &Value,
+        revision: Option<u64>,
     ) -> (StatusCode, Value) {
         let mut state = self.lock();
         let named = body["metadata"]["name"].as_str();
@@ -217,7 +218,7 @@
             .objects
             .get(&(kind.to_owned(), name.to_owned()))
             .cloned();
-        let expected = body["metadata"]["revision"].as_u64();
+        let expected = body["metadata"]["revision"].as_u64().or(revision);
         let result = match (method, found) {
             (&Method::POST, Some(object)) => (StatusCode::CONFLICT, object),
             (&Method::PUT | &Method::DELETE, None) => (StatusCode::NOT_FOUND, json!({})),
@@ -302,7 +303,8 @@
     };
     let number = |name: &str| field(name).and_then(|text| text.parse::<u64>().ok());
     let (status, value) = if is_write {
-        store.write(&head.method, &kind, name.as_deref(), &body)
+        let name = name.as_deref();
+        store.write(&head.method, &kind, name, &body, number("revision"))
     } else if let Some(name) = name {
         match store.get(&kind, &name) {
             Some(object) => (StatusCode::OK, object),
