--- a/crates/core/src/decision/gateway/membership/peers.rs
+++ b/crates/core/src/decision/gateway/membership/peers.rs
@@ -21,7 +21,7 @@
 /// Known processes and the health of those that run jobs.
 #[derive(Debug, Default)]
 pub(in crate::decision::gateway) struct Peers {
-    pub(super) known: BTreeMap<HostName, Peer>,
+    pub(super) known: BTreeMap<HostName, PeerEntry>,
     pub(super) health: BTreeMap<HostName, Health>,
     pub(super) announced: bool,
     pub(super) listed: bool,
@@ -30,6 +30,13 @@
     pub(in crate::decision::gateway) excluded: BTreeMap<SocketAddr, Time>,
 }
 
+/// Entry of a process as it was last seen.
+#[derive(Debug)]
+pub(super) struct PeerEntry {
+    pub(super) peer: Peer,
+    revision: Revision,
+}
+
 impl Gateway {
     /// Stores the address of this process, so that others can reach it.
     pub(in crate::decision::gateway) fn announce(&mut self) {
@@ -77,21 +84,34 @@
         }
     }
 
-    pub(in crate::decision::gateway) fn insert_peer(&mut self, _revision: Revision, peer: Peer) {
+    /// Learns the entry of a process. A feed that is behind may bring it after a newer one.
+    pub(in crate::decision::gateway) fn insert_peer(&mut self, revision: Revision, peer: Peer) {
+        let known = self.peers.known.get(&peer.host);
+        if known.is_some_and(|known| known.revision > revision) {
+            return;
+        }
         let incarnation = peer.incarnation;
-        let before = self.peers.known.insert(peer.host.clone(), peer);
+        let entry = PeerEntry { peer, revision };
+        let before = self.peers.known.insert(entry.peer.host.clone(), entry);
         // A host runs one process of this role, so the earlier run has ended.
-        if let Some(before) = before.filter(|before| before.incarnation != incarnation) {
-            self.duty.record_ended(before.incarnation);
+        if let Some(before) = before.filter(|before| before.peer.incarnation != incarnation) {
+            self.duty.record_ended(before.peer.incarnation);
         }
     }
 
+    /// Learns that an entry was removed, which had this revision if it is known.
     pub(in crate::decision::gateway) fn remove_peer(
         &mut self,
         host: &HostName,
-        _revision: Option<Revision>,
+        revision: Option<Revision>,
     ) {
-        self.peers.known.remove(host);
+        let known = self.peers.known.get(host);
+        let newer = known
+            .zip(revision)
+            .is_some_and(|(known, removed)| known.revision > removed);
+        if !newer {
+            self.peers.known.remove(host);
+        }
     }
 
     /// Returns `true` once the processes were listed.
@@ -101,18 +121,18 @@
 
     /// Returns all known processes, including this one.
     pub(in crate::decision::gateway) fn all_peers(&self) -> impl Iterator<Item = &Peer> {
-        self.peers.known.values()
+        self.peers.known.values().map(|entry| &entry.peer)
     }
 
     /// Returns the process on a host, if it is known.
     pub(in crate::decision::gateway) fn peer(&self, host: &HostName) -> Option<&Peer> {
-        self.peers.known.get(host)
+        self.peers.known.get(host).map(|entry| &entry.peer)
     }
 
     /// Returns all other processes.
     pub(in crate::decision::gateway) fn others(&self) -> Vec<Peer> {
         let me = &self.settings.peer.host;
-        let others = self.peers.known.values().filter(|p| p.host != *me);
+        let others = self.all_peers().filter(|p| p.host != *me);
         others.cloned().collect()
     }
 }
--- a/crates/core/src/decision/gateway/membership/pings.rs
+++ b/crates/core/src/decision/gateway/membership/pings.rs
@@ -123,9 +123,9 @@
                 health.last_healthy = now;
             }
             health.load = pong.load;
-            health.responder = self.peers.known.get(&host).cloned().map(|peer| Peer {
+            health.responder = self.peers.known.get(&host).map(|entry| Peer {
                 incarnation: pong.incarnation,
-                ..peer
+                ..entry.peer.clone()
             });
         } else {
             health.load.clear();
