--- a/crates/core/src/decision/gateway/membership/peers.rs
+++ b/crates/core/src/decision/gateway/membership/peers.rs
@@ -23,7 +23,8 @@
 pub(in crate::decision::gateway) struct Peers {
     pub(super) known: BTreeMap<HostName, PeerEntry>,
     pub(super) health: BTreeMap<HostName, Health>,
-    pub(super) announced: bool,
+    /// Revision of the entry of this run, or `None` while it is not known to be stored.
+    own_revision: Option<Revision>,
     pub(super) listed: bool,
     pub(super) next_announce: Time,
     /// Processes that get no submissions, with the end of the exclusion.
@@ -56,14 +57,12 @@
     ) {
         let host: Arc<str> = Arc::from(self.settings.peer.host.as_str());
         match answer {
-            Ok(Answer::Written(_)) => self.peers.announced = true,
-            Err(ObjectError::Conflict(_)) => {
-                self.call_store(Purpose::Announced, StoreCall::Get(Kind::Peers, host));
-            }
+            Ok(Answer::Written(revision)) => self.entry_stored(revision),
+            Err(ObjectError::Conflict(_)) => self.read_own_entry(),
             Ok(Answer::Found(Some((revision, Record::Peer(found))))) => {
                 if found == self.settings.peer {
-                    self.peers.announced = true;
-                } else {
+                    self.entry_stored(revision);
+                } else if !self.draining {
                     self.duty.record_ended(found.incarnation);
                     let record = Record::Peer(self.settings.peer.clone());
                     let call = StoreCall::Update(Kind::Peers, host, record, revision);
@@ -75,6 +74,57 @@
         }
     }
 
+    fn read_own_entry(&mut self) {
+        let host = Arc::from(self.settings.peer.host.as_str());
+        self.call_store(Purpose::Announced, StoreCall::Get(Kind::Peers, host));
+    }
+
+    /// Records that the entry of this run is stored. One that was written while this process began to
+    /// drain is removed.
+    fn entry_stored(&mut self, revision: Revision) {
+        self.peers.own_revision = Some(revision);
+        if self.draining {
+            self.leave();
+        }
+    }
+
+    /// Removes the entry of this run. The call names its revision, since it may take effect when the next
+    /// run of this host has written its entry.
+    pub(in crate::decision::gateway) fn leave(&mut self) {
+        let host = Arc::from(self.settings.peer.host.as_str());
+        match self.peers.own_revision {
+            Some(revision) => {
+                let call = StoreCall::DeleteAt(Kind::Peers, host, revision);
+                self.call_store(Purpose::Leave, call);
+            }
+            None => self.read_own_entry(),
+        }
+    }
+
+    /// Handles the answer to the removal of the entry. One that failed is repeated while this process
+    /// drains, since each entry of a host that is gone delays the takeover of jobs.
+    pub(in crate::decision::gateway) fn leave_answered(
+        &mut self,
+        answer: &Result<Answer, ObjectError>,
+    ) {
+        let failed = matches!(
+            answer,
+            Err(ObjectError::Unavailable(_) | ObjectError::Unknown(_))
+        );
+        let host = Arc::from(self.settings.peer.host.as_str());
+        if let Some(revision) = self.peers.own_revision.filter(|_| failed) {
+            let call = StoreCall::DeleteAt(Kind::Peers, host, revision);
+            let at = self.now + SILENCE_LIMIT;
+            self.retries.push((at, Purpose::Leave, call));
+        }
+    }
+
+    /// Returns `true` if the entry of this process should be stored now.
+    pub(super) fn must_announce(&self) -> bool {
+        let peers = &self.peers;
+        peers.own_revision.is_none() && !self.draining && self.now >= peers.next_announce
+    }
+
     pub(in crate::decision::gateway) fn replace_peers(&mut self, peers: Vec<(Revision, Peer)>) {
         self.peers.listed = true;
         let listed = |host: &HostName| peers.iter().any(|(_, p)| p.host == *host);
--- a/crates/core/src/decision/gateway/membership/pings.rs
+++ b/crates/core/src/decision/gateway/membership/pings.rs
@@ -43,7 +43,7 @@
 impl Gateway {
     pub(in crate::decision::gateway) fn tick_peers(&mut self) {
         let now = self.now;
-        if !self.peers.announced && !self.draining && now >= self.peers.next_announce {
+        if self.must_announce() {
             self.announce();
         }
         let mut runners: BTreeMap<HostName, Runner> = BTreeMap::new();
--- a/crates/core/src/decision/gateway/membership/watched.rs
+++ b/crates/core/src/decision/gateway/membership/watched.rs
@@ -212,7 +212,8 @@
             Purpose::Settle(pool) => self.settle_answered(&pool),
             Purpose::StoreCrash(crash) => self.crash_stored(&crash, &answer),
             Purpose::ForgetCrash(crash) => self.crash_deleted(crash, &answer),
-            Purpose::Leave | Purpose::Forget => {}
+            Purpose::Leave => self.leave_answered(&answer),
+            Purpose::Forget => {}
         }
     }
 }
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -52,7 +52,6 @@
 use crate::decision::gateway::requests::streams::Streams;
 use crate::decision::gateway::requests::suspects::Suspects;
 pub use crate::decision::gateway::settings::GatewaySettings;
-use crate::decision::gateway::stored::Kind;
 use crate::decision::gateway::stored::Purpose;
 use crate::decision::gateway::stored::StoreCall;
 use crate::decision::opening::Starts;
@@ -344,8 +343,7 @@
         self.shorten_submissions();
         self.write_all_drafts();
         self.hand_over();
-        let host = Arc::from(self.settings.peer.host.as_str());
-        self.call_store(Purpose::Leave, StoreCall::Delete(Kind::Peers, host));
+        self.leave();
     }
 
     fn wall_time(&self) -> WallTime {
