--- a/crates/core/src/decision/gateway/membership/peers.rs
+++ b/crates/core/src/decision/gateway/membership/peers.rs
@@ -12,6 +12,7 @@
 use crate::decision::gateway::stored::Purpose;
 use crate::decision::gateway::stored::Record;
 use crate::decision::gateway::stored::StoreCall;
+use crate::domain::event::Event;
 use crate::domain::fleet::Peer;
 use crate::domain::ids::Revision;
 use crate::domain::name::HostName;
@@ -119,6 +120,24 @@
         }
     }
 
+    /// Handles the entry of this host as the store holds it. That of another run is replaced again.
+    fn own_entry_seen(&mut self, revision: Revision, peer: &Peer) {
+        if *peer == self.settings.peer {
+            self.peers.own_revision = Some(revision);
+        } else if self.peers.own_revision.is_some_and(|own| own < revision) {
+            self.own_entry_gone();
+        }
+    }
+
+    /// Handles the loss of the entry of this run, which `tick_peers` stores again. Without it, other
+    /// processes count this one as gone.
+    fn own_entry_gone(&mut self) {
+        if self.peers.own_revision.take().is_some() && !self.draining {
+            let host = self.settings.peer.host.to_string();
+            self.log(Event::EntryLost, vec![("host", host)]);
+        }
+    }
+
     /// Returns `true` if the entry of this process should be stored now.
     pub(super) fn must_announce(&self) -> bool {
         let peers = &self.peers;
@@ -129,6 +148,9 @@
         self.peers.listed = true;
         let listed = |host: &HostName| peers.iter().any(|(_, p)| p.host == *host);
         self.peers.known.retain(|host, _| listed(host));
+        if !listed(&self.settings.peer.host) {
+            self.own_entry_gone();
+        }
         for (revision, peer) in peers {
             self.insert_peer(revision, peer);
         }
@@ -140,6 +162,9 @@
         if known.is_some_and(|known| known.revision > revision) {
             return;
         }
+        if peer.host == self.settings.peer.host {
+            self.own_entry_seen(revision, &peer);
+        }
         let incarnation = peer.incarnation;
         let entry = PeerEntry { peer, revision };
         let before = self.peers.known.insert(entry.peer.host.clone(), entry);
@@ -159,8 +184,14 @@
         let newer = known
             .zip(revision)
             .is_some_and(|(known, removed)| known.revision > removed);
-        if !newer {
-            self.peers.known.remove(host);
+        if newer {
+            return;
+        }
+        self.peers.known.remove(host);
+        let own = self.peers.own_revision.zip(revision);
+        let written_since = own.is_some_and(|(own, removed)| own > removed);
+        if *host == self.settings.peer.host && !written_since {
+            self.own_entry_gone();
         }
     }
 
--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -147,6 +147,8 @@
     SourceChosen = (605, Info, "source_chosen", "the process changed its source of objects"),
     /// An answer of the store to a listing or a watch cannot be read as a whole. Fields: `kind`, `error`.
     StoreUnreadable = (606, Warn, "store_unreadable", "an answer of the store cannot be read, so the kind is not followed"),
+    /// The entry of this process among the gateways is gone. Fields: `host`.
+    EntryLost = (607, Warn, "entry_lost", "the entry of this process among the gateways is gone and is written again"),
     /// The entry of a target changed. Fields: `target`, `pool`, `leaving`, `models`.
     TargetSeen = (610, Info, "target_seen", "the entry of a target is new, or what it says has changed"),
     /// The entry of a target is gone. Fields: `target`, `kept`.
--- a/crates/core/tests/gateway_membership.rs
+++ b/crates/core/tests/gateway_membership.rs
@@ -46,6 +46,16 @@
     assert_eq!(before.incarnation, Incarnation(2));
 }
 
+/// Guards against a gateway that is off the list for good after its entry was removed, whoever removed it.
+#[test]
+fn an_entry_that_is_gone_is_written_again() {
+    let mut sim = Simulation::new(3);
+    sim.remove(Kind::Peers, host(1).as_str());
+    sim.run(5_000);
+
+    assert!(is_listed(&sim, 1));
+}
+
 /// Guards against an entry that a gateway writes again although it is leaving.
 #[test]
 fn a_gateway_that_leaves_stays_off_the_list() {
