--- a/crates/core/src/decision/gateway/membership/peers.rs
+++ b/crates/core/src/decision/gateway/membership/peers.rs
@@ -171,6 +171,7 @@
         // A host runs one process of this role, so the earlier run has ended.
         if let Some(before) = before.filter(|before| before.peer.incarnation != incarnation) {
             self.duty.record_ended(before.peer.incarnation);
+            self.ping(&before.peer.host);
         }
     }
 
@@ -188,6 +189,7 @@
             return;
         }
         self.peers.known.remove(host);
+        self.ping(host);
         let own = self.peers.own_revision.zip(revision);
         let written_since = own.is_some_and(|(own, removed)| own > removed);
         if *host == self.settings.peer.host && !written_since {
--- a/crates/core/src/decision/gateway/membership/pings.rs
+++ b/crates/core/src/decision/gateway/membership/pings.rs
@@ -4,13 +4,15 @@
 use std::time::Duration;
 
 use crate::decision::gateway::Gateway;
+use crate::decision::gateway::jobs::Job;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::PingRequest;
 use crate::decision::gateway::message::Pong;
 use crate::decision::gateway::message::Reply;
 use crate::domain::batch::Runner;
-use crate::domain::fleet::Peer;
+use crate::domain::ids::Incarnation;
+use crate::domain::name::BatchId;
 use crate::domain::name::HostName;
 use crate::domain::name::TargetName;
 use crate::domain::time::Time;
@@ -29,17 +31,37 @@
 /// Health of a process that runs a job.
 #[derive(Debug)]
 pub(super) struct Health {
+    /// Process that is pinged.
+    runner: Runner,
     /// Time of the last pong, initially of the first ping.
     pub(super) last_pong: Time,
     /// Time of the last pong that reported contact to the object API, initially of the first ping.
     pub(super) last_healthy: Time,
     next_ping: Time,
     awaiting_pong: bool,
-    /// Process that sent the last pong. Its incarnation differs from the runner's after a restart.
-    pub(super) responder: Option<Peer>,
+    /// Whether the last ping ended without a pong.
+    pub(super) unanswered: bool,
+    /// Run of the process that sent the last pong. It differs from the runner's after a restart.
+    pub(super) responder: Option<Incarnation>,
     load: BTreeMap<TargetName, u32>,
 }
 
+impl Health {
+    /// Creates the state of a process that was not pinged yet.
+    fn new(now: Time, runner: Runner) -> Self {
+        Self {
+            runner,
+            last_pong: now,
+            last_healthy: now,
+            next_ping: now,
+            awaiting_pong: false,
+            unanswered: false,
+            responder: None,
+            load: BTreeMap::new(),
+        }
+    }
+}
+
 impl Gateway {
     pub(in crate::decision::gateway) fn tick_peers(&mut self) {
         let now = self.now;
@@ -54,7 +76,6 @@
                 runners.insert(runner.host.clone(), runner.clone());
             }
         }
-        let runs_jobs = !self.runs.is_empty();
         let before = self.peers.health.len();
         self.peers
             .health
@@ -66,26 +87,32 @@
             self.shares.told.retain(runs_jobs);
         }
         for (host, runner) in runners {
-            let health = self.peers.health.entry(host).or_insert_with(|| Health {
-                last_pong: now,
-                last_healthy: now,
-                next_ping: now,
-                awaiting_pong: false,
-                responder: None,
-                load: BTreeMap::new(),
-            });
-            if !health.awaiting_pong && now >= health.next_ping {
-                health.awaiting_pong = true;
-                health.next_ping = now + PING_INTERVAL;
-                let ping = PingRequest {
-                    leaving: self.directory.recent_leaves(now),
-                    paces: runs_jobs,
-                };
-                self.effects.push(Effect::Ping(runner, ping));
+            let health = self.peers.health.entry(host);
+            let health = health.or_insert_with(|| Health::new(now, runner.clone()));
+            health.runner = runner;
+            if now >= health.next_ping {
+                let host = health.runner.host.clone();
+                self.ping(&host);
             }
         }
     }
 
+    /// Pings a process that runs a job, unless the answer to a ping is due.
+    pub(super) fn ping(&mut self, host: &HostName) {
+        let now = self.now;
+        let health = self.peers.health.get_mut(host);
+        let Some(health) = health.filter(|health| !health.awaiting_pong) else {
+            return;
+        };
+        health.awaiting_pong = true;
+        health.next_ping = now + PING_INTERVAL;
+        let ping = PingRequest {
+            leaving: self.directory.recent_leaves(now),
+            paces: !self.runs.is_empty(),
+        };
+        self.effects.push(Effect::Ping(health.runner.clone(), ping));
+    }
+
     /// Answers the ping of another process with the state of this one.
     pub(in crate::decision::gateway) fn answer_ping(&mut self, call: CallId, ping: &PingRequest) {
         let now = self.now;
@@ -112,6 +139,7 @@
             return;
         };
         health.awaiting_pong = false;
+        health.unanswered = pong.is_none();
         let mut leaving = Vec::new();
         if let Some(pong) = pong {
             leaving = pong.leaving;
@@ -123,15 +151,23 @@
                 health.last_healthy = now;
             }
             health.load = pong.load;
-            health.responder = self.peers.known.get(&host).map(|entry| Peer {
-                incarnation: pong.incarnation,
-                ..entry.peer.clone()
-            });
+            health.responder = Some(pong.incarnation);
         } else {
             health.load.clear();
         }
         self.leaves_told(&leaving);
         self.update_peer_loads();
+        self.check_jobs_of(&host);
+    }
+
+    /// Checks the runner of each job of a process whose state is known anew.
+    fn check_jobs_of(&mut self, host: &HostName) {
+        let runs_here = |job: &Job| job.head.runner.as_ref().is_some_and(|r| r.host == *host);
+        let jobs = self.jobs.iter().filter(|(_, job)| runs_here(job));
+        let ids: Vec<BatchId> = jobs.map(|(id, _)| id.clone()).collect();
+        for id in &ids {
+            self.check_runner(id);
+        }
     }
 
     /// Returns `true` if the object API does not answer another process either, so that no job can
--- a/crates/core/src/decision/gateway/membership/takeover.rs
+++ b/crates/core/src/decision/gateway/membership/takeover.rs
@@ -103,19 +103,20 @@
             // The runner is an earlier run of this process.
             return Presence::Gone;
         }
-        let Some(known) = self.peer(&runner.host) else {
-            return Presence::Gone;
+        let Some(health) = self.peers.health.get(&runner.host) else {
+            return Presence::Alive;
         };
-        let health = self.peers.health.get(&runner.host);
-        let replaced = health
-            .and_then(|h| h.responder.as_ref())
-            .is_some_and(|peer| peer.incarnation != runner.incarnation);
-        if replaced || known.incarnation != runner.incarnation {
+        if health
+            .responder
+            .is_some_and(|run| run != runner.incarnation)
+        {
+            return Presence::Gone;
+        }
+        // The list may be behind or wrong, so a run that it does not name is gone only if no process
+        // answers for it.
+        if health.unanswered && !self.is_named(runner) {
             return Presence::Gone;
         }
-        let Some(health) = health else {
-            return Presence::Alive;
-        };
         // After an outage of the object API a live process needs time to notice that it is back.
         let store_settled = self.store.uptime(self.now) >= SILENCE_LIMIT;
         if self.now.since(health.last_pong) >= SUSPICION_LIMIT {
@@ -128,6 +129,12 @@
         }
     }
 
+    /// Returns `true` if the list names this run of the process.
+    fn is_named(&self, runner: &Runner) -> bool {
+        let known = self.peer(&runner.host);
+        known.is_some_and(|peer| peer.incarnation == runner.incarnation)
+    }
+
     /// Returns the delay before this process takes over a job. Candidates have the same order as
     /// for new jobs of the route.
     fn takeover_delay(&self, head: &Head) -> Duration {
--- a/crates/core/tests/gateway_membership.rs
+++ b/crates/core/tests/gateway_membership.rs
@@ -16,9 +16,35 @@
 use crate::gateway_support::address;
 use crate::gateway_support::host;
 
+/// Number of items of the job.
+const ITEMS: usize = 20;
+
+/// Duration of a generation in milliseconds.
+const GENERATION_MS: u64 = 6_000;
+
 /// Time after which a call without an answer takes effect, in milliseconds, and some more.
 const LATE_MS: u64 = 3_500;
 
+/// Shortest run that counts if its sender ends it, in milliseconds.
+const SHORTEST_RUN_MS: u64 = 1_000;
+
+/// Starts gateways, of which one runs a job whose items have all begun. Returns the runner too.
+fn running_job(gateways: usize) -> (Simulation, usize) {
+    let mut sim = Simulation::new(gateways);
+    sim.generation_ms = GENERATION_MS;
+    sim.submit(0, ITEMS);
+    sim.run(1_000);
+    let runner = (0..gateways).find(|index| sim.runs_jobs(*index)).unwrap();
+    assert_eq!(sim.starts.len(), ITEMS);
+    (sim, runner)
+}
+
+/// Makes a gateway believe that another one has no entry.
+fn hide_entry(sim: &mut Simulation, from: usize, of: usize) {
+    let gone = WatchedObject::PeerGone(host(of), None);
+    sim.message(from, Message::Changed(gone));
+}
+
 fn is_listed(sim: &Simulation, index: usize) -> bool {
     sim.holds(Kind::Peers, host(index).as_str())
 }
@@ -66,6 +92,45 @@
     assert!(!is_listed(&sim, 1));
 }
 
+/// Guards against a job that is taken from a runner that answers, because its entry is missing or names
+/// another run.
+#[test]
+fn a_runner_that_answers_keeps_its_job_whatever_the_list_says() {
+    for other_run in [false, true] {
+        let (mut sim, runner) = running_job(4);
+        for index in (0..4).filter(|index| *index != runner) {
+            if other_run {
+                let (revision, peer) = sim.peer_entry(runner).unwrap();
+                let incarnation = Incarnation(peer.incarnation.0 + 7);
+                let peer = Peer {
+                    incarnation,
+                    ..peer
+                };
+                let seen = WatchedObject::Peer(Revision(revision.0 + 1), peer);
+                sim.message(index, Message::Changed(seen));
+            } else {
+                hide_entry(&mut sim, index, runner);
+            }
+        }
+
+        sim.run(2 * GENERATION_MS);
+
+        assert_eq!(sim.runner_changes, [], "another run: {other_run}");
+        assert_eq!(sim.listed().len(), ITEMS, "another run: {other_run}");
+    }
+}
+
+/// Guards against a job that stays with a runner that is gone and has no entry.
+#[test]
+fn a_runner_that_ended_without_an_entry_is_replaced_soon() {
+    let (mut sim, runner) = running_job(4);
+    sim.remove(Kind::Peers, host(runner).as_str());
+    sim.kill(runner);
+    sim.run(SHORTEST_RUN_MS);
+
+    assert!((0..4).any(|index| index != runner && sim.runs_jobs(index)));
+}
+
 /// Guards against an entry of an earlier run, or its removal, that a feed which is behind brings after the
 /// entry of the present run.
 #[test]
