--- a/crates/core/src/decision/gateway/jobs/head.rs
+++ b/crates/core/src/decision/gateway/jobs/head.rs
@@ -30,6 +30,9 @@
                 return;
             }
             let held = !job.is_stored();
+            if job.head.runner != head.runner {
+                job.runner_since = now;
+            }
             job.revision = revision;
             job.head = head;
             job.suspected_since = None;
--- a/crates/core/src/decision/gateway/jobs/mod.rs
+++ b/crates/core/src/decision/gateway/jobs/mod.rs
@@ -87,6 +87,8 @@
     /// Whether no other process has run the job. A former runner may still list results when it
     /// wakes from a pause, or by a write that takes effect late.
     pub(super) sole_runner: bool,
+    /// Time at which this process learned of the present runner.
+    pub(super) runner_since: Time,
     /// Time at which the runner was first considered gone.
     pub(super) suspected_since: Option<Time>,
     /// What is known of the drafts of the runner while it is suspected.
@@ -157,6 +159,7 @@
             ending: None,
             changing_runner: false,
             sole_runner: false,
+            runner_since: now,
             suspected_since: None,
             witness: Witness::Unknown,
             last_used: now,
--- a/crates/core/src/decision/gateway/jobs/submit.rs
+++ b/crates/core/src/decision/gateway/jobs/submit.rs
@@ -132,6 +132,7 @@
             parts: parts.len(),
             accepted: self.wall_time(),
             runner: (!self.draining).then_some(runner),
+            takeovers: 0,
             ended: false,
         };
         let patience = match request.until {
--- a/crates/core/src/decision/gateway/membership/takeover.rs
+++ b/crates/core/src/decision/gateway/membership/takeover.rs
@@ -22,6 +22,13 @@
 /// it.
 const VACANT_JOB_DELAY: Duration = Duration::from_millis(20);
 
+/// Time for which a runner that took a job over keeps it, whatever other processes believe of it. It
+/// doubles with each further takeover.
+const MIN_TENURE: Duration = Duration::from_millis(1_000);
+
+/// Maximum of that time. A step makes progress in it, since the next runner goes on from its drafts.
+const MAX_TENURE: Duration = Duration::from_millis(4_000);
+
 /// What is known of the process that runs a job.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Presence {
@@ -29,8 +36,10 @@
     Alive,
     /// It has answered no pings for a moment, but may go on.
     Silent,
-    /// It has ended, or cannot list results.
+    /// It has ended or cannot list results, as far as is known.
     Gone,
+    /// It has ended: the job was handed over, or another run answers in its place.
+    Ended,
 }
 
 impl Gateway {
@@ -52,7 +61,7 @@
         }
         let presence = match &job.head.runner {
             Some(runner) => self.presence(runner),
-            None => Presence::Gone,
+            None => Presence::Ended,
         };
         let delay = self.takeover_delay(&job.head);
         let Some(job) = self.jobs.get_mut(id) else {
@@ -64,7 +73,8 @@
             return;
         }
         let since = *job.suspected_since.get_or_insert(now);
-        let due = since + delay;
+        let held_until = job.runner_since + min_tenure(&job.head, presence);
+        let due = (since + delay).max(held_until);
         let step = match presence {
             Presence::Silent => job
                 .witness
@@ -80,8 +90,10 @@
         job.changing_runner = true;
         let runner = Runner::from(&self.settings.peer);
         let before = job.head.runner.as_ref().map(|r| r.host.to_string());
+        let from_runner = u32::from(job.head.runner.is_some());
         let head = Head {
             runner: Some(runner),
+            takeovers: job.head.takeovers.saturating_add(from_runner),
             ..job.head.clone()
         };
         let revision = job.revision;
@@ -101,7 +113,7 @@
     fn presence(&self, runner: &Runner) -> Presence {
         if runner.host == self.settings.peer.host {
             // The runner is an earlier run of this process.
-            return Presence::Gone;
+            return Presence::Ended;
         }
         let Some(health) = self.peers.health.get(&runner.host) else {
             return Presence::Alive;
@@ -110,7 +122,7 @@
             .responder
             .is_some_and(|run| run != runner.incarnation)
         {
-            return Presence::Gone;
+            return Presence::Ended;
         }
         // The list may be behind or wrong, so a run that it does not name is gone only if no process
         // answers for it.
@@ -162,3 +174,12 @@
         base + CANDIDATE_DELAY.saturating_mul(ahead)
     }
 }
+
+/// Returns the time for which the runner of a job keeps it. A process that is wrong about others for good
+/// would otherwise take each job again at once, and be followed by the next one that is wrong.
+fn min_tenure(head: &Head, presence: Presence) -> Duration {
+    match (presence, head.takeovers) {
+        (Presence::Ended, _) | (_, 0) => Duration::ZERO,
+        (_, count) => (MIN_TENURE * 2_u32.saturating_pow(count.min(8) - 1)).min(MAX_TENURE),
+    }
+}
--- a/crates/core/src/domain/batch.rs
+++ b/crates/core/src/domain/batch.rs
@@ -116,6 +116,9 @@
     pub accepted: WallTime,
     /// Process that runs the job, or `None` after the runner handed it over.
     pub runner: Option<Runner>,
+    /// Number of times that a process took the job from a runner that had not handed it over.
+    #[serde(default)]
+    pub takeovers: u32,
     /// True once the caller has ended the job.
     pub ended: bool,
 }
--- a/crates/core/tests/gateway_membership.rs
+++ b/crates/core/tests/gateway_membership.rs
@@ -49,6 +49,17 @@
     sim.holds(Kind::Peers, host(index).as_str())
 }
 
+/// Returns the gateways at which a gateway does not see each other one that a rule selects.
+fn hide_entries(sim: &mut Simulation, hidden: impl Fn(usize, usize) -> bool) {
+    let count = sim.nodes.len();
+    for from in 0..count {
+        for of in (0..count).filter(|of| *of != from && hidden(from, *of)) {
+            hide_entry(sim, from, of);
+            sim.nodes[from].unreached.insert(of);
+        }
+    }
+}
+
 /// Guards against the removal of a new entry by the deletion of the run before, which had no answer and
 /// takes effect late.
 #[test]
@@ -131,6 +142,32 @@
     assert!((0..4).any(|index| index != runner && sim.runs_jobs(index)));
 }
 
+/// Guards against a step that gateways take from each other without end, so that no item is done, while
+/// each is blind to all others or to some.
+#[test]
+fn blind_gateways_finish_a_step() {
+    type Rule = fn(usize, usize) -> bool;
+    let rules: [(&str, Rule); 2] = [
+        ("all", |_, _| true),
+        ("some", |from, of| (from * 7 + of * 3) % 5 < 2),
+    ];
+    for gateways in [4, 60] {
+        for (name, hidden) in rules {
+            let (mut sim, _) = running_job(gateways);
+            hide_entries(&mut sim, hidden);
+
+            sim.run(30_000);
+
+            let what = format!("{gateways} gateways blind to {name}");
+            let changes = &sim.runner_changes;
+            let pairs = changes.windows(2);
+            let fast = pairs.filter(|pair| pair[1] - pair[0] < SHORTEST_RUN_MS);
+            assert_eq!(fast.count(), 0, "{what}: {changes:?}");
+            assert_eq!(sim.listed().len(), ITEMS, "{what}: {changes:?}");
+        }
+    }
+}
+
 /// Guards against an entry of an earlier run, or its removal, that a feed which is behind brings after the
 /// entry of the present run.
 #[test]
--- a/crates/core/tests/gateway_retained.rs
+++ b/crates/core/tests/gateway_retained.rs
@@ -40,6 +40,7 @@
         parts: 1,
         accepted: WallTime(0),
         runner: None,
+        takeovers: 0,
         ended: true,
     }
 }
