Judge a runner only by answers to pings sent since it is known (LOST)

Callers: a step whose gateway was restarted and took it back at once was taken from it again.

Cause: the last answer of the host came from the earlier run, and was held against the present one until the next ping. Found while the presence of runners was tested.

--- a/crates/core/src/decision/gateway/membership/pings.rs
+++ b/crates/core/src/decision/gateway/membership/pings.rs
@@ -39,14 +39,29 @@
     pub(super) last_healthy: Time,
     next_ping: Time,
     awaiting_pong: bool,
-    /// Whether the last ping ended without a pong.
-    pub(super) unanswered: bool,
-    /// Run of the process that sent the last pong. It differs from the runner's after a restart.
-    pub(super) responder: Option<Incarnation>,
+    /// Time at which the last ping was sent.
+    asked: Time,
+    /// Answer to the last ping that has ended, with the time at which the ping was sent.
+    answer: Option<(Time, PingAnswer)>,
     load: BTreeMap<TargetName, u32>,
 }
 
+/// How a ping ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum PingAnswer {
+    /// This run of the process answered. After a restart it is not that of the runner.
+    From(Incarnation),
+    /// No process answered.
+    Nothing,
+}
+
 impl Health {
+    /// Returns the answer to the last ping, if the ping was sent after a time.
+    pub(super) fn answer_since(&self, since: Time) -> Option<PingAnswer> {
+        let (asked, answer) = self.answer?;
+        (asked > since).then_some(answer)
+    }
+
     /// Creates the state of a process that was not pinged yet.
     fn new(now: Time, runner: Runner) -> Self {
         Self {
@@ -55,8 +70,8 @@
             last_healthy: now,
             next_ping: now,
             awaiting_pong: false,
-            unanswered: false,
-            responder: None,
+            asked: now,
+            answer: None,
             load: BTreeMap::new(),
         }
     }
@@ -105,6 +120,7 @@
             return;
         };
         health.awaiting_pong = true;
+        health.asked = now;
         health.next_ping = now + PING_INTERVAL;
         let ping = PingRequest {
             leaving: self.directory.recent_leaves(now),
@@ -139,7 +155,11 @@
             return;
         };
         health.awaiting_pong = false;
-        health.unanswered = pong.is_none();
+        let from = pong.as_ref().map(|pong| pong.incarnation);
+        health.answer = Some((
+            health.asked,
+            from.map_or(PingAnswer::Nothing, PingAnswer::From),
+        ));
         let mut leaving = Vec::new();
         if let Some(pong) = pong {
             leaving = pong.leaving;
@@ -151,7 +171,6 @@
                 health.last_healthy = now;
             }
             health.load = pong.load;
-            health.responder = Some(pong.incarnation);
         } else {
             health.load.clear();
         }
--- a/crates/core/src/decision/gateway/membership/takeover.rs
+++ b/crates/core/src/decision/gateway/membership/takeover.rs
@@ -4,6 +4,7 @@
 
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::jobs::place::placement_rank;
+use crate::decision::gateway::membership::pings::PingAnswer;
 use crate::decision::gateway::membership::pings::SILENCE_LIMIT;
 use crate::decision::gateway::membership::pings::SUSPICION_LIMIT;
 use crate::decision::gateway::membership::witness::Witness;
@@ -14,6 +15,7 @@
 use crate::domain::event::Event;
 use crate::domain::fleet::Peer;
 use crate::domain::name::BatchId;
+use crate::domain::time::Time;
 
 /// Delay of each takeover candidate behind the one before it.
 const CANDIDATE_DELAY: Duration = Duration::from_millis(500);
@@ -45,7 +47,6 @@
 impl Gateway {
     /// Takes over a job if its runner is gone and the delay of this candidate has passed.
     pub(in crate::decision::gateway) fn check_runner(&mut self, id: &BatchId) {
-        let now = self.now;
         if self.draining || !self.peers.listed || self.store.outage_start.is_some() {
             return;
         }
@@ -60,34 +61,52 @@
             return;
         }
         let presence = match &job.head.runner {
-            Some(runner) => self.presence(runner),
+            Some(runner) => self.presence(runner, job.runner_since),
             None => Presence::Ended,
         };
-        let delay = self.takeover_delay(&job.head);
+        match self.takeover_step(id, presence) {
+            WitnessStep::Read => self.read_witness(id),
+            WitnessStep::Wait => {}
+            WitnessStep::TakeOver => self.take_over(id),
+        }
+    }
+
+    /// Returns the next step towards the takeover of a job whose runner has this presence.
+    fn takeover_step(&mut self, id: &BatchId, presence: Presence) -> WitnessStep {
+        let now = self.now;
+        let delay = self
+            .jobs
+            .get(id)
+            .map(|job| self.takeover_delay(&job.head))
+            .unwrap_or_default();
         let Some(job) = self.jobs.get_mut(id) else {
-            return;
+            return WitnessStep::Wait;
         };
         if presence == Presence::Alive {
             job.suspected_since = None;
             job.witness = Witness::Unknown;
-            return;
+            return WitnessStep::Wait;
         }
         let since = *job.suspected_since.get_or_insert(now);
         let held_until = job.runner_since + min_tenure(&job.head, presence);
         let due = (since + delay).max(held_until);
-        let step = match presence {
+        match presence {
             Presence::Silent => job
                 .witness
                 .next(now, due + (SILENCE_LIMIT - SUSPICION_LIMIT)),
             _ if now >= due => WitnessStep::TakeOver,
             _ => WitnessStep::Wait,
-        };
-        match step {
-            WitnessStep::Read => return self.read_witness(id),
-            WitnessStep::Wait => return,
-            WitnessStep::TakeOver => {}
         }
+    }
+
+    /// Makes this process the runner of a job.
+    fn take_over(&mut self, id: &BatchId) {
+        let now = self.now;
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
         job.changing_runner = true;
+        let suspected = job.suspected_since.map(|since| now.since(since));
         let runner = Runner::from(&self.settings.peer);
         let before = job.head.runner.as_ref().map(|r| r.host.to_string());
         let from_runner = u32::from(job.head.runner.is_some());
@@ -102,15 +121,18 @@
             vec![
                 ("batch", id.to_string()),
                 ("before", before.unwrap_or_default()),
-                ("suspected_ms", now.since(since).as_millis().to_string()),
+                (
+                    "suspected_ms",
+                    suspected.unwrap_or_default().as_millis().to_string(),
+                ),
                 ("revision", revision.to_string()),
             ],
         );
         self.update_head(Purpose::TakeOver(id.clone()), id, head, revision);
     }
 
-    /// Returns what is known of the process that runs a job.
-    fn presence(&self, runner: &Runner) -> Presence {
+    /// Returns what is known of the process that has run a job as far as is known since a time.
+    fn presence(&self, runner: &Runner, since: Time) -> Presence {
         if runner.host == self.settings.peer.host {
             // The runner is an earlier run of this process.
             return Presence::Ended;
@@ -118,16 +140,12 @@
         let Some(health) = self.peers.health.get(&runner.host) else {
             return Presence::Alive;
         };
-        if health
-            .responder
-            .is_some_and(|run| run != runner.incarnation)
-        {
-            return Presence::Ended;
-        }
-        // The list may be behind or wrong, so a run that it does not name is gone only if no process
-        // answers for it.
-        if health.unanswered && !self.is_named(runner) {
-            return Presence::Gone;
+        match health.answer_since(since) {
+            Some(PingAnswer::From(run)) if run != runner.incarnation => return Presence::Ended,
+            // The list may be behind or wrong, so a run that it does not name is gone only if no
+            // process answers for it.
+            Some(PingAnswer::Nothing) if !self.is_named(runner) => return Presence::Gone,
+            _ => {}
         }
         // After an outage of the object API a live process needs time to notice that it is back.
         let store_settled = self.store.uptime(self.now) >= SILENCE_LIMIT;
--- a/crates/core/tests/gateway_membership.rs
+++ b/crates/core/tests/gateway_membership.rs
@@ -131,6 +131,19 @@
     }
 }
 
+/// Guards against a job that is taken from a runner which was restarted and took it back, because the last
+/// answer of its host came from the earlier run.
+#[test]
+fn a_restarted_runner_that_took_its_job_back_keeps_it() {
+    let (mut sim, runner) = running_job(4);
+    sim.run(2_000);
+    sim.kill(runner);
+    sim.start(runner);
+    sim.run(2 * GENERATION_MS);
+
+    assert_eq!(sim.runner_changes.len(), 1, "{:?}", sim.runner_changes);
+}
+
 /// Guards against a job that stays with a runner that is gone and has no entry.
 #[test]
 fn a_runner_that_ended_without_an_entry_is_replaced_soon() {
