--- a/crates/core/src/decision/gateway/jobs/removal.rs
+++ b/crates/core/src/decision/gateway/jobs/removal.rs
@@ -3,6 +3,10 @@
 //! The holder of the duty removes one job at a time. Pages are deleted from the last to the first
 //! and the head is deleted last, so another holder can start over at any point. Every deletion may
 //! be repeated.
+//!
+//! A deletion without an answer may take effect late, when a job of the same ID has been accepted. So
+//! the head and the pages are deleted at their revisions, and the head only once the deletions of the
+//! other objects have had their effect.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +22,7 @@
 use crate::domain::batch::part_name;
 use crate::domain::event::Event;
 use crate::domain::name::BatchId;
+use crate::domain::time::Time;
 use crate::port::object::ObjectError;
 
 /// Interval between searches for an old job.
@@ -29,19 +34,24 @@
 /// Number of reported usage windows whose counts are kept.
 const RETAINED_WINDOWS: u64 = 24;
 
+/// Time after which a deletion without an answer no longer takes effect.
+const LATE_EFFECT_TIME: Duration = Duration::from_secs(10);
+
 /// Removal of one job in progress.
 #[derive(Debug)]
 pub(in crate::decision::gateway) struct Removal {
     id: BatchId,
     step: Step,
+    /// Time until which a deletion without an answer may take effect.
+    unsettled_until: Time,
 }
 
 #[derive(Debug)]
 enum Step {
     /// Looks up the page at a position. Holds the names of the pages before it.
-    Listing(usize, Vec<Arc<str>>),
-    /// Deletes the remaining objects, the last one first.
-    Deleting(Vec<(Kind, Arc<str>)>),
+    Listing(usize, Vec<StoreCall>),
+    /// Makes the remaining deletions, the last one first.
+    Deleting(Vec<StoreCall>),
 }
 
 impl Gateway {
@@ -56,7 +66,11 @@
         if let Some((id, _)) = oldest {
             let id = id.clone();
             let step = Step::Listing(0, Vec::new());
-            self.removal = Some(Removal { id, step });
+            self.removal = Some(Removal {
+                id,
+                step,
+                unsettled_until: self.now,
+            });
             self.step_removal();
         }
     }
@@ -77,18 +91,20 @@
             Step::Listing(start, _) => {
                 StoreCall::Get(Kind::Pages, Arc::from(page_name(&removal.id, *start)))
             }
-            Step::Deleting(remaining) => {
-                let (kind, name) = remaining.last()?;
-                StoreCall::Delete(*kind, name.clone())
-            }
+            Step::Deleting(remaining) => remaining.last()?.clone(),
         };
         Some((Purpose::Retire(removal.id.clone()), call))
     }
 
     fn step_removal(&mut self) {
-        match self.removal_call() {
-            Some((purpose, call)) => self.call_store(purpose, call),
-            None => self.removal = None,
+        let Some((purpose, call)) = self.removal_call() else {
+            self.removal = None;
+            return;
+        };
+        let unsettled_until = self.removal.as_ref().map(|r| r.unsettled_until);
+        match unsettled_until.filter(|until| is_head(&call) && self.now < *until) {
+            Some(until) => self.retries.push((until, purpose, call)),
+            None => self.call_store(purpose, call),
         }
     }
 
@@ -98,20 +114,30 @@
         id: &BatchId,
         answer: &Result<Answer, ObjectError>,
     ) {
-        let parts = self.jobs.get(id).map_or(0, |job| job.head.parts);
+        let now = self.now;
+        let Some((parts, revision)) = self.jobs.get(id).map(|job| (job.head.parts, job.revision))
+        else {
+            return;
+        };
         let Some(removal) = self.removal.as_mut().filter(|r| r.id == *id) else {
             return;
         };
         match (&mut removal.step, answer) {
-            (Step::Listing(start, pages), Ok(Answer::Found(Some((_, Record::Page(page)))))) => {
-                pages.push(Arc::from(page_name(id, *start)));
+            (
+                Step::Listing(start, pages),
+                Ok(Answer::Found(Some((revision, Record::Page(page))))),
+            ) => {
+                let name = Arc::from(page_name(id, *start));
+                pages.push(StoreCall::DeleteAt(Kind::Pages, name, *revision));
                 *start += page.outcomes.len().max(1);
             }
             (Step::Listing(_, pages), Ok(Answer::Found(None))) => {
-                let mut remaining = vec![(Kind::Heads, Arc::from(id.as_str()))];
-                remaining.extend((0..parts).map(|p| (Kind::Parts, Arc::from(part_name(id, p)))));
-                remaining.push((Kind::Drafts, Arc::from(id.as_str())));
-                remaining.extend(pages.drain(..).map(|page| (Kind::Pages, page)));
+                let name: Arc<str> = Arc::from(id.as_str());
+                let part = |p| StoreCall::Delete(Kind::Parts, Arc::from(part_name(id, p)));
+                let mut remaining = vec![StoreCall::DeleteAt(Kind::Heads, name.clone(), revision)];
+                remaining.extend((0..parts).map(part));
+                remaining.push(StoreCall::Delete(Kind::Drafts, name));
+                remaining.append(pages);
                 removal.step = Step::Deleting(remaining);
             }
             (Step::Deleting(remaining), Ok(_)) => {
@@ -124,7 +150,16 @@
                     return;
                 }
             }
-            _ => {
+            // The object is that of another job by now, or the head has changed.
+            (Step::Deleting(_), Err(ObjectError::Conflict(_))) => {
+                self.reset_removal();
+                self.refresh(id);
+                return;
+            }
+            (_, answer) => {
+                if matches!(answer, Err(ObjectError::Unknown(_))) {
+                    removal.unsettled_until = now + LATE_EFFECT_TIME;
+                }
                 if let Some((purpose, call)) = self.removal_call() {
                     self.retry_store_call(purpose, call);
                 }
@@ -141,9 +176,15 @@
         self.call_store(Purpose::Forget, StoreCall::Delete(Kind::Windows, name));
     }
 
-    /// Cancels the removal in progress after this process gained the duty.
+    /// Cancels the removal in progress, which another holder may have gone on with or which another job
+    /// of the same ID stops.
     pub(in crate::decision::gateway) fn reset_removal(&mut self) {
         self.removal = None;
         self.next_removal = self.now + REMOVAL_INTERVAL;
     }
 }
+
+/// Returns `true` if a call deletes the head of a job.
+fn is_head(call: &StoreCall) -> bool {
+    matches!(call, StoreCall::DeleteAt(Kind::Heads, ..))
+}
--- a/crates/core/src/decision/gateway/limits/limit_store.rs
+++ b/crates/core/src/decision/gateway/limits/limit_store.rs
@@ -106,7 +106,9 @@
                 }))
             });
             let call = match (stored, write.revision) {
-                (None, _) => StoreCall::Delete(Kind::Limits, name),
+                // A deletion names a revision, since it may take effect when a new limit is stored.
+                (None, Some(at)) => StoreCall::DeleteAt(Kind::Limits, name, at),
+                (None, None) => StoreCall::Get(Kind::Limits, name),
                 (Some(record), None) => StoreCall::Create(Kind::Limits, name, record),
                 (Some(record), Some(at)) => StoreCall::Update(Kind::Limits, name, record, at),
             };
@@ -134,6 +136,10 @@
         };
         match answer {
             Ok(Answer::Written(revision)) => write.revision = limited.then_some(*revision),
+            Ok(Answer::Found(Some((revision, _)))) => {
+                write.revision = Some(*revision);
+                write.schedule();
+            }
             Err(ObjectError::Conflict(revision)) => write.revision = *revision,
             _ => {}
         }
--- a/crates/core/tests/gateway_limits.rs
+++ b/crates/core/tests/gateway_limits.rs
@@ -5,6 +5,7 @@
 
 use gateway_support::Simulation;
 use gateway_support::StoreFault;
+use sardinepath_core::decision::gateway::stored::Kind;
 use sardinepath_core::domain::name::TargetName;
 
 /// Window in which the requests at a target are counted, in milliseconds.
@@ -205,3 +206,29 @@
         );
     }
 }
+
+/// Guards against a stored limit that is removed by the deletion of an earlier one, which had no answer and
+/// takes effect late. Gateways that start would not know the limit.
+#[test]
+fn a_late_deletion_spares_a_new_limit() {
+    let mut sim = loaded(3);
+    limit(&mut sim, &[("t0", 4.9)]);
+    sim.run(3_000);
+    for node in &mut sim.nodes {
+        node.fault = StoreFault::Delayed;
+    }
+    limit(&mut sim, &[]);
+    sim.run(1_200);
+    for node in &mut sim.nodes {
+        node.fault = StoreFault::None;
+    }
+    sim.run(400);
+    limit(&mut sim, &[("t0", 4.9)]);
+    sim.run(1_400);
+    let stored = sim.holds(Kind::Limits, "t0");
+
+    sim.run(2_000);
+
+    assert!(stored, "the new limit was not stored in time");
+    assert!(sim.holds(Kind::Limits, "t0"));
+}
--- a/crates/core/tests/gateway_membership.rs
+++ b/crates/core/tests/gateway_membership.rs
@@ -4,17 +4,21 @@
 mod gateway_support;
 
 use sardinepath_core::decision::gateway::message::Message;
+use sardinepath_core::decision::gateway::message::Question;
 use sardinepath_core::decision::gateway::stored::Kind;
 use sardinepath_core::decision::gateway::stored::WatchedObject;
 use sardinepath_core::domain::fleet::Peer;
 use sardinepath_core::domain::ids::Incarnation;
 use sardinepath_core::domain::ids::Revision;
 
+use crate::gateway_support::JOB_RETENTION;
 use crate::gateway_support::STEP_MS;
 use crate::gateway_support::Simulation;
 use crate::gateway_support::StoreFault;
 use crate::gateway_support::address;
+use crate::gateway_support::batch_id;
 use crate::gateway_support::host;
+use crate::gateway_support::workspace;
 
 /// Number of items of the job.
 const ITEMS: usize = 20;
@@ -204,3 +208,47 @@
     assert_eq!(after_entry, first);
     assert_eq!(after_removal, first);
 }
+
+/// Removes a job with a store whose first answers in each half second get lost, from a phase of it on, and
+/// whose calls then take effect late. Accepts a job of the same id after it.
+fn remove_and_submit_again(phase: u64) -> Simulation {
+    const PERIOD_MS: u64 = 500;
+    let mut sim = Simulation::new(1);
+    sim.submit(0, ITEMS);
+    sim.run(GENERATION_MS);
+    let end = Question::EndJob {
+        id: batch_id(),
+        workspace: workspace(),
+    };
+    sim.ask(0, end);
+    sim.run(u64::try_from(JOB_RETENTION.as_millis()).unwrap() - GENERATION_MS);
+    while sim.objects() > 0 && sim.now < 200_000 {
+        let late = (sim.now + phase) % PERIOD_MS < 2 * STEP_MS;
+        sim.nodes[0].fault = match late {
+            true => StoreFault::Delayed,
+            false => StoreFault::None,
+        };
+        sim.run(STEP_MS);
+    }
+    assert_eq!(sim.objects(), 0, "nothing is removed");
+    sim.nodes[0].fault = StoreFault::None;
+    sim.run(5 * STEP_MS);
+    sim.submit(0, ITEMS);
+    sim
+}
+
+/// Guards against a job of the same id that loses its parts or its head to the removal of the one before,
+/// whose calls had no answer and take effect late.
+#[test]
+fn a_late_removal_spares_the_next_job_of_the_same_id() {
+    for phase in (0..500).step_by(20) {
+        let mut sim = remove_and_submit_again(phase);
+
+        sim.run(LATE_MS);
+
+        let what = format!("phase {phase}");
+        assert!(sim.holds(Kind::Heads, batch_id().as_str()), "{what}");
+        let part = format!("{}.0000", batch_id());
+        assert!(sim.holds(Kind::Parts, &part), "{what}");
+    }
+}
