--- a/crates/core/src/decision/directory/mod.rs
+++ b/crates/core/src/decision/directory/mod.rs
@@ -101,7 +101,7 @@
             }
             known.entry = entry;
             known.withheld_until = withheld_until;
-            known.missing_since = None;
+            known.missing = false;
             return;
         }
         let mut target = Target::new(entry);
@@ -147,21 +147,21 @@
 
     /// Removes a target whose entry is gone. During and shortly after an `outage` of the object API
     /// the target is only marked, because entries expire then although their targets are alive.
-    pub fn remove(&mut self, now: Time, name: &TargetName, outage: bool) {
+    pub fn remove(&mut self, name: &TargetName, outage: bool) {
         if !outage {
             self.references.clear();
             self.targets.remove(name);
         } else if let Some(target) = self.targets.get_mut(name) {
-            target.missing_since.get_or_insert(now);
+            target.missing = true;
         }
     }
 
     /// Replaces all entries by a complete listing of the object API.
-    pub fn replace(&mut self, now: Time, listing: Vec<TargetEntry>, outage: bool) {
+    pub fn replace(&mut self, listing: Vec<TargetEntry>, outage: bool) {
         let names: Vec<TargetName> = self.targets.keys().cloned().collect();
         for name in names {
             if !listing.iter().any(|l| l.name == name) {
-                self.remove(now, &name, outage);
+                self.remove(&name, outage);
             }
         }
         for entry in listing {
@@ -170,12 +170,11 @@
     }
 
     /// Removes targets whose entries did not come back, and returns their names. `recovered` is the
-    /// time at which the object API was reached again, or `None` during an outage.
+    /// time at which the object API was reached again, or `None` during an outage. The wait for all
+    /// entries begins with it, whenever they were removed.
     pub fn expire(&mut self, now: Time, recovered: Option<Time>) -> Vec<TargetName> {
-        let is_expired = |t: &Target| match (t.missing_since, recovered) {
-            (Some(since), Some(recovered)) => now >= since.max(recovered) + MISSING_TIMEOUT,
-            _ => false,
-        };
+        let waited = recovered.is_some_and(|recovered| now >= recovered + MISSING_TIMEOUT);
+        let is_expired = |t: &Target| waited && t.missing;
         let gone = self.targets.values().filter(|t| is_expired(t));
         let gone: Vec<TargetName> = gone.map(|t| t.entry.name.clone()).collect();
         for name in &gone {
--- a/crates/core/src/decision/directory/target.rs
+++ b/crates/core/src/decision/directory/target.rs
@@ -48,8 +48,8 @@
     pub(super) errors: u32,
     /// Average interval between two events of a stream.
     pub(super) pace: Option<AveragePace>,
-    /// Time since which the entry is missing although the target may still be alive.
-    pub(super) missing_since: Option<Time>,
+    /// Whether the entry is missing although the target may still be alive.
+    pub(super) missing: bool,
 }
 
 impl Target {
@@ -64,7 +64,7 @@
             failures: 0,
             errors: 0,
             pace: None,
-            missing_since: None,
+            missing: false,
             entry,
         }
     }
--- a/crates/core/src/decision/gateway/membership/watched.rs
+++ b/crates/core/src/decision/gateway/membership/watched.rs
@@ -120,7 +120,7 @@
         for entry in &listed {
             self.target_started(entry);
         }
-        self.directory.replace(self.now, listed, lapsed);
+        self.directory.replace(listed, lapsed);
         for name in unreadable {
             self.remove_target(&name, false);
         }
@@ -130,7 +130,7 @@
     /// Removes a target, or keeps it for a while if its entry may come back.
     fn remove_target(&mut self, name: &TargetName, kept: bool) {
         let known = self.directory.get(name).is_some();
-        self.directory.remove(self.now, name, kept);
+        self.directory.remove(name, kept);
         if known {
             let fields = vec![("target", name.to_string()), ("kept", kept.to_string())];
             self.log(Event::TargetGone, fields);
--- a/crates/core/tests/directory.rs
+++ b/crates/core/tests/directory.rs
@@ -126,7 +126,7 @@
 #[test]
 fn an_entry_that_lapsed_in_an_outage_has_two_seconds_to_come_back() {
     let mut directory = directory(&[listed("a", 1), listed("b", 1)]);
-    directory.replace(Time(10_000), Vec::new(), true);
+    directory.replace(Vec::new(), true);
     directory.insert(listed("a", 1));
 
     let away = directory.expire(Time(60_000), None);
