Let followers learn from their source when entries may have lapsed (DRAIN)

Callers: in a large fleet, where most gateways follow one that watches the store, requests went to a replica for up to 3.5 s after its entry was removed, when the gateway that was followed had ended or was silent meanwhile.

Cause: a follower took the time without a source for an interruption of the store. From 1.2 s on it held each missing entry for one that may have lapsed, and kept its target for 2 s, although the store had answered all the time. The search takes up to 1.1 s for a gateway that is silent, and more if the next one is too.

`TargetWatch` decides for the feed as for the control thread, and has moved out of the gateway for it.

Evidence: a_follower_that_changes_its_source_drops_targets_that_left (21 requests) and a_follower_waits_for_entries_as_long_as_the_gateway_that_it_follows (core, gateway_entries) failed with the rule of before and pass with the change.

--- a/crates/core/src/decision/gateway/membership/mod.rs
+++ b/crates/core/src/decision/gateway/membership/mod.rs
@@ -7,6 +7,5 @@
 pub(super) mod source;
 pub(super) mod starts;
 pub(super) mod takeover;
-pub(super) mod target_watch;
 pub(super) mod watched;
 pub(super) mod witness;
--- a/crates/core/src/decision/gateway/message.rs
+++ b/crates/core/src/decision/gateway/message.rs
@@ -28,6 +28,7 @@
 use crate::decision::permit::PermitRequest;
 use crate::decision::share::Claim;
 use crate::decision::tally::Counts;
+use crate::decision::target_watch::Lapse;
 use crate::decision::weights::Load;
 use crate::decision::weights::OrderEnd;
 use crate::domain::batch::Batch;
@@ -96,6 +97,8 @@
     WatchContact(Kind, bool),
     /// A direct probe of the object API succeeded (`true`) or failed (`false`).
     StoreProbed(bool),
+    /// A process forwards watched objects, and tells when entries of targets may have lapsed.
+    FeedJoined(Lapse),
     /// The process with this address stopped forwarding watched objects.
     FeedLost(SocketAddr, FeedEnd),
     /// The process with this address did not accept a forwarded submission.
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -42,7 +42,6 @@
 use crate::decision::gateway::membership::health::StoreHealth;
 use crate::decision::gateway::membership::peers::Peers;
 use crate::decision::gateway::membership::source::Feed;
-use crate::decision::gateway::membership::target_watch::TargetWatch;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::Message;
@@ -57,6 +56,7 @@
 use crate::decision::opening::Starts;
 use crate::decision::places::Places;
 use crate::decision::tally::Tally;
+use crate::decision::target_watch::TargetWatch;
 use crate::decision::weights::Weights;
 use crate::domain::event::Event;
 use crate::domain::name::BatchId;
@@ -210,6 +210,7 @@
             Message::Changed(view) => self.object_changed(view),
             Message::WatchContact(kind, up) => self.contact_changed(kind, up),
             Message::StoreProbed(up) => self.store_probed(up),
+            Message::FeedJoined(lapse) => self.target_watch.joined(now, lapse),
             Message::FeedLost(address, end) => self.feed_lost(address, end),
             Message::SubmissionNotTaken(address) => self.exclude_peer(address),
             Message::PingEnded(host, pong) => self.ping_ended(host, pong),
@@ -231,7 +232,7 @@
     /// Runs all timers that are due and returns the resulting effects.
     pub fn tick(&mut self, now: Time) -> Vec<Effect> {
         self.advance(now);
-        for name in self.directory.expire(now, self.target_watch.start()) {
+        for name in self.directory.expire(now, self.target_watch.recovered()) {
             self.log(Event::TargetLost, vec![("target", name.to_string())]);
         }
         self.tick_evacuations();
--- a/crates/core/src/decision/mod.rs
+++ b/crates/core/src/decision/mod.rs
@@ -29,6 +29,7 @@
 pub mod share;
 pub mod subset;
 pub mod tally;
+pub mod target_watch;
 pub mod traffic;
 pub mod usage;
 pub mod weights;
--- a/crates/core/tests/gateway_entries.rs
+++ b/crates/core/tests/gateway_entries.rs
@@ -9,6 +9,7 @@
 use sardinepath_core::decision::gateway::message::Message;
 use sardinepath_core::decision::gateway::stored::Kind;
 use sardinepath_core::decision::gateway::stored::WatchedObject;
+use sardinepath_core::decision::target_watch::Lapse;
 
 /// Interruption in which no entry of a living target can lapse, in milliseconds.
 const SHORT_MS: u64 = 600;
@@ -19,6 +20,10 @@
 /// Time for which an entry that may have lapsed is waited for, in milliseconds.
 const RETURN_MS: u64 = 2_000;
 
+/// Time for which a follower looks for another source, in milliseconds: one that does not answer, and the
+/// next one. An entry of a living target could lapse in it.
+const SEARCH_MS: u64 = 1_500;
+
 /// Time until a listing has been read, in milliseconds.
 const LISTING_MS: u64 = 50;
 
@@ -119,3 +124,55 @@
 
     assert_ne!(arrivals(&mut sim, target, RETURN_MS), 0);
 }
+
+/// Guards against a target that gets requests for longer than the time in which its entry may come back,
+/// because the entry was removed late in that time.
+#[test]
+fn the_wait_for_an_entry_begins_with_the_end_of_the_outage() {
+    let mut sim = loaded();
+    let target = most_used(&sim);
+    sim.message(0, Message::WatchContact(Kind::Targets, false));
+    sim.run(LONG_MS);
+    sim.message(0, Message::WatchContact(Kind::Targets, true));
+    sim.run(RETURN_MS * 3 / 4);
+
+    let gone = WatchedObject::TargetGone(target.into());
+    sim.message(0, Message::Changed(gone));
+    sim.run(RETURN_MS / 4);
+
+    assert_eq!(arrivals(&mut sim, target, CHOICE_MS), 0);
+}
+
+/// Guards against a follower that keeps a target whose entry was removed, because it had to look for another
+/// gateway to follow for longer than an entry takes to lapse.
+#[test]
+fn a_follower_that_changes_its_source_drops_targets_that_left() {
+    let mut sim = loaded();
+    let target = most_used(&sim);
+    let lost = Message::FeedLost(address(7), FeedEnd::Unresponsive);
+    sim.message(0, lost);
+    sim.run(SEARCH_MS);
+    sim.message(0, Message::FeedJoined(Lapse::None));
+
+    sim.list_without(0, target);
+
+    assert_eq!(arrivals(&mut sim, target, CHOICE_MS), 0);
+}
+
+/// Guards against a follower that drops a target whose entry lapsed in an outage which it did not notice
+/// itself, and against one that waits for the entry for longer than the gateway that it follows.
+#[test]
+fn a_follower_waits_for_entries_as_long_as_the_gateway_that_it_follows() {
+    let mut sim = loaded();
+    let target = most_used(&sim);
+    let lost = Message::FeedLost(address(7), FeedEnd::Disconnected);
+    sim.message(0, lost);
+    sim.run(SHORT_MS);
+    sim.message(0, Message::FeedJoined(Lapse::Ended(RETURN_MS / 2)));
+
+    sim.list_without(0, target);
+
+    assert_ne!(arrivals(&mut sim, target, RETURN_MS / 2), 0);
+    sim.run(RETURN_MS / 2);
+    assert_eq!(arrivals(&mut sim, target, CHOICE_MS), 0);
+}
