--- a/crates/core/src/decision/batch/loaded.rs
+++ b/crates/core/src/decision/batch/loaded.rs
@@ -7,6 +7,7 @@
 use crate::decision::batch::RunnerLimits;
 use crate::domain::batch::Batch;
 use crate::domain::batch::Draft;
+use crate::domain::batch::ItemFailures;
 use crate::domain::time::Time;
 
 /// A job whose submission and drafts are loaded, and whose route is not known.
@@ -17,16 +18,23 @@
 pub struct LoadedJob {
     batch: Arc<Batch>,
     drafts: Vec<Draft>,
+    failures: Vec<ItemFailures>,
 }
 
 impl LoadedJob {
-    /// Creates a job from its submission and the drafts of its items.
-    pub fn new(batch: Arc<Batch>, drafts: Vec<Draft>) -> Self {
-        Self { batch, drafts }
+    /// Creates a job from its submission, and the drafts and failures of its items.
+    pub fn new(batch: Arc<Batch>, drafts: Vec<Draft>, failures: Vec<ItemFailures>) -> Self {
+        Self {
+            batch,
+            drafts,
+            failures,
+        }
     }
 
     /// Starts the runner of the job with the limits of its route.
     pub fn start(self, now: Time, limits: RunnerLimits, journal: &Journal) -> Runner {
-        Runner::new(now, self.batch, limits, journal, &self.drafts)
+        let mut runner = Runner::new(now, self.batch, limits, journal, &self.drafts);
+        runner.learn_failures(&self.failures);
+        runner
     }
 }
--- a/crates/core/src/decision/batch/mod.rs
+++ b/crates/core/src/decision/batch/mod.rs
@@ -6,6 +6,7 @@
 //! may therefore be generated twice, but it is listed once.
 
 mod drafts;
+mod failures;
 mod groups;
 mod journal;
 mod loaded;
@@ -20,6 +21,7 @@
 mod task;
 
 pub use crate::decision::batch::drafts::WrittenDrafts;
+pub use crate::decision::batch::failures::FailureVersion;
 pub use crate::decision::batch::groups::by_group;
 pub use crate::decision::batch::journal::Journal;
 pub use crate::decision::batch::loaded::LoadedJob;
--- a/crates/core/src/decision/batch/run.rs
+++ b/crates/core/src/decision/batch/run.rs
@@ -19,8 +19,6 @@
 pub struct Run<S> {
     /// Submitted item.
     pub item: Arc<Item>,
-    /// Number of attempts at which a target failed while running the item.
-    pub failures: u32,
     /// Number of moves from a slow target to another one.
     pub moves: u32,
     /// Number of targets that crashed while they generated the item.
@@ -65,8 +63,6 @@
     pub partial: PartialText,
     /// Earliest time of the next scoring request.
     pub due: Time,
-    /// Number of scoring requests at which a target failed.
-    pub score_failures: u32,
 }
 
 /// State of an item that is being scored.
@@ -78,15 +74,12 @@
     pub target: TargetName,
     /// Complete text.
     pub partial: PartialText,
-    /// Number of scoring requests at which a target failed.
-    pub score_failures: u32,
 }
 
 impl<S> Run<S> {
     fn with<T>(self, state: T) -> Run<T> {
         Run {
             item: self.item,
-            failures: self.failures,
             moves: self.moves,
             crashes: self.crashes,
             state,
@@ -110,7 +103,6 @@
     pub fn new(item: Arc<Item>, partial: PartialText) -> Self {
         Self {
             item,
-            failures: 0,
             moves: 0,
             crashes: 0,
             state: Waiting {
@@ -133,11 +125,7 @@
     /// Skips the generation because the complete text is known from an earlier runner.
     pub fn finish(mut self, now: Time) -> Run<Generated> {
         let partial = std::mem::take(&mut self.state.partial);
-        self.with(Generated {
-            partial,
-            due: now,
-            score_failures: 0,
-        })
+        self.with(Generated { partial, due: now })
     }
 
     /// Starts an attempt at a target. Also returns the text so far, from which it continues.
@@ -156,16 +144,8 @@
 }
 
 impl Run<Generating> {
-    /// Returns the item to waiting, with a delay before the next attempt. `failed` counts the
-    /// attempt as a failure of the target.
-    pub fn retry(
-        mut self,
-        now: Time,
-        pause: Duration,
-        partial: PartialText,
-        failed: bool,
-    ) -> Run<Waiting> {
-        self.failures += u32::from(failed);
+    /// Returns the item to waiting, with a delay before the next attempt.
+    pub fn retry(mut self, now: Time, pause: Duration, partial: PartialText) -> Run<Waiting> {
         let mut avoid = mem::take(&mut self.state.previous);
         avoid.retain(|target| *target != self.state.target);
         avoid.push(self.state.target.clone());
@@ -188,16 +168,12 @@
         partial: PartialText,
     ) -> Run<Waiting> {
         self.crashes += 1;
-        self.retry(now, pause, partial, false)
+        self.retry(now, pause, partial)
     }
 
     /// Ends the generation with the complete text.
     pub fn finish(self, now: Time, partial: PartialText) -> Run<Generated> {
-        self.with(Generated {
-            partial,
-            due: now,
-            score_failures: 0,
-        })
+        self.with(Generated { partial, due: now })
     }
 }
 
@@ -209,11 +185,9 @@
             id,
             target,
             partial: self.state.partial,
-            score_failures: self.state.score_failures,
         };
         Run {
             item,
-            failures: self.failures,
             moves: self.moves,
             crashes: self.crashes,
             state,
@@ -242,17 +216,14 @@
         outcome(&self.item, self.state.partial, Some(score))
     }
 
-    /// Schedules another scoring request after a delay. `failed` counts this one as a failure of
-    /// the target.
-    pub fn retry(self, now: Time, pause: Duration, failed: bool) -> Run<Generated> {
+    /// Schedules another scoring request after a delay.
+    pub fn retry(self, now: Time, pause: Duration) -> Run<Generated> {
         let state = Generated {
             partial: self.state.partial,
             due: now + pause,
-            score_failures: self.state.score_failures + u32::from(failed),
         };
         Run {
             item: self.item,
-            failures: self.failures,
             moves: self.moves,
             crashes: self.crashes,
             state,
--- a/crates/core/src/decision/batch/runner.rs
+++ b/crates/core/src/decision/batch/runner.rs
@@ -19,6 +19,7 @@
 use crate::decision::batch::Scoring;
 use crate::decision::batch::Task;
 use crate::decision::batch::Waiting;
+use crate::decision::batch::failures::FailureLog;
 use crate::decision::batch::groups::Holders;
 use crate::decision::batch::order::dispatch_order;
 use crate::decision::batch::pace::pace;
@@ -45,8 +46,9 @@
 pub struct Runner {
     /// Decoded submission.
     pub batch: Arc<Batch>,
-    limits: RunnerLimits,
+    pub(super) limits: RunnerLimits,
     pub(super) slots: Vec<Slot>,
+    pub(super) failures: FailureLog,
     pub(super) runs: HashMap<RunId, usize>,
     /// Indexes of the items in dispatch order.
     order: Vec<usize>,
@@ -94,6 +96,7 @@
         };
         Self {
             slots: batch.items.iter().map(slot).collect(),
+            failures: FailureLog::default(),
             order: dispatch_order(&batch.items),
             batch,
             limits,
@@ -114,6 +117,9 @@
             {
                 self.slots[index] = Slot::Finished(run.complete());
             }
+            if self.failures.is_awaited(index) {
+                continue;
+            }
             match &self.slots[index] {
                 Slot::Waiting(run) if now >= run.state.due => {
                     tasks.push(Task::Generate(Generation {
@@ -229,39 +235,36 @@
             target: run.state.target.clone(),
             call: CallEnd::Answered,
             moves: run.moves,
-            failures: run.failures,
+            failures: self.failures.runs(index),
             spent: now.since(run.state.sent),
             pace: pace(&run, now, partial.events),
         };
         let (next, call) = match end {
             // The rule for versions may have changed since the item was sent.
             RunEnd::Complete if !self.limits.versions.permits(&partial) => {
-                let run = run.retry(now, RETRY_DELAY, PartialText::default(), false);
+                let run = run.retry(now, RETRY_DELAY, PartialText::default());
                 (Slot::Waiting(run), CallEnd::Answered)
             }
             RunEnd::Complete => (Slot::Generated(run.finish(now, partial)), CallEnd::Answered),
-            RunEnd::Impossible => (Slot::Finished(run.give_up()), CallEnd::Answered),
-            RunEnd::Failed if self.limits.is_exhausted(run.failures + 1) => {
-                (Slot::Finished(run.give_up()), CallEnd::Error)
-            }
-            RunEnd::Failed => {
-                let run = run.retry(now, RETRY_DELAY, partial, true);
-                (Slot::Waiting(run), CallEnd::Error)
+            RunEnd::Impossible => {
+                self.failures.record_impossible(index);
+                (Slot::Finished(run.give_up()), CallEnd::Answered)
             }
+            RunEnd::Failed => (self.fail(now, index, run, partial), CallEnd::Error),
             RunEnd::Refused => {
-                let run = run.retry(now, REFUSAL_DELAY, partial, false);
+                let run = run.retry(now, REFUSAL_DELAY, partial);
                 (Slot::Waiting(run), CallEnd::Refused)
             }
             RunEnd::Misdirected => {
-                let run = run.retry(now, RETRY_DELAY, partial, false);
+                let run = run.retry(now, RETRY_DELAY, partial);
                 (Slot::Waiting(run), CallEnd::Misdirected)
             }
             RunEnd::Moved => {
-                let run = run.retry(now, Duration::ZERO, partial, false);
+                let run = run.retry(now, Duration::ZERO, partial);
                 (Slot::Waiting(run), CallEnd::Cancelled)
             }
             RunEnd::Broken(_) => {
-                let run = run.retry(now, RETRY_DELAY, partial, false);
+                let run = run.retry(now, RETRY_DELAY, partial);
                 (Slot::Waiting(run), CallEnd::Failed)
             }
             RunEnd::Crashed(_) => {
@@ -271,15 +274,30 @@
             }
             // The text cannot continue with another version, so it starts from the beginning.
             RunEnd::WrongVersion => {
-                let run = run.retry(now, REFUSAL_DELAY, PartialText::default(), false);
+                let run = run.retry(now, REFUSAL_DELAY, PartialText::default());
                 (Slot::Waiting(run), CallEnd::Refused)
             }
         };
-        *slot = next;
+        self.slots[index] = next;
         ended.call = call;
         Some(ended)
     }
 
+    /// Counts a run at which a target failed, and returns the next state of the item.
+    fn fail(
+        &mut self,
+        now: Time,
+        index: usize,
+        run: Run<Generating>,
+        partial: PartialText,
+    ) -> Slot {
+        let failures = self.failures.record_run(index);
+        match self.limits.is_exhausted(failures) {
+            true => Slot::Finished(run.give_up()),
+            false => Slot::Waiting(run.retry(now, RETRY_DELAY, partial)),
+        }
+    }
+
     /// Ends a scoring request and moves the item to its next state.
     pub fn end_scoring(
         &mut self,
@@ -301,20 +319,21 @@
                 Slot::Finished(run.complete(score.clone())),
                 CallEnd::Answered,
             ),
-            ScoreEnd::Failed => (
-                Slot::Generated(run.retry(now, RETRY_DELAY, true)),
-                CallEnd::Error,
-            ),
+            ScoreEnd::Failed => {
+                self.failures.record_scoring(index);
+                let run = run.retry(now, RETRY_DELAY);
+                (Slot::Generated(run), CallEnd::Error)
+            }
             ScoreEnd::Refused => (
-                Slot::Generated(run.retry(now, REFUSAL_DELAY, false)),
+                Slot::Generated(run.retry(now, REFUSAL_DELAY)),
                 CallEnd::Refused,
             ),
             ScoreEnd::Misdirected => (
-                Slot::Generated(run.retry(now, RETRY_DELAY, false)),
+                Slot::Generated(run.retry(now, RETRY_DELAY)),
                 CallEnd::Misdirected,
             ),
             ScoreEnd::Lost(_) | ScoreEnd::Crashed(_) => (
-                Slot::Generated(run.retry(now, RETRY_DELAY, false)),
+                Slot::Generated(run.retry(now, RETRY_DELAY)),
                 CallEnd::Failed,
             ),
         };
@@ -340,25 +359,6 @@
         }
     }
 
-    /// Gives up items whose scoring failed too often, and all items without a running request after
-    /// the deadline. `max_scorings` returns the limit of a scoring request, or `None` if it has none
-    /// or it is not known.
-    pub fn give_up(&mut self, now: Time, max_scorings: impl Fn(&Scorer) -> Option<u32>) {
-        let expired = self.limits.has_expired(now);
-        let exhausted = |run: &Run<Generated>| {
-            let failures = run.state.score_failures;
-            let max = run.item.scorer.as_ref().and_then(&max_scorings);
-            max.is_some_and(|max| failures >= max)
-        };
-        for slot in &mut self.slots {
-            *slot = match mem::replace(slot, Slot::Listed) {
-                Slot::Waiting(run) if expired => Slot::Finished(run.give_up()),
-                Slot::Generated(run) if expired || exhausted(&run) => Slot::Finished(run.give_up()),
-                other => other,
-            };
-        }
-    }
-
     /// Returns the run of the largest item at a target that may still be moved.
     pub fn movable_run(&self, target: &TargetName) -> Option<RunId> {
         let runs = self.slots.iter().filter_map(|slot| match slot {
--- a/crates/core/src/decision/gateway/jobs/dispatch.rs
+++ b/crates/core/src/decision/gateway/jobs/dispatch.rs
@@ -81,6 +81,9 @@
     /// Dispatches the tasks of a job, of which at most `limit` are generations.
     fn dispatch_job(&mut self, id: &BatchId, limit: u32) {
         let now = self.now;
+        if self.is_recording() {
+            return;
+        }
         let Some(table) = self.table.clone() else {
             return;
         };
@@ -378,6 +381,7 @@
             fields.push(("end", format!("{end:?}")));
             self.log(Event::ItemFailed, fields);
         }
+        self.write_failures();
         match self.shares.is_any_short() {
             true => self.dispatch_all(),
             false => self.dispatch_job(&batch, u32::MAX),
--- a/crates/core/src/decision/gateway/jobs/draft.rs
+++ b/crates/core/src/decision/gateway/jobs/draft.rs
@@ -38,13 +38,23 @@
 /// Time after an outage of the object API in which no drafts are written.
 const DRAFT_PAUSE: Duration = Duration::from_millis(1_000);
 
-/// Stored drafts of a job, as far as they have been read.
+/// Stored records of a job, as far as they have been read.
 #[derive(Debug, Default)]
-pub(in crate::decision::gateway) enum LoadedDrafts {
+pub(in crate::decision::gateway) enum Loaded<T> {
     #[default]
     Unknown,
     Requested,
-    Known(Vec<Draft>),
+    Known(Vec<T>),
+}
+
+impl<T> Loaded<T> {
+    /// Returns the records, and forgets them. There are none if they were not read.
+    pub(in crate::decision::gateway) fn take(&mut self) -> Vec<T> {
+        match std::mem::take(self) {
+            Self::Known(records) => records,
+            Self::Unknown | Self::Requested => Vec::new(),
+        }
+    }
 }
 
 /// State of the writes of a job's drafts.
@@ -59,6 +69,11 @@
 }
 
 impl DraftWrites {
+    /// Returns `true` if a write is outstanding.
+    pub(in crate::decision::gateway) fn is_writing(&self) -> bool {
+        self.writing
+    }
+
     pub(in crate::decision::gateway) fn new(now: Time) -> Self {
         Self {
             next: now + DRAFT_INTERVAL,
@@ -141,6 +156,7 @@
             }
             _ => active.drafts.stored.clear(),
         }
+        self.hand_over_recorded();
     }
 
     /// Handles the answer to a read of drafts. If it failed, the items are generated from the
@@ -157,7 +173,7 @@
             Ok(Answer::Found(Some((_, Record::Drafts(found))))) => found.drafts,
             _ => Vec::new(),
         };
-        job.drafts = LoadedDrafts::Known(drafts);
+        job.drafts = Loaded::Known(drafts);
         self.advance_load(id);
     }
 
--- a/crates/core/src/decision/gateway/jobs/head.rs
+++ b/crates/core/src/decision/gateway/jobs/head.rs
@@ -1,10 +1,12 @@
 //! Stored heads of batch jobs, and changes of their runner.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::STORE_RETRY_DELAY;
 use crate::decision::gateway::jobs::Job;
+use crate::decision::gateway::jobs::Work;
 use crate::decision::gateway::stored::Answer;
 use crate::decision::gateway::stored::Kind;
 use crate::decision::gateway::stored::Purpose;
@@ -16,6 +18,9 @@
 use crate::domain::name::BatchId;
 use crate::port::object::ObjectError;
 
+/// Time for which a draining process waits for the records of its jobs before it hands them over.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 impl Gateway {
     /// Applies a stored head, unless a newer revision is known.
     pub(in crate::decision::gateway) fn apply_head(
@@ -99,14 +104,42 @@
         }
     }
 
-    /// Clears the runner of all jobs of this process, so that other processes take them over.
+    /// Begins to hand over the jobs of this process. Nothing more is sent, so that what the items have
+    /// shown can be stored first.
+    pub(in crate::decision::gateway) fn begin_hand_over(&mut self) {
+        self.hand_over_by = self.now + RECORD_TIMEOUT;
+        self.write_all_drafts();
+        self.write_failures();
+        self.hand_over();
+    }
+
+    /// Returns `true` while jobs wait for their records before they are handed over.
+    pub(in crate::decision::gateway) fn is_recording(&self) -> bool {
+        self.draining && self.now < self.hand_over_by
+    }
+
+    /// Hands over the jobs whose records are stored, while this process drains.
+    pub(in crate::decision::gateway) fn hand_over_recorded(&mut self) {
+        if self.is_recording() {
+            self.hand_over();
+        }
+    }
+
+    /// Clears the runner of all jobs of this process, so that other processes take them over. A job is
+    /// kept for a moment until its drafts and failures are stored.
     pub(in crate::decision::gateway) fn hand_over(&mut self) {
+        let recording = self.is_recording();
         let mine: Vec<BatchId> = self
             .jobs
             .iter()
             .filter(|(_, job)| {
                 let mine = job.is_run_by(&self.settings.peer) && job.is_stored();
-                mine && !job.head.ended && !job.changing_runner
+                let recorded = match &job.work {
+                    Work::Running(active) => active.is_recorded(),
+                    _ => true,
+                };
+                let ready = recorded || !recording;
+                mine && ready && !job.head.ended && !job.changing_runner
             })
             .map(|(id, _)| id.clone())
             .collect();
--- a/crates/core/src/decision/gateway/jobs/load.rs
+++ b/crates/core/src/decision/gateway/jobs/load.rs
@@ -6,7 +6,7 @@
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::STORE_RETRY_DELAY;
 use crate::decision::gateway::jobs::Work;
-use crate::decision::gateway::jobs::draft::LoadedDrafts;
+use crate::decision::gateway::jobs::draft::Loaded;
 use crate::decision::gateway::jobs::memory::without_source;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::stored::Answer;
@@ -43,11 +43,16 @@
             let purpose = Purpose::LoadPart(id.clone(), part);
             calls.push((purpose, StoreCall::Get(Kind::Parts, name)));
         }
-        if loading && matches!(job.drafts, LoadedDrafts::Unknown) {
-            job.drafts = LoadedDrafts::Requested;
+        if loading && matches!(job.drafts, Loaded::Unknown) {
+            job.drafts = Loaded::Requested;
             let call = StoreCall::Get(Kind::Drafts, Arc::from(id.as_str()));
             calls.push((Purpose::LoadDrafts(id.clone()), call));
         }
+        if loading && matches!(job.failures, Loaded::Unknown) {
+            job.failures = Loaded::Requested;
+            let call = StoreCall::Get(Kind::Failures, Arc::from(id.as_str()));
+            calls.push((Purpose::LoadFailures(id.clone()), call));
+        }
         let reading = !job.lists_alone() && !job.readers.is_empty() && !job.has_all_results();
         let unread = loading && job.complete_at.is_none();
         if !job.loading_page && (unread || reading) {
@@ -143,14 +148,15 @@
         self.load_more(id);
     }
 
-    /// Starts the runner once the submission, results and drafts are loaded.
+    /// Starts the runner once the submission, results, drafts and failures are loaded.
     pub(in crate::decision::gateway) fn advance_load(&mut self, id: &BatchId) {
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
         if matches!(job.work, Work::Loading)
             && job.complete_at.is_some()
-            && matches!(job.drafts, LoadedDrafts::Known(_))
+            && matches!(job.drafts, Loaded::Known(_))
+            && matches!(job.failures, Loaded::Known(_))
             && let Some(batch) = job.batch.clone()
         {
             self.start_loaded(id, batch);
--- a/crates/core/src/decision/gateway/jobs/mod.rs
+++ b/crates/core/src/decision/gateway/jobs/mod.rs
@@ -8,10 +8,12 @@
 //! - `dispatch`, `share`, `scoring`: items and scoring requests sent to targets
 //! - `pages`, `read`: results, and their readers
 //! - `draft`: texts that are reused by another process or a later job
+//! - `failures`: failures of items, on which another process goes on counting
 
 pub(super) mod dispatch;
 pub(super) mod draft;
 pub(super) mod ending;
+pub(super) mod failures;
 pub(super) mod head;
 pub(super) mod held;
 pub(super) mod homes;
@@ -35,15 +37,18 @@
 use crate::decision::directory::CallEnd;
 use crate::decision::gateway::Gateway;
 use crate::decision::gateway::jobs::draft::DraftWrites;
-use crate::decision::gateway::jobs::draft::LoadedDrafts;
+use crate::decision::gateway::jobs::draft::Loaded;
 use crate::decision::gateway::jobs::draft::open_group_drafts;
+use crate::decision::gateway::jobs::failures::FailureWrites;
 use crate::decision::gateway::jobs::read::Reader;
 use crate::decision::gateway::membership::witness::Witness;
 use crate::decision::gateway::message::CallId;
 use crate::decision::gateway::message::Effect;
 use crate::decision::gateway::message::Reply;
 use crate::domain::batch::Batch;
+use crate::domain::batch::Draft;
 use crate::domain::batch::Head;
+use crate::domain::batch::ItemFailures;
 use crate::domain::batch::Page;
 use crate::domain::event::Event;
 use crate::domain::fleet::Peer;
@@ -69,7 +74,9 @@
     /// Whether a part of the submission is being read or decoded.
     pub(super) loading_part: bool,
     /// Stored drafts of the job.
-    pub(super) drafts: LoadedDrafts,
+    pub(super) drafts: Loaded<Draft>,
+    /// Stored failures of the items of the job.
+    pub(super) failures: Loaded<ItemFailures>,
     /// Whether a page of results is being read.
     pub(super) loading_page: bool,
     /// Start of the last read that found no stored results missing from the journal.
@@ -125,6 +132,8 @@
     pub(super) group_since: Option<Time>,
     /// State of the draft writes.
     pub(super) drafts: DraftWrites,
+    /// State of the writes of failures.
+    pub(super) failures: FailureWrites,
 }
 
 /// Callers that wait for the end of a job.
@@ -149,7 +158,8 @@
             batch: None,
             parts: Vec::new(),
             loading_part: false,
-            drafts: LoadedDrafts::Unknown,
+            drafts: Loaded::Unknown,
+            failures: Loaded::Unknown,
             loading_page: false,
             complete_at: None,
             page_requested: now,
@@ -226,7 +236,8 @@
         match (&job.work, should_run) {
             (Work::Idle, true) => {
                 job.work = Work::Loading;
-                job.drafts = LoadedDrafts::Unknown;
+                job.drafts = Loaded::Unknown;
+                job.failures = Loaded::Unknown;
                 job.complete_at = None;
                 self.log(Event::BatchStarted, vec![("batch", id.to_string())]);
             }
--- a/crates/core/src/decision/gateway/jobs/removal.rs
+++ b/crates/core/src/decision/gateway/jobs/removal.rs
@@ -136,7 +136,8 @@
                 let part = |p| StoreCall::Delete(Kind::Parts, Arc::from(part_name(id, p)));
                 let mut remaining = vec![StoreCall::DeleteAt(Kind::Heads, name.clone(), revision)];
                 remaining.extend((0..parts).map(part));
-                remaining.push(StoreCall::Delete(Kind::Drafts, name));
+                remaining.push(StoreCall::Delete(Kind::Drafts, name.clone()));
+                remaining.push(StoreCall::Delete(Kind::Failures, name));
                 remaining.append(pages);
                 removal.step = Step::Deleting(remaining);
             }
--- a/crates/core/src/decision/gateway/jobs/routes.rs
+++ b/crates/core/src/decision/gateway/jobs/routes.rs
@@ -13,9 +13,8 @@
 use crate::decision::gateway::jobs::ActiveJob;
 use crate::decision::gateway::jobs::Work;
 use crate::decision::gateway::jobs::draft::DraftWrites;
-use crate::decision::gateway::jobs::draft::LoadedDrafts;
+use crate::decision::gateway::jobs::failures::FailureWrites;
 use crate::domain::batch::Batch;
-use crate::domain::batch::Draft;
 use crate::domain::batch::Head;
 use crate::domain::event::Event;
 use crate::domain::name::BatchId;
@@ -75,14 +74,12 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        let mut drafts: Vec<Draft> = match std::mem::take(&mut job.drafts) {
-            LoadedDrafts::Known(drafts) => drafts,
-            LoadedDrafts::Unknown | LoadedDrafts::Requested => Vec::new(),
-        };
+        let mut drafts = job.drafts.take();
+        let failures = job.failures.take();
         let items = batch.items.iter();
         drafts.extend(items.filter_map(|item| self.retained.find(&job.head, item)));
         job.batch = Some(batch.clone());
-        job.work = Work::AwaitingRoute(LoadedJob::new(batch, drafts));
+        job.work = Work::AwaitingRoute(LoadedJob::new(batch, drafts, failures));
         if !self.apply_route(id) {
             self.log_missing_route(id);
         }
@@ -126,6 +123,7 @@
                     last_page: now,
                     group_since: None,
                     drafts: DraftWrites::new(now),
+                    failures: FailureWrites::new(now),
                 }))
             }
             Work::Running(mut active) => {
--- a/crates/core/src/decision/gateway/jobs/scoring.rs
+++ b/crates/core/src/decision/gateway/jobs/scoring.rs
@@ -83,6 +83,7 @@
                 ],
             );
         }
+        self.write_failures();
         self.write_pages();
     }
 }
--- a/crates/core/src/decision/gateway/membership/watched.rs
+++ b/crates/core/src/decision/gateway/membership/watched.rs
@@ -196,6 +196,8 @@
             Purpose::Draft(id) => self.drafts_stored(&id, &answer),
             Purpose::Witness(id) => self.witness_answered(&id, &answer),
             Purpose::LoadDrafts(id) => self.drafts_loaded(&id, answer),
+            Purpose::Failures(id) => self.failures_stored(&id, answer),
+            Purpose::LoadFailures(id) => self.failures_loaded(&id, answer),
             Purpose::End(id) => self.end_stored(&id, &answer),
             Purpose::TakeOver(id) => {
                 let runner = Runner::from(&self.settings.peer);
--- a/crates/core/src/decision/gateway/mod.rs
+++ b/crates/core/src/decision/gateway/mod.rs
@@ -111,6 +111,8 @@
     drained: bool,
     /// Earliest time at which a draining process tries again to hand over its jobs.
     next_hand_over: Time,
+    /// Time at which a draining process hands over jobs whose records are not stored.
+    hand_over_by: Time,
     /// Availability of the object API.
     store: StoreHealth,
     /// Watch of the entries of targets.
@@ -158,6 +160,7 @@
             draining: false,
             drained: false,
             next_hand_over: now,
+            hand_over_by: now,
             store: StoreHealth::new(now),
             target_watch: TargetWatch::new(settings.entry_lapse),
             removal: None,
@@ -250,6 +253,7 @@
         self.dispatch();
         self.write_pages();
         self.write_drafts();
+        self.write_failures();
         if !self.drained && self.is_drained() {
             self.drained = true;
             self.effects.push(Effect::Drained);
@@ -342,8 +346,7 @@
         self.draining = true;
         self.effects.push(Effect::StopAccepting);
         self.shorten_submissions();
-        self.write_all_drafts();
-        self.hand_over();
+        self.begin_hand_over();
         self.leave();
     }
 
--- a/crates/core/src/decision/gateway/stored.rs
+++ b/crates/core/src/decision/gateway/stored.rs
@@ -9,6 +9,7 @@
 use crate::decision::lease::LeaseRecord;
 use crate::decision::tally::WindowCounts;
 use crate::domain::batch::Drafts;
+use crate::domain::batch::Failures;
 use crate::domain::batch::Head;
 use crate::domain::batch::Page;
 use crate::domain::crash::Crash;
@@ -54,6 +55,10 @@
     Draft(BatchId),
     /// Read the drafts of a job.
     LoadDrafts(BatchId),
+    /// Store the failures of a job, or read them after a conflict.
+    Failures(BatchId),
+    /// Read the failures of a job before it runs.
+    LoadFailures(BatchId),
     /// Read the drafts of a job to see whether its runner still writes.
     Witness(BatchId),
     /// Mark a job as ended.
@@ -104,6 +109,8 @@
             Self::Append(..) => "append",
             Self::Draft(_) => "draft",
             Self::LoadDrafts(_) => "load_drafts",
+            Self::Failures(_) => "failures",
+            Self::LoadFailures(_) => "load_failures",
             Self::Witness(_) => "witness",
             Self::End(_) => "end",
             Self::TakeOver(_) => "take_over",
@@ -148,6 +155,8 @@
     Pages,
     /// Unfinished texts of running batch jobs.
     Drafts,
+    /// Failures of the items of running batch jobs.
+    Failures,
     /// Gateway processes.
     Peers,
     /// Counts of usage windows.
@@ -175,6 +184,8 @@
     Page(Page),
     /// Unfinished texts of a batch job.
     Drafts(Drafts),
+    /// Failures of the items of a batch job.
+    Failures(Failures),
     /// Gateway process.
     Peer(Peer),
     /// Counts of a usage window.
--- a/crates/core/src/domain/batch.rs
+++ b/crates/core/src/domain/batch.rs
@@ -200,6 +200,27 @@
     pub drafts: Vec<Draft>,
 }
 
+/// What the answers of targets have shown of an item without a listed result.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ItemFailures {
+    /// Item that failed.
+    pub id: ItemId,
+    /// Number of runs at which a target failed.
+    pub runs: u32,
+    /// Number of scoring requests at which a target failed.
+    pub scorings: u32,
+    /// True if the item can never be done.
+    pub impossible: bool,
+}
+
+/// Failures of the items of a batch job, stored as one object. An item is sent again only once its last
+/// failure is stored, so that the next runner goes on counting.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failures {
+    /// Failures, at most one entry for each item.
+    pub items: Vec<ItemFailures>,
+}
+
 /// Returns the name of the object that holds a part of the encoded submission.
 pub fn part_name(batch: &BatchId, part: usize) -> String {
     format!("{batch}.{part:04}")
@@ -235,6 +256,13 @@
     }
 }
 
+impl ItemFailures {
+    /// Returns the largest size that the failures have when they are stored, in bytes.
+    pub fn encoded_size(&self) -> usize {
+        escaped_size(self.id.as_str()) + FIELDS_BYTES
+    }
+}
+
 impl Outcome {
     /// Returns the largest size that the result has when it is stored, in bytes.
     pub fn encoded_size(&self) -> usize {
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -16,6 +16,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sardinepath_core::decision::batch::RunEnd;
 use sardinepath_core::decision::batch::RunId;
 use sardinepath_core::decision::gateway::Gateway;
 use sardinepath_core::decision::gateway::GatewaySettings;
@@ -173,6 +174,8 @@
     pub break_after: Option<u64>,
     /// Whether targets answer each generation with an error.
     pub failing: bool,
+    /// Answer of all targets to each generation of an item, for items that none can do.
+    pub failing_items: BTreeMap<ItemId, RunEnd>,
     /// Whether stored submissions cannot be decoded.
     pub undecodable: bool,
     /// Number of stored submissions that were to be decoded.
@@ -237,6 +240,7 @@
             generations: BTreeMap::new(),
             break_after: None,
             failing: false,
+            failing_items: BTreeMap::new(),
             undecodable: false,
             decodes: 0,
             failing_scores: false,
@@ -346,7 +350,13 @@
 
     /// Returns the number of objects of jobs in the store.
     pub fn objects(&self) -> usize {
-        let job_kinds = [Kind::Heads, Kind::Parts, Kind::Pages, Kind::Drafts];
+        let job_kinds = [
+            Kind::Heads,
+            Kind::Parts,
+            Kind::Pages,
+            Kind::Drafts,
+            Kind::Failures,
+        ];
         let kinds = self.store.keys().map(|(kind, _)| kind);
         kinds.filter(|kind| job_kinds.contains(kind)).count()
     }
--- a/crates/core/tests/gateway_support/store.rs
+++ b/crates/core/tests/gateway_support/store.rs
@@ -19,6 +19,7 @@
 
 use crate::gateway_support::STORE_LATENCY_MS;
 use crate::gateway_support::Simulation;
+use crate::gateway_support::fixtures::batch_id;
 use crate::gateway_support::fixtures::host;
 
 /// Fault of the store for the calls of one gateway.
@@ -133,6 +134,16 @@
         }
     }
 
+    /// Returns the gateway that runs the job according to its head, or `None` if nobody does.
+    pub fn runner(&self) -> Option<usize> {
+        let name = Arc::from(batch_id().as_str());
+        let Some((_, Record::Head(head))) = self.store.get(&(Kind::Heads, name)) else {
+            return None;
+        };
+        let runner = head.runner.as_ref()?;
+        (0..self.nodes.len()).find(|index| host(*index) == runner.host)
+    }
+
     /// Returns `true` if the store holds an object.
     pub fn holds(&self, kind: Kind, name: &str) -> bool {
         self.store.contains_key(&(kind, Arc::from(name)))
--- a/crates/core/tests/gateway_support/traffic.rs
+++ b/crates/core/tests/gateway_support/traffic.rs
@@ -17,6 +17,7 @@
 use sardinepath_core::decision::gateway::stored::Record;
 use sardinepath_core::decision::gateway::stored::WatchedObject;
 use sardinepath_core::decision::permit::PermitRequest;
+use sardinepath_core::domain::batch::PartialText;
 use sardinepath_core::domain::fleet::TargetEntry;
 use sardinepath_core::domain::ids::Revision;
 use sardinepath_core::domain::limit::LimitStatement;
@@ -201,8 +202,9 @@
         let target = run.target.name.clone();
         self.nodes[index].runs.insert(run.id, target);
         let mut partial = run.partial.clone();
-        if self.failing {
-            let ended = Message::RunEnded(run.id, RunEnd::Failed, partial);
+        let forced = self.failing_items.get(&run.item.id).cloned();
+        if let Some(end) = forced.or(self.failing.then_some(RunEnd::Failed)) {
+            let ended = Message::RunEnded(run.id, end, partial);
             self.send(index, STEP_MS, ended);
             return;
         }
@@ -234,6 +236,16 @@
         self.send(index, delay, Message::RunEnded(run.id, end, partial));
     }
 
+    /// Breaks all generations of a gateway.
+    pub fn break_runs(&mut self, index: usize) {
+        let runs: Vec<RunId> = self.nodes[index].runs.keys().copied().collect();
+        for run in runs {
+            let end = RunEnd::Broken("the target closed the stream".to_owned());
+            let ended = Message::RunEnded(run, end, PartialText::default());
+            self.send(index, STEP_MS, ended);
+        }
+    }
+
     /// Ends a generation whose item another target continues.
     pub(super) fn move_run(&mut self, index: usize, id: RunId) {
         let Some((start, interval, run)) = self.generations.remove(&(index, id)) else {
