--- a/crates/core/src/decision/gateway/duties/duty.rs
+++ b/crates/core/src/decision/gateway/duties/duty.rs
@@ -60,6 +60,8 @@
     pending: Call,
     /// Whether a newer holder was observed, which ends the tenure of this process.
     fenced: bool,
+    /// Number of orders and reports that may still be sent or arrive.
+    in_flight: usize,
     /// Time before which this process does not claim the duty.
     claims_from: Time,
 }
@@ -85,6 +87,7 @@
             lease: Some(State::Vacant(lease)),
             pending: Call::Nothing,
             fenced: false,
+            in_flight: 0,
             claims_from: now + reclaim_wait(settings),
         }
     }
@@ -100,6 +103,21 @@
         !matches!(self.lease, Some(State::Held(_)))
     }
 
+    /// Returns `true` if no call for the duty or its lease is under way.
+    fn is_idle(&self) -> bool {
+        self.pending == Call::Nothing && self.in_flight == 0
+    }
+
+    /// Counts a call for the duty that is about to be sent.
+    pub(in crate::decision::gateway) fn call_started(&mut self) {
+        self.in_flight += 1;
+    }
+
+    /// Counts the end of a call for the duty. No byte of it arrives after that.
+    pub(in crate::decision::gateway) fn call_ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
     fn permit(&self) -> Option<Permit> {
         match &self.lease {
             Some(State::Held(lease)) if !self.fenced => Some(lease.permit()),
@@ -109,8 +127,12 @@
 }
 
 impl Gateway {
-    /// Returns the permit to act for the duty if it remains valid long enough for a call.
+    /// Returns the permit to act for the duty if it remains valid long enough for a call. A process that
+    /// drains starts nothing more.
     pub(in crate::decision::gateway) fn permit(&self) -> Option<Permit> {
+        if self.draining {
+            return None;
+        }
         let permit = self.duty.permit()?;
         permit
             .allows(self.now + MIN_LEASE_REMAINDER)
@@ -144,7 +166,9 @@
                 self.duty.lease = Some(State::Vacant(lapsed.rejoin()));
                 self.duty_lost("fenced");
             }
-            Some(State::Held(lease)) if self.draining && self.duty.pending == Call::Nothing => {
+            // The next holder may act as soon as the lease is released, so nothing of this one may arrive
+            // after it.
+            Some(State::Held(lease)) if self.draining && self.duty.is_idle() => {
                 let (lapsed, write) = lease.release();
                 self.duty.lease = Some(State::Vacant(lapsed.rejoin()));
                 self.write_lease(write);
@@ -285,6 +309,7 @@
             for _ in 0..ORDER_REQUESTS {
                 self.directory.starts.record_send(self.now, &load.target);
             }
+            self.duty.call_started();
             self.effects.push(Effect::OrderLoad(load, address, permit));
         }
     }
@@ -301,6 +326,7 @@
     }
 
     pub(in crate::decision::gateway) fn order_ended(&mut self, target: &TargetName, end: OrderEnd) {
+        self.duty.call_ended();
         self.weights.order_ended(self.now, target, end);
         if end == OrderEnd::Fenced {
             self.record_fenced();
--- a/crates/core/src/decision/gateway/duties/usage.rs
+++ b/crates/core/src/decision/gateway/duties/usage.rs
@@ -183,6 +183,7 @@
             WindowState::Stored(figures, due) if now >= *due => {
                 let counts = figures.counts.clone();
                 open.state = WindowState::Reporting(figures.clone());
+                self.duty.call_started();
                 effects.push(Effect::ReportUsage(window, counts, permit));
             }
             WindowState::Storing(_) | WindowState::Stored(..) | WindowState::Reporting(_) => {}
@@ -260,6 +261,7 @@
 
     pub(in crate::decision::gateway) fn report_ended(&mut self, window: u64, end: ReportEnd) {
         let now = self.now;
+        self.duty.call_ended();
         let Some(open) = self.reports.open.get_mut(&window) else {
             return;
         };
--- a/crates/core/tests/gateway_duty.rs
+++ b/crates/core/tests/gateway_duty.rs
@@ -292,3 +292,29 @@
     assert!(!sim.orders.is_empty());
     assert_one_holder(&sim.orders);
 }
+
+/// Time in milliseconds that an order takes on a path that loses packets.
+const SLOW_ORDER_MS: u64 = 1_000;
+
+/// Guards against an order or a report of a stopped holder that arrives after the next holder has acted, since
+/// the lease was released while it was on its way.
+#[test]
+fn a_stopped_holder_lets_go_only_when_its_calls_have_ended() {
+    for after in (0..1_000).step_by(100) {
+        let mut sim = unfenced(3);
+        name_version(&mut sim, 2);
+        sim.run(3 * LEASE_MS);
+        let (holder, _, _) = *sim.orders.last().unwrap();
+        sim.nodes[holder].duty_delay = SLOW_ORDER_MS;
+        name_version(&mut sim, 3);
+        sim.run(after + STEP_MS);
+
+        sim.message(holder, Message::Drain);
+        sim.run(3 * LEASE_MS);
+
+        let (last, _, _) = *sim.orders.last().unwrap();
+        assert_ne!(last, holder, "stopped after {after} ms");
+        assert_one_holder(&sim.orders);
+        assert_one_holder(&sim.report_times);
+    }
+}
--- a/crates/core/tests/gateway_support/duty.rs
+++ b/crates/core/tests/gateway_support/duty.rs
@@ -20,7 +20,7 @@
 impl Simulation {
     /// Passes a call for the duty to the traffic thread of a gateway.
     pub(super) fn queue_duty_call(&mut self, index: usize, call: DutyCall) {
-        let due = self.now + STEP_MS;
+        let due = self.now + STEP_MS + self.nodes[index].duty_delay;
         self.nodes[index].duty_calls.push((due, call));
     }
 
--- a/crates/core/tests/gateway_support/mod.rs
+++ b/crates/core/tests/gateway_support/mod.rs
@@ -116,6 +116,8 @@
     runs: BTreeMap<RunId, TargetName>,
     /// Plain requests without a reply, with the number of tries that are left.
     plain_calls: Vec<(CallId, u32)>,
+    /// Additional time in milliseconds until a call for the duty arrives.
+    pub duty_delay: u64,
     /// Calls for the duty that the traffic thread has not sent yet, with the time of each.
     duty_calls: Vec<(u64, DutyCall)>,
 }
@@ -208,6 +210,7 @@
             replies: BTreeMap::new(),
             runs: BTreeMap::new(),
             plain_calls: Vec::new(),
+            duty_delay: 0,
             duty_calls: Vec::new(),
         };
         let mut sim = Self {
