--- a/crates/core/src/domain/event.rs
+++ b/crates/core/src/domain/event.rs
@@ -149,6 +149,8 @@
     StoreUnreadable = (606, Warn, "store_unreadable", "an answer of the store cannot be read, so the kind is not followed"),
     /// The entry of this process among the gateways is gone. Fields: `host`.
     EntryLost = (607, Warn, "entry_lost", "the entry of this process among the gateways is gone and is written again"),
+    /// A submission was refused whose items do not fit into memory. Fields: `bytes`, `needed`, `limit`.
+    ItemsRefused = (608, Warn, "items_refused", "a submission has more items than fit into the memory for jobs"),
     /// The entry of a target changed. Fields: `target`, `pool`, `leaving`, `models`.
     TargetSeen = (610, Info, "target_seen", "the entry of a target is new, or what it says has changed"),
     /// The entry of a target is gone. Fields: `target`, `kept`.
