Cut the connection of a test before its agent ends

The test ended the agent and then cut the connections of the relay; a retry in between was cut too and sent once more, as its route allows. The relay is now cut first, so no retry can be under way. What is checked is the same.

--- a/crates/node/tests/request_attempts.rs
+++ b/crates/node/tests/request_attempts.rs
@@ -148,9 +148,10 @@
         let next = start_agent(path.targets[0].address, 0);
 
         let answer = post_and_act(&path, route, "late/1", || {
+            // The connection is cut before the agent ends, so that the retry is not cut too.
             path.relays[0].redirect(next.address);
-            drop(agent);
             path.relays[0].cut();
+            drop(agent);
         });
 
         assert_eq!(answer.0, status, "{answer:?}");
