Play items that always fail in the soak, and open the circle of the listener for callers

In the adapter for callers, the listener, its connections and the reading of requests used each other for the state that they share.

Change: every third job of a run has an item that each target answers with 500 and one that it answers with 422. They must be listed as given up, and reach targets nine and three times at most. The shared state of the server for callers has a module of its own. The sending of events is split from the reading of a generation's request.

--- a/crates/adapters/src/caller/connection.rs
+++ b/crates/adapters/src/caller/connection.rs
@@ -33,7 +33,7 @@
 use crate::caller::response::PendingResponse;
 use crate::caller::response::error_response;
 use crate::caller::response::respond;
-use crate::caller::serve::Shared;
+use crate::caller::shared::Shared;
 use crate::caller::step::StepCall;
 use crate::caller::stream::CallerStream;
 use crate::caller::stream::ResponseTracker;
--- a/crates/adapters/src/caller/inbound.rs
+++ b/crates/adapters/src/caller/inbound.rs
@@ -13,7 +13,7 @@
 use sardinepath_core::domain::error::ErrorKind;
 use serde_json::Value;
 
-use crate::caller::serve::Shared;
+use crate::caller::shared::Shared;
 use crate::memory::Complete;
 use crate::memory::Held;
 use crate::memory::ReadFault;
--- a/crates/adapters/src/caller/mod.rs
+++ b/crates/adapters/src/caller/mod.rs
@@ -6,6 +6,7 @@
 mod refuse;
 mod response;
 mod serve;
+mod shared;
 mod step;
 mod stream;
 
--- a/crates/adapters/src/caller/serve.rs
+++ b/crates/adapters/src/caller/serve.rs
@@ -1,7 +1,6 @@
 //! Accepts connections of callers.
 
 use std::convert::Infallible;
-use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -24,6 +23,7 @@
 use crate::caller::connection::Connection;
 use crate::caller::limits::CallerLimits;
 use crate::caller::refuse::refuse;
+use crate::caller::shared::Shared;
 use crate::event::emit;
 use crate::memory::BodyMemory;
 use crate::runtime::Spawner;
@@ -52,16 +52,6 @@
     _task: Task,
 }
 
-/// State shared by all connections.
-pub(super) struct Shared {
-    pub(super) limits: CallerLimits,
-    pub(super) front: Arc<dyn CallerFront>,
-    /// Memory for the bodies of requests.
-    pub(super) memory: BodyMemory,
-    /// True once new requests are refused.
-    pub(super) draining: AtomicBool,
-}
-
 /// State of the accept loop.
 struct Acceptor {
     spawner: Spawner,
@@ -127,16 +117,6 @@
         self.finished.clone()
     }
 }
-
-impl fmt::Debug for Shared {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.debug_struct("Shared")
-            .field("limits", &self.limits)
-            .field("draining", &self.draining)
-            .finish_non_exhaustive()
-    }
-}
-
 impl Acceptor {
     /// Accepts connections until the grace period of the drain is over, then closes idle ones.
     async fn run(
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -23,6 +23,8 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::failing::MAX_ATTEMPTS;
+use crate::failing::failing_status;
 use crate::generation::GENERATION_EVENTS;
 use crate::generation::event_data;
 use crate::target::CRASHING_PATH_END;
@@ -57,7 +59,7 @@
     let route = |name: &str, prefix: &str, kind: &str, service: &str, public: bool| {
         json!({
             "name": name, "host": HOST, "pathPrefix": prefix, "kind": kind, "timeoutMs": 3_000,
-            "targetLatencyMs": 150, "priority": 0, "service": service, "maxAttempts": 3,
+            "targetLatencyMs": 150, "priority": 0, "service": service, "maxAttempts": MAX_ATTEMPTS,
             "public": public, "resultDeadlineMs": 7_500, "retentionS": 600,
             "resumable": kind == "streaming",
         })
@@ -353,6 +355,10 @@
         .map(|event| event_data(id, event))
         .collect();
     let versions = result["versions"].as_array().cloned().unwrap_or_default();
+    if failing_status(id).is_some() {
+        let given_up = result["state"] == "terminated";
+        return (!given_up).then_some("complete though each run failed");
+    }
     if result["state"] != "completed" {
         return Some("given up without a reason");
     }
--- a/soak/src/generation.rs
+++ b/soak/src/generation.rs
@@ -1,6 +1,7 @@
 //! Streams of a stand-in target: generations of items, and streams for callers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -17,6 +18,7 @@
 use tokio::time::sleep;
 
 use crate::body;
+use crate::failing::failing_status;
 use crate::refusal::misdirected;
 use crate::target::TargetStandIn;
 use crate::target::header;
@@ -103,6 +105,12 @@
     let id = target.record_start(&headers);
     let last_event = last_event(&headers);
     let statements = statement_lines(&target);
+    if let Some(status) = failing_status(&id) {
+        let failure = format!("HTTP/1.1 {status}\r\n{named}{statements}content-length: 0\r\n\r\n");
+        // The gateway may have dropped the request, so the failure need not arrive.
+        let _ = stream.write_all(failure.as_bytes()).await;
+        return;
+    }
     let head = format!(
         "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: d.{id}\r\n{}: {version}\r\n{statements}\
          content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n",
@@ -113,8 +121,21 @@
     if stream.write_all(head.as_bytes()).await.is_err() {
         return;
     }
+    let first = last_event + 1;
+    send_events(&target, stream, &id, first, version, event_interval).await;
+}
+
+/// Sends the events of a generation from the first one on, and closes the connection.
+async fn send_events(
+    target: &TargetStandIn,
+    mut stream: TcpStream,
+    id: &str,
+    first: u64,
+    version: u64,
+    event_interval: Duration,
+) {
     let mut sent_version = version;
-    for event in last_event + 1..=GENERATION_EVENTS {
+    for event in first..=GENERATION_EVENTS {
         sleep(event_interval).await;
         let now = target.lock().version;
         let changed = match now != sent_version {
@@ -122,7 +143,7 @@
             false => String::new(),
         };
         sent_version = now;
-        let event = format!("{changed}id: {event}\ndata: {}\n\n", event_data(&id, event));
+        let event = format!("{changed}id: {event}\ndata: {}\n\n", event_data(id, event));
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         if stream.write_all(chunk.as_bytes()).await.is_err() {
             return;
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod check;
 mod crash;
 mod evacuation;
+mod failing;
 pub mod fleet;
 pub mod generation;
 mod inject;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -19,6 +19,7 @@
 use crate::callers::KEY;
 use crate::callers::config;
 use crate::evacuation::Evacuation;
+use crate::failing::FAILING_JOB;
 use crate::fleet::GatewayProcess;
 use crate::fleet::Reports;
 use crate::fleet::start_usage_api;
@@ -136,6 +137,7 @@
         .clone();
     run.check_guarantees(&callers, &reports);
     run.check_crashes(healed);
+    run.check_failing();
     run.check_evacuation(healed);
     let seen = callers.observations();
     let summary = format!(
@@ -171,7 +173,8 @@
             );
         }
         let min_version = version.saturating_sub(1).max(1);
-        let name = format!("b{step}");
+        let kind = if step % 3 == 2 { FAILING_JOB } else { 'b' };
+        let name = format!("{kind}{step}");
         steps.push((name.clone(), min_version));
         callers
             .run_step(&name, min_version, stop + SETTLE_TIMEOUT)
