Remember the last run of a host when its entry is removed

The holder of the duty lost its lease in an outage of the store and was stopped. Nobody took the earlier run for ended, and its lease ran to its end.

Change: the last run that was seen on a host, and its revision, are kept when the entry goes. The entry of another run shows that it has ended. An older entry is also told from a newer one that was removed since.

Evidence: a_new_run_ends_the_lease_of_the_one_before_also_if_the_entry_was_removed (core, gateway_duty) failed without the change (nobody held the duty within a lease) and passes with it.

--- a/crates/core/src/decision/gateway/membership/peers.rs
+++ b/crates/core/src/decision/gateway/membership/peers.rs
@@ -14,6 +14,7 @@
 use crate::decision::gateway::stored::StoreCall;
 use crate::domain::event::Event;
 use crate::domain::fleet::Peer;
+use crate::domain::ids::Incarnation;
 use crate::domain::ids::Revision;
 use crate::domain::name::HostName;
 use crate::domain::time::Time;
@@ -23,6 +24,8 @@
 #[derive(Debug, Default)]
 pub(in crate::decision::gateway) struct Peers {
     pub(super) known: BTreeMap<HostName, PeerEntry>,
+    /// Last run that was seen on each host, also if its entry is gone.
+    runs: BTreeMap<HostName, SeenRun>,
     pub(super) health: BTreeMap<HostName, Health>,
     /// Revision of the entry of this run, or `None` while it is not known to be stored.
     own_revision: Option<Revision>,
@@ -39,6 +42,13 @@
     revision: Revision,
 }
 
+/// Run of a process, with the revision of the entry that told of it.
+#[derive(Clone, Copy, Debug)]
+struct SeenRun {
+    incarnation: Incarnation,
+    revision: Revision,
+}
+
 impl Gateway {
     /// Stores the address of this process, so that others can reach it.
     pub(in crate::decision::gateway) fn announce(&mut self) {
@@ -158,20 +168,27 @@
 
     /// Learns the entry of a process. A feed that is behind may bring it after a newer one.
     pub(in crate::decision::gateway) fn insert_peer(&mut self, revision: Revision, peer: Peer) {
-        let known = self.peers.known.get(&peer.host);
-        if known.is_some_and(|known| known.revision > revision) {
+        let seen = self.peers.runs.get(&peer.host).copied();
+        if seen.is_some_and(|seen| seen.revision > revision) {
             return;
         }
         if peer.host == self.settings.peer.host {
             self.own_entry_seen(revision, &peer);
         }
+        let host = peer.host.clone();
         let incarnation = peer.incarnation;
+        let run = SeenRun {
+            incarnation,
+            revision,
+        };
+        self.peers.runs.insert(host.clone(), run);
         let entry = PeerEntry { peer, revision };
-        let before = self.peers.known.insert(entry.peer.host.clone(), entry);
-        // A host runs one process of this role, so the earlier run has ended.
-        if let Some(before) = before.filter(|before| before.peer.incarnation != incarnation) {
-            self.duty.record_ended(before.peer.incarnation);
-            self.ping(&before.peer.host);
+        self.peers.known.insert(host.clone(), entry);
+        // A host runs one process of this role, so the earlier run has ended, whether it has removed
+        // its entry or not.
+        if let Some(before) = seen.filter(|seen| seen.incarnation != incarnation) {
+            self.duty.record_ended(before.incarnation);
+            self.ping(&host);
         }
     }
 
--- a/crates/core/tests/gateway_duty.rs
+++ b/crates/core/tests/gateway_duty.rs
@@ -4,6 +4,7 @@
 mod gateway_support;
 
 use sardinepath_core::decision::gateway::message::Message;
+use sardinepath_core::decision::gateway::stored::Kind;
 use sardinepath_core::decision::gateway::stored::WatchedObject;
 use sardinepath_core::domain::ids::WeightVersion;
 use sardinepath_core::domain::name::ModelName;
@@ -11,6 +12,7 @@
 use crate::gateway_support::STEP_MS;
 use crate::gateway_support::Simulation;
 use crate::gateway_support::StoreFault;
+use crate::gateway_support::host;
 
 /// Length of a lease in the simulation, in milliseconds.
 const LEASE_MS: u64 = 3_000;
@@ -318,3 +320,25 @@
         assert_one_holder(&sim.report_times);
     }
 }
+
+/// Guards against a lease that runs to its end after its holder has ended without releasing it, because the
+/// holder had removed its entry before its next run wrote one.
+#[test]
+fn a_new_run_ends_the_lease_of_the_one_before_also_if_the_entry_was_removed() {
+    let mut sim = Simulation::new(3);
+    name_version(&mut sim, 2);
+    sim.run(2 * LEASE_MS);
+    let (holder, token, _) = *sim.orders.last().unwrap();
+    sim.kill(holder);
+    sim.remove(Kind::Peers, host(holder).as_str());
+    sim.run(200);
+    sim.start(holder);
+    let start = sim.now;
+    name_version(&mut sim, 3);
+
+    sim.run(LEASE_MS);
+
+    let next = sim.orders.iter().find(|(_, next, _)| *next > token);
+    let (_, _, at) = *next.expect("nobody holds the duty");
+    assert!(at < start + LEASE_MS / 2, "after {} ms", at - start);
+}
