--- a/soak/src/failing.rs
+++ b/soak/src/failing.rs
@@ -33,20 +33,19 @@
 impl Run {
     /// Checks that items which always fail were not sent again and again by one runner after the other.
     pub(crate) fn check_failing(&mut self) {
-        let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+        let mut failures: BTreeMap<String, usize> = BTreeMap::new();
         for target in &self.targets {
-            for (id, times) in target.log().runs {
-                *runs.entry(id).or_default() += times.len();
+            for (id, count) in target.log().failures {
+                *failures.entry(id).or_default() += count;
             }
         }
-        for (id, count) in runs {
+        for (id, count) in failures {
             let most = match failing_status(&id) {
                 Some(StatusCode::UNPROCESSABLE_ENTITY) => MAX_IMPOSSIBLE,
-                Some(_) => MAX_FAILURES,
-                None => continue,
+                _ => MAX_FAILURES,
             };
             if count > most {
-                let fault = format!("{id}: ran {count} times, though it failed at each run");
+                let fault = format!("{id}: sent again until it had failed {count} times");
                 self.faults.push(fault);
             }
         }
--- a/soak/src/generation.rs
+++ b/soak/src/generation.rs
@@ -106,6 +106,7 @@
     let last_event = last_event(&headers);
     let statements = statement_lines(&target);
     if let Some(status) = failing_status(&id) {
+        *target.lock().log.failures.entry(id).or_default() += 1;
         let failure = format!("HTTP/1.1 {status}\r\n{named}{statements}content-length: 0\r\n\r\n");
         // The gateway may have dropped the request, so the failure need not arrive.
         let _ = stream.write_all(failure.as_bytes()).await;
--- a/soak/src/target.rs
+++ b/soak/src/target.rs
@@ -65,6 +65,8 @@
 pub struct TargetLog {
     /// Start times of the executions of each request, by request id.
     pub runs: BTreeMap<String, Vec<Instant>>,
+    /// Number of answers that said that an item failed or can never be done, by its id.
+    pub failures: BTreeMap<String, usize>,
     /// Workspace that each request named, by request id.
     pub workspaces: BTreeMap<String, String>,
     /// Ids of requests that arrived with an API key, which gateways must remove.
