--- a/crates/core/src/decision/gateway/jobs/head.rs
+++ b/crates/core/src/decision/gateway/jobs/head.rs
@@ -104,8 +104,8 @@
         }
     }
 
-    /// Begins to hand over the jobs of this process. Nothing more is sent, so that what the items have
-    /// shown can be stored first.
+    /// Begins to hand over the jobs of this process. Nothing more is sent for a moment, so that the drafts
+    /// and failures that the next runner needs are stored first.
     pub(in crate::decision::gateway) fn begin_hand_over(&mut self) {
         self.hand_over_by = self.now + RECORD_TIMEOUT;
         self.write_all_drafts();
--- a/crates/core/tests/gateway_membership.rs
+++ b/crates/core/tests/gateway_membership.rs
@@ -53,7 +53,7 @@
     sim.holds(Kind::Peers, host(index).as_str())
 }
 
-/// Returns the gateways at which a gateway does not see each other one that a rule selects.
+/// Hides from each gateway the entries of the others that a rule selects, and cuts its way to them.
 fn hide_entries(sim: &mut Simulation, hidden: impl Fn(usize, usize) -> bool) {
     let count = sim.nodes.len();
     for from in 0..count {
